--- /dev/null
+++ b/basilcross/grant/guard.go
@@ -0,0 +1,204 @@
+package grant
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/lease"
+)
+
+// stampsKept bounds the stamps that a guard remembers. It exceeds the number
+// of renewers of a target, each of which has one order under way.
+const stampsKept = 32
+
+// Guard is a target's side of the protocol: it takes orders and admits the
+// requests that the grants cover. Incarnation must be unique to the process.
+// The zero value otherwise works and admits nothing.
+type Guard struct {
+	Incarnation string
+	// Held, if set, is told of each span in which the guard was ready to
+	// admit requests for a grant; for tests and for audits.
+	Held func(g Grant, from, until time.Time)
+
+	mu      sync.Mutex
+	version uint64
+	grants  []Grant
+	running map[Drained]int
+	lease   lease.Lease
+	stamp   uint64
+	issued  map[uint64]time.Time
+}
+
+// Apply takes an order that arrived at now. Orders under an older version than
+// the one held, for another incarnation, or with a stamp not of this guard
+// give no lease.
+func (g *Guard) Apply(now time.Time, o Order) Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	renewed := false
+	if o.Lease > 0 && o.Incarnation == g.Incarnation && o.Version >= g.version {
+		g.adopt(now, o)
+		renewed = o.Version == g.version && g.extend(now, o)
+	}
+	return Status{
+		Incarnation: g.Incarnation,
+		Stamp:       g.issue(now),
+		Version:     g.version,
+		Renewed:     renewed,
+		Drained:     g.drained(),
+		InFlight:    g.inFlight(),
+	}
+}
+
+// adopt takes over a newer version's grants, if the order has them.
+func (g *Guard) adopt(now time.Time, o Order) {
+	if o.Version == g.version || !o.Full {
+		return
+	}
+	g.reportUntil(now)
+	g.version = o.Version
+	g.grants = slices.Clone(o.Grants)
+	slices.SortFunc(g.grants, func(a, b Grant) int {
+		if a.First < b.First {
+			return -1
+		}
+		return 1
+	})
+}
+
+// extend counts the lease from when the stamp was issued. An order may be
+// under way for any time; counted from its arrival, a late one would give a
+// lease that its sender has long waited out.
+func (g *Guard) extend(now time.Time, o Order) bool {
+	sent, ok := g.issued[o.Stamp]
+	if !ok {
+		return false
+	}
+	next := lease.New(sent, o.Lease)
+	if !next.Valid(now) {
+		return false
+	}
+	g.reportUntil(now)
+	g.lease = g.lease.Later(next)
+	return true
+}
+
+func (g *Guard) issue(now time.Time) uint64 {
+	if g.issued == nil {
+		g.issued = map[uint64]time.Time{}
+	}
+	g.stamp++
+	g.issued[g.stamp] = now
+	delete(g.issued, g.stamp-stampsKept)
+	return g.stamp
+}
+
+// reportUntil tells Held of the span from now to the present lease's end. The
+// next call may cut that span short, so spans are told with their outer bound.
+func (g *Guard) reportUntil(now time.Time) {
+	if g.Held == nil {
+		return
+	}
+	left := g.lease.Left(now)
+	for _, grant := range g.grants {
+		if left > 0 && !grant.Revoked {
+			g.Held(grant, now, now.Add(left))
+		}
+	}
+}
+
+func (g *Guard) drained() []Drained {
+	var done []Drained
+	for _, grant := range g.grants {
+		id := Drained{First: grant.First, Epoch: grant.Epoch}
+		if grant.Revoked && g.running[id] == 0 {
+			done = append(done, id)
+		}
+	}
+	return done
+}
+
+func (g *Guard) inFlight() int {
+	n := 0
+	for _, running := range g.running {
+		n += running
+	}
+	return n
+}
+
+// Admission is a request that the guard has let in. Done must be called once.
+type Admission struct {
+	guard *Guard
+	hash  uint64
+	epoch uint64
+	id    Drained
+}
+
+// Enter admits a request, or returns a RefusedError.
+func (g *Guard) Enter(now time.Time, hash, epoch uint64) (*Admission, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	grant, reason := g.check(now, hash, epoch)
+	if reason == "" && grant.Revoked {
+		reason = Moved
+	}
+	if reason != "" {
+		return nil, &RefusedError{Reason: reason, Hash: hash, Epoch: epoch}
+	}
+	if g.running == nil {
+		g.running = map[Drained]int{}
+	}
+	id := Drained{First: grant.First, Epoch: grant.Epoch}
+	g.running[id]++
+	return &Admission{guard: g, hash: hash, epoch: epoch, id: id}, nil
+}
+
+func (g *Guard) check(now time.Time, hash, epoch uint64) (Grant, Refused) {
+	i := slices.IndexFunc(g.grants, func(grant Grant) bool {
+		return grant.First <= hash && hash <= grant.Last
+	})
+	if i < 0 || g.grants[i].Epoch != epoch {
+		return Grant{}, NotOwner
+	}
+	if !g.lease.Valid(now) {
+		return Grant{}, LeaseLapsed
+	}
+	return g.grants[i], ""
+}
+
+// Commit carries out a request's effect if the target still owns the key.
+//
+// The failure: the process is paused between Enter and the effect, the lease
+// lapses, another target takes the key over, and the process goes on as if
+// nothing had happened. The check and the effect therefore stand together. An
+// effect on a store of its own that outlives the process should carry the
+// epoch there, since a pause can also fall between these two lines.
+func (a *Admission) Commit(effect func(now time.Time)) error {
+	g := a.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if _, reason := g.check(now, a.hash, a.epoch); reason != "" {
+		return &RefusedError{Reason: reason, Hash: a.hash, Epoch: a.epoch}
+	}
+	effect(now)
+	return nil
+}
+
+// Done ends the request.
+func (a *Admission) Done() {
+	a.guard.mu.Lock()
+	defer a.guard.mu.Unlock()
+	a.guard.running[a.id]--
+	if a.guard.running[a.id] == 0 {
+		delete(a.guard.running, a.id)
+	}
+}
+
+// LeaseLeft returns what is left of the lease at now.
+func (g *Guard) LeaseLeft(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease.Left(now)
+}
--- /dev/null
+++ b/basilcross/grant/guard_test.go
@@ -0,0 +1,92 @@
+package grant_test
+
+import (
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilcross.example/basilcross/grant"
+	"gotest.tools/v3/assert"
+)
+
+func order(s grant.Status, version uint64, grants ...grant.Grant) grant.Order {
+	return grant.Order{
+		Incarnation: s.Incarnation, Stamp: s.Stamp, Lease: time.Second,
+		Version: version, Full: true, Grants: grants,
+	}
+}
+
+func reasonOf(t *testing.T, err error) grant.Refused {
+	t.Helper()
+	var refused *grant.RefusedError
+	assert.Assert(t, errors.As(err, &refused), "%v", err)
+	return refused.Reason
+}
+
+var whole = grant.Grant{First: 0, Last: 99, Epoch: 3}
+
+// A target is frozen while a request runs, its lease lapses, and it goes on as
+// if nothing had happened. The request was admitted, but its effect is
+// refused, since another target may own the key by then.
+func TestFrozenTargetDoesNotCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := grant.Guard{Incarnation: "i"}
+		s := g.Apply(time.Now(), grant.Order{})
+		assert.Assert(t, g.Apply(time.Now(), order(s, 1, whole)).Renewed)
+		a, err := g.Enter(time.Now(), 5, 3)
+		assert.NilError(t, err)
+		time.Sleep(2 * time.Second)
+		err = a.Commit(func(time.Time) { t.Error("the effect must not take place") })
+		assert.Equal(t, reasonOf(t, err), grant.LeaseLapsed)
+		a.Done()
+	})
+}
+
+// A renewal is held up in the network for longer than its lease. Its sender
+// has waited the lease out and the shard may have another owner, so the late
+// renewal must not revive the lease.
+func TestLateRenewalGivesNoLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := grant.Guard{Incarnation: "i"}
+		late := order(g.Apply(time.Now(), grant.Order{}), 1, whole)
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, !g.Apply(time.Now(), late).Renewed)
+		_, err := g.Enter(time.Now(), 5, 3)
+		assert.Equal(t, reasonOf(t, err), grant.LeaseLapsed)
+	})
+}
+
+// A shard is revoked while a request for it runs. New requests are refused as
+// moved, the running one finishes, and only then is the shard drained. A
+// gateway that still has the older version cannot bring the grant back.
+func TestRevocationLetsRunningRequestsFinish(t *testing.T) {
+	g := grant.Guard{Incarnation: "i"}
+	now := time.Now()
+	s := g.Apply(now, order(g.Apply(now, grant.Order{}), 1, whole))
+	a, err := g.Enter(now, 5, 3)
+	assert.NilError(t, err)
+	revoked := whole
+	revoked.Revoked = true
+	s = g.Apply(now, order(s, 2, revoked))
+	assert.Equal(t, len(s.Drained), 0)
+	_, err = g.Enter(now, 5, 3)
+	assert.Equal(t, reasonOf(t, err), grant.Moved)
+	assert.NilError(t, a.Commit(func(time.Time) {}))
+	a.Done()
+	s = g.Apply(now, order(s, 1, whole))
+	assert.Assert(t, !s.Renewed, "an order of an older version must be refused")
+	assert.DeepEqual(t, s.Drained, []grant.Drained{{First: 0, Epoch: 3}})
+}
+
+// A gateway has an assignment in which this target still owned the key under
+// an earlier epoch, or another epoch of its own. Both are refused.
+func TestOtherEpochIsRefused(t *testing.T) {
+	g := grant.Guard{Incarnation: "i"}
+	now := time.Now()
+	g.Apply(now, order(g.Apply(now, grant.Order{}), 1, whole))
+	_, err := g.Enter(now, 5, 2)
+	assert.Equal(t, reasonOf(t, err), grant.NotOwner)
+	_, err = g.Enter(now, 100, 3)
+	assert.Equal(t, reasonOf(t, err), grant.NotOwner)
+}
--- /dev/null
+++ b/basilcross/pool/pool.go
@@ -0,0 +1,303 @@
+// Package pool keeps HTTP/1.1 connections to one target and sends requests on
+// them under rules that tell for certain whether a failed request was sent.
+//
+// An http.Transport repeats some requests on its own, and picks any idle
+// connection. Neither fits a request that must run at most once.
+package pool
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// provedFor is how long after its last answer a connection counts as
+	// proved. Middle boxes lose track of connections only after silences far
+	// longer than this.
+	provedFor = 2 * time.Second
+	// maxIdle is the age of a connection's last answer after which it is closed.
+	maxIdle = 30 * time.Second
+	// maxAge bounds a connection's life, with jitter, so that load follows
+	// changes of address and no connection lives for ever.
+	maxAge = 10 * time.Minute
+	// defaultIdleLimit bounds idle connections where IdleLimit is zero.
+	defaultIdleLimit = 8
+	bufferSize       = 8 << 10
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Pool holds the connections to one address. Address must be set; the other
+// fields may stay zero.
+type Pool struct {
+	Address string
+	Dial    DialFunc
+	// IdleLimit is how many idle connections are kept; 0 means 8.
+	IdleLimit int
+
+	mu   sync.Mutex
+	idle []*conn
+	// suspectBefore marks connections whose last answer is older as suspect.
+	suspectBefore time.Time
+	closed        bool
+}
+
+// Request is what is sent to a target.
+type Request struct {
+	Method string
+	// Target is the request URI, such as "/menus/lists/graz-7?day=2".
+	Target string
+	Host   string
+	Header http.Header
+	Body   io.Reader
+	// Length is the body's length; -1 sends it in chunks.
+	Length int64
+	// Proved asks for a connection that was lately proved alive, or a new
+	// one. It is set for requests that must not run twice.
+	Proved bool
+	// Before is called when a connection is at hand, immediately before the
+	// first byte is written. Its error stops the request.
+	Before func(now time.Time) error
+}
+
+// Stage is how far a request got.
+type Stage int
+
+// The stages of a request.
+const (
+	// Dialing: no connection; nothing was sent.
+	Dialing Stage = iota
+	// Checking: Before refused; nothing was sent.
+	Checking
+	// Writing: the request was not written to its end.
+	Writing
+	// Waiting: all was written and no answer came.
+	Waiting
+)
+
+// Error is a request without an answer.
+type Error struct {
+	Stage Stage
+	// Wrote is set if any byte was handed to the network.
+	Wrote  bool
+	Reused bool
+	Cause  error
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("request failed at stage %d: %v", e.Stage, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	writer *bufio.Writer
+	// lastAnswer is when the last answer ended; for a new connection, when
+	// it was opened.
+	lastAnswer time.Time
+	dies       time.Time
+	reused     bool
+	wrote      bool
+}
+
+// Write notes that bytes left for the network.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.wrote = c.wrote || n > 0
+	return n, err
+}
+
+// Do sends the request and returns the answer's head. The body must be read to
+// its end or closed; only a connection whose answer was read whole is used
+// again. The context bounds the whole exchange, the reading of the body
+// included.
+func (p *Pool) Do(ctx context.Context, r *Request) (*http.Response, error) {
+	c, err := p.get(ctx, r.Proved)
+	if err != nil {
+		return nil, &Error{Stage: Dialing, Cause: err}
+	}
+	c.wrote = false
+	// Cancellation reaches a blocked read or write through the deadline.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	res, failed := c.exchange(r)
+	if failed != nil {
+		stop()
+		_ = c.Close()
+		if cause := ctx.Err(); cause != nil {
+			failed.Cause = cause
+		}
+		return nil, failed
+	}
+	res.Body = &body{ReadCloser: res.Body, pool: p, conn: c, stop: stop, reusable: !res.Close}
+	return res, nil
+}
+
+func (c *conn) exchange(r *Request) (*http.Response, *Error) {
+	if r.Before != nil {
+		if err := r.Before(time.Now()); err != nil {
+			return nil, &Error{Stage: Checking, Reused: c.reused, Cause: err}
+		}
+	}
+	if err := c.send(r); err != nil {
+		return nil, &Error{Stage: Writing, Wrote: c.wrote, Reused: c.reused, Cause: err}
+	}
+	res, err := c.receive(r.Method)
+	if err != nil {
+		return nil, &Error{Stage: Waiting, Wrote: true, Reused: c.reused, Cause: err}
+	}
+	return res, nil
+}
+
+func (c *conn) send(r *Request) error {
+	w := c.writer
+	w.Reset(c)
+	_, _ = w.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if err := r.Header.Write(w); err != nil {
+		return err
+	}
+	switch {
+	case r.Length > 0 || r.Length == 0 && r.Body != nil:
+		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n", r.Length)
+		if err := copyExactly(w, r.Body, r.Length); err != nil {
+			return err
+		}
+	case r.Length < 0:
+		_, _ = w.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+		if err := copyChunked(w, r.Body); err != nil {
+			return err
+		}
+	default:
+		_, _ = w.WriteString("\r\n")
+	}
+	return w.Flush()
+}
+
+// receive reads the answer's head, past any interim answers.
+func (c *conn) receive(method string) (*http.Response, error) {
+	request := &http.Request{Method: method}
+	for {
+		res, err := http.ReadResponse(c.reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if res.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("target switched protocols")
+		}
+		if res.StatusCode >= http.StatusOK {
+			return res, nil
+		}
+	}
+}
+
+func (p *Pool) get(ctx context.Context, proved bool) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop()
+		if c == nil {
+			return p.open(ctx)
+		}
+		if !p.usable(c, now) {
+			_ = c.Close()
+			continue
+		}
+		if proved && now.Sub(c.lastAnswer) > provedFor {
+			// Still good for requests that may be repeated.
+			p.put(c)
+			return p.open(ctx)
+		}
+		return c, nil
+	}
+}
+
+// pop takes the connection used last, which is the best proved one.
+func (p *Pool) pop() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) usable(c *conn, now time.Time) bool {
+	p.mu.Lock()
+	suspect := c.lastAnswer.Before(p.suspectBefore)
+	p.mu.Unlock()
+	fresh := now.Before(c.dies) && now.Sub(c.lastAnswer) < maxIdle
+	return !suspect && fresh && c.reader.Buffered() == 0 && quiet(c.Conn)
+}
+
+func (p *Pool) open(ctx context.Context) (*conn, error) {
+	dial := p.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	raw, err := dial(ctx, "tcp", p.Address)
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	life := maxAge - rand.N(maxAge/4) //nolint:gosec // jitter needs no secrecy
+	c := &conn{Conn: raw, lastAnswer: now, dies: now.Add(life)}
+	c.reader = bufio.NewReaderSize(raw, bufferSize)
+	c.writer = bufio.NewWriterSize(c, bufferSize)
+	return c, nil
+}
+
+func (p *Pool) put(c *conn) {
+	limit := p.IdleLimit
+	if limit == 0 {
+		limit = defaultIdleLimit
+	}
+	p.mu.Lock()
+	if p.closed || len(p.idle) >= limit {
+		p.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+	p.mu.Unlock()
+}
+
+// Suspect is called after a request got no answer in time. Something between
+// the two ends may have lost track of all open connections at once, while new
+// ones work; every connection without an answer since is dropped.
+func (p *Pool) Suspect(now time.Time) {
+	p.mu.Lock()
+	p.suspectBefore = now
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// Close closes the idle connections and keeps no others.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Suspect(time.Now())
+}
+
+// Idle returns the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle)
+}
--- /dev/null
+++ b/basilcross/seat/seat.go
@@ -0,0 +1,220 @@
+// Package seat decides who leads: one row of the table service per seat, held
+// for a period and renewed by conditional writes.
+package seat
+
+import (
+	"time"
+
+	"basilcross.example/basilcross/lease"
+	"basilcross.example/basilcross/table"
+)
+
+// Hold is how long a renewal is good for, from the time it was sent.
+const Hold = 1200 * time.Millisecond
+
+// Record is the row of a seat.
+type Record struct {
+	Zone   string `json:"zone"`
+	Holder string `json:"holder"`
+	// Incarnation tells a restarted instance from its earlier life.
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	// Term grows with every change of holder.
+	Term uint64 `json:"term"`
+	// HandedOver is set by a holder that stepped down itself. Leases that it
+	// gave may last up to Hold after the write.
+	HandedOver bool `json:"handedOver,omitempty"`
+	// Intent names the instance that set out to evict the holder.
+	Intent string `json:"intent,omitempty"`
+	// Renewals makes each renewal a new row version.
+	Renewals uint64 `json:"renewals"`
+}
+
+// RowKey is the key of a seat's row.
+func RowKey(name string) string { return "head/seat/" + name }
+
+// TermKey is the key of the row that changes only with the holder, so that a
+// planner's write can depend on the holder and not on its renewals.
+func TermKey(name string) string { return "term/" + name }
+
+// Seat is one instance's view of a seat, as holder or as candidate. Name and
+// Self are set by the owner; the rest starts empty. It is not safe for
+// concurrent use.
+type Seat struct {
+	Name string
+	// Self is written into the row when this instance takes the seat.
+	Self Record
+
+	record   Record
+	version  uint64
+	termRow  uint64
+	seen     time.Time
+	known    bool
+	held     bool
+	mine     lease.Lease
+	pending  map[string]time.Time
+	gainedAt time.Time
+	graceful bool
+}
+
+// Observe takes in the seat's row as read from the table, received at now. A
+// nil row means that there is none.
+func (s *Seat) Observe(now time.Time, row *table.Row) error {
+	if row == nil {
+		s.adopt(now, 0, Record{Zone: s.Name})
+		return nil
+	}
+	if s.known && row.Version <= s.version {
+		return nil
+	}
+	var r Record
+	if err := table.Decode(*row, &r); err != nil {
+		return err
+	}
+	sent, ours := s.pending[row.Token]
+	s.adopt(now, row.Version, r)
+	if ours && s.isSelf(r) {
+		s.gain(now, sent)
+	}
+	return nil
+}
+
+// ObserveTerm takes in the version of the seat's term row.
+func (s *Seat) ObserveTerm(version uint64) { s.termRow = version }
+
+func (s *Seat) adopt(now time.Time, version uint64, r Record) {
+	if s.known && version == s.version {
+		return
+	}
+	s.known = true
+	s.version = version
+	s.record = r
+	s.seen = now
+	if !s.isSelf(r) {
+		s.held = false
+	}
+}
+
+func (s *Seat) isSelf(r Record) bool {
+	return r.Holder == s.Self.Holder && r.Incarnation == s.Self.Incarnation
+}
+
+// gain counts authority from when the write was sent. The answer, or the
+// reading that shows it, may be arbitrarily late; counted from receipt, the
+// holder would go on after an observer's wait is over.
+func (s *Seat) gain(now, sent time.Time) {
+	if !s.held {
+		s.held = true
+		s.gainedAt = now
+	}
+	s.mine = s.mine.Later(lease.New(sent, Hold))
+	clear(s.pending)
+}
+
+// Record returns the row last seen and its version.
+func (s *Seat) Record() (r Record, version uint64) { return s.record, s.version }
+
+// Known tells whether the row has been read at all.
+func (s *Seat) Known() bool { return s.known }
+
+// TermVersion returns the version of the term row last seen.
+func (s *Seat) TermVersion() uint64 { return s.termRow }
+
+// Holding tells whether this instance is the row's holder, as far as it knows.
+// Its authority may have lapsed all the same.
+func (s *Seat) Holding() bool { return s.held }
+
+// Authority returns the lease that the seat gives this instance.
+func (s *Seat) Authority() lease.Lease {
+	if !s.held {
+		return lease.Lease{}
+	}
+	return s.mine
+}
+
+// UnknownUntil is the time until which leases given by an earlier holder may
+// still run. After a silent holder there are none, since the candidate's wait
+// outlasted them; after a handing over they run on for up to Hold.
+func (s *Seat) UnknownUntil() time.Time {
+	if !s.graceful {
+		return time.Time{}
+	}
+	return s.gainedAt.Add(lease.Wait(Hold))
+}
+
+// Claimable tells whether the seat may be taken at now: nobody holds it, it
+// was handed over, or its row has not changed for longer than the last
+// holder's authority can have lasted. The wait counts from when this
+// instance first saw the version, which is after the holder sent it.
+func (s *Seat) Claimable(now time.Time) bool {
+	if !s.known {
+		return false
+	}
+	if s.record.Holder == "" || s.record.HandedOver {
+		return true
+	}
+	return now.Sub(s.seen) > lease.Wait(Hold)
+}
+
+// Silence returns how long the row has stood unchanged.
+func (s *Seat) Silence(now time.Time) time.Duration { return now.Sub(s.seen) }
+
+// Claim returns the write that takes the seat, sent at now under token.
+func (s *Seat) Claim(now time.Time, token string) (table.Transaction, error) {
+	next := s.Self
+	next.Zone = s.Name
+	next.Term = s.record.Term + 1
+	s.graceful = s.record.HandedOver
+	return s.change(now, token, next, true)
+}
+
+// Renew returns the write that keeps the seat for another Hold.
+func (s *Seat) Renew(now time.Time, token string) (table.Transaction, error) {
+	next := s.record
+	next.Intent = ""
+	next.Renewals++
+	return s.change(now, token, next, false)
+}
+
+// HandOver returns the write by which a holder steps down early.
+func (s *Seat) HandOver(now time.Time, token string) (table.Transaction, error) {
+	next := s.record
+	next.HandedOver = true
+	tx, err := s.change(now, token, next, false)
+	s.held = false
+	clear(s.pending)
+	return tx, err
+}
+
+// Evict returns the write that leaves the seat without a holder, together
+// with a new term.
+func (s *Seat) Evict(now time.Time, token string) (table.Transaction, error) {
+	next := Record{Zone: s.Name, Term: s.record.Term + 1}
+	return s.change(now, token, next, true)
+}
+
+func (s *Seat) change(now time.Time, token string, next Record, newTerm bool) (table.Transaction, error) {
+	put, err := table.Encode(RowKey(s.Name), next)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	tx := table.Transaction{
+		Token:      token,
+		Conditions: []table.Condition{{Key: RowKey(s.Name), Version: s.version}},
+		Puts:       []table.Put{put},
+	}
+	if newTerm {
+		term, err := table.Encode(TermKey(s.Name), next.Term)
+		if err != nil {
+			return table.Transaction{}, err
+		}
+		tx.Puts = append(tx.Puts, term)
+	}
+	if s.pending == nil {
+		s.pending = map[string]time.Time{}
+	}
+	if s.isSelf(next) && !next.HandedOver {
+		s.pending[token] = now
+	}
+	return tx, nil
+}
