--- a/basilcross/assignment/assignment.go
+++ b/basilcross/assignment/assignment.go
@@ -27,6 +27,7 @@
 	ID      string `json:"id"`
 	Service string `json:"service"`
 	Zone    string `json:"zone"`
+	Region  string `json:"region"`
 	Address string `json:"address"`
 	// Fenced targets check grants themselves and refuse what is not theirs.
 	Fenced bool `json:"fenced"`
--- a/basilcross/config/config.go
+++ b/basilcross/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -155,3 +156,16 @@
 	}
 	return n
 }
+
+// HeadKey is the key of the row that says which version is in force.
+const HeadKey = "head/config"
+
+// Head is that row.
+type Head struct {
+	Version uint64 `json:"version"`
+}
+
+// VersionKey is the key of a version's row, which never changes.
+func VersionKey(version uint64) string {
+	return fmt.Sprintf("config/%020d", version)
+}
--- /dev/null
+++ b/basilcross/deltalog/deltalog.go
@@ -0,0 +1,288 @@
+// Package deltalog keeps a service's assignments in the platform: a small head
+// row, one row per delta, and from time to time a snapshot in the object store.
+package deltalog
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/table"
+)
+
+const (
+	headPrefix  = "head/assign/"
+	deltaPrefix = "delta/"
+	// SnapshotEvery is how many versions lie between two snapshots.
+	SnapshotEvery = 64
+	// kept is how many snapshots' worth of deltas stay, so that a damaged or
+	// missing snapshot can be replaced by the one before it.
+	kept = 2
+)
+
+// Head is the row that says which version is in force.
+type Head struct {
+	Service string `json:"service"`
+	Version uint64 `json:"version"`
+	// Snapshots are versions with an object, the newest last.
+	Snapshots []uint64 `json:"snapshots,omitempty"`
+	// Oldest is the version of the oldest delta row.
+	Oldest uint64 `json:"oldest"`
+}
+
+// Log reads and writes the assignments of one service. It is not safe for
+// concurrent use.
+type Log struct {
+	Service string
+	Table   table.Client
+	Objects object.Client
+	// Damaged, if set, is told of snapshots that could not be used.
+	Damaged func(name string, err error)
+
+	head       Head
+	rowVersion uint64
+	current    *assignment.Assignment
+	pending    pending
+}
+
+// pending is what the last Append would put in force.
+type pending struct {
+	head  Head
+	next  *assignment.Assignment
+	delta assignment.Delta
+}
+
+// HeadKey is the key of a service's head row.
+func HeadKey(service string) string { return headPrefix + service }
+
+// ServiceOf returns the service of a head row's key; ok is false for others.
+func ServiceOf(key string) (service string, ok bool) {
+	if len(key) <= len(headPrefix) || key[:len(headPrefix)] != headPrefix {
+		return "", false
+	}
+	return key[len(headPrefix):], true
+}
+
+func (l *Log) deltaKey(version uint64) string {
+	return fmt.Sprintf("%s%s/%020d", deltaPrefix, l.Service, version)
+}
+
+func (l *Log) snapshotName(version uint64) string {
+	return fmt.Sprintf("assign-%s-%020d", l.Service, version)
+}
+
+// Current returns the newest version read; never nil.
+func (l *Log) Current() *assignment.Assignment {
+	if l.current == nil {
+		return &assignment.Assignment{Service: l.Service}
+	}
+	return l.current
+}
+
+// HeadVersion returns the version of the head row, for conditions.
+func (l *Log) HeadVersion() uint64 { return l.rowVersion }
+
+// CatchUp reads what is new according to the head row and returns the deltas
+// that lead there; one that replaces all if the beginning is not kept.
+func (l *Log) CatchUp(ctx context.Context, row table.Row) ([]assignment.Delta, error) {
+	var head Head
+	if err := table.Decode(row, &head); err != nil {
+		return nil, err
+	}
+	if row.Version <= l.rowVersion {
+		return nil, nil
+	}
+	next, deltas, err := l.read(ctx, head)
+	if err != nil {
+		return nil, fmt.Errorf("catch up with %s version %d: %w", l.Service, head.Version, err)
+	}
+	l.head, l.rowVersion, l.current = head, row.Version, next
+	return deltas, nil
+}
+
+func (l *Log) read(ctx context.Context, head Head) (*assignment.Assignment, []assignment.Delta, error) {
+	have := l.Current()
+	deltas, err := l.readDeltas(ctx, max(have.Version, head.Oldest-min(1, head.Oldest)), head.Version)
+	if err != nil {
+		return nil, nil, err
+	}
+	if have.Version+1 >= head.Oldest {
+		next, err := applyAll(have, deltas)
+		return next, deltas, err
+	}
+	next, err := l.fromSnapshot(ctx, head, deltas)
+	if err != nil {
+		return nil, nil, err
+	}
+	return next, []assignment.Delta{assignment.Diff(&assignment.Assignment{}, next)}, nil
+}
+
+// fromSnapshot tries the snapshots from the newest to the oldest.
+func (l *Log) fromSnapshot(ctx context.Context, head Head, deltas []assignment.Delta) (*assignment.Assignment, error) {
+	faults := []error{fmt.Errorf("no usable snapshot")}
+	for i := len(head.Snapshots) - 1; i >= 0; i-- {
+		name := l.snapshotName(head.Snapshots[i])
+		base, err := l.loadSnapshot(ctx, name, head.Snapshots[i])
+		if err != nil {
+			faults = append(faults, err)
+			if l.Damaged != nil {
+				l.Damaged(name, err)
+			}
+			continue
+		}
+		rest := deltas
+		for len(rest) > 0 && rest[0].To <= base.Version {
+			rest = rest[1:]
+		}
+		return applyAll(base, rest)
+	}
+	return nil, errors.Join(faults...)
+}
+
+func (l *Log) loadSnapshot(ctx context.Context, name string, version uint64) (*assignment.Assignment, error) {
+	content, err := l.Objects.Get(ctx, name)
+	if err != nil {
+		return nil, err
+	}
+	a, err := decodeSnapshot(content)
+	if err != nil {
+		return nil, fmt.Errorf("object %s: %w", name, err)
+	}
+	if a.Version != version || a.Service != l.Service {
+		return nil, fmt.Errorf("object %s: holds %s version %d", name, a.Service, a.Version)
+	}
+	return a, nil
+}
+
+func applyAll(a *assignment.Assignment, deltas []assignment.Delta) (*assignment.Assignment, error) {
+	for _, d := range deltas {
+		next, err := a.Apply(d)
+		if err != nil {
+			return nil, err
+		}
+		a = next
+	}
+	return a, nil
+}
+
+// readDeltas reads the rows of the versions after from, up to to.
+func (l *Log) readDeltas(ctx context.Context, from, to uint64) ([]assignment.Delta, error) {
+	var tx table.Transaction
+	for v := from + 1; v <= to; v++ {
+		tx.ReadKeys = append(tx.ReadKeys, l.deltaKey(v))
+	}
+	res, err := l.Table.Transact(ctx, tx)
+	if err != nil {
+		return nil, err
+	}
+	if len(res.Rows) != len(tx.ReadKeys) {
+		return nil, fmt.Errorf("%d of %d delta rows are missing", len(tx.ReadKeys)-len(res.Rows), len(tx.ReadKeys))
+	}
+	deltas := make([]assignment.Delta, len(res.Rows))
+	for i, row := range res.Rows {
+		if err := table.Decode(row, &deltas[i]); err != nil {
+			return nil, err
+		}
+	}
+	return deltas, nil
+}
+
+// Append returns the write that makes next the version in force, on condition
+// that nobody else wrote meanwhile. A snapshot that is due is stored first, of
+// the version before, since an object must not speak of what may not come.
+func (l *Log) Append(ctx context.Context, next *assignment.Assignment, token string) (table.Transaction, error) {
+	head := l.head
+	head.Service = l.Service
+	head.Version = next.Version
+	if head.Oldest == 0 {
+		head.Oldest = next.Version
+	}
+	removed := l.compact(ctx, &head)
+	delta := assignment.Diff(l.Current(), next)
+	headPut, err := table.Encode(HeadKey(l.Service), head)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	deltaPut, err := table.Encode(l.deltaKey(next.Version), delta)
+	if err != nil {
+		return table.Transaction{}, err
+	}
+	l.pending = pending{head: head, next: next, delta: delta}
+	return table.Transaction{
+		Token:      token,
+		Conditions: []table.Condition{{Key: HeadKey(l.Service), Version: l.rowVersion}},
+		Puts:       append([]table.Put{headPut, deltaPut}, removed...),
+	}, nil
+}
+
+// Accept takes in that the write of the last Append took effect at a revision,
+// and returns its delta. It saves reading back what was just written.
+func (l *Log) Accept(revision uint64) assignment.Delta {
+	l.head, l.rowVersion, l.current = l.pending.head, revision, l.pending.next
+	return l.pending.delta
+}
+
+// compact stores a snapshot if one is due, and removes deltas that two
+// snapshots have made needless. A failure only puts compaction off.
+func (l *Log) compact(ctx context.Context, head *Head) []table.Put {
+	last := uint64(0)
+	if n := len(head.Snapshots); n > 0 {
+		last = head.Snapshots[n-1]
+	}
+	current := l.Current()
+	if current.Version < last+SnapshotEvery {
+		return nil
+	}
+	content, err := encodeSnapshot(current)
+	if err != nil || l.Objects.Put(ctx, l.snapshotName(current.Version), content) != nil {
+		return nil
+	}
+	head.Snapshots = append(head.Snapshots[:len(head.Snapshots):len(head.Snapshots)], current.Version)
+	if len(head.Snapshots) > kept {
+		head.Snapshots = head.Snapshots[len(head.Snapshots)-kept:]
+	}
+	if len(head.Snapshots) < kept {
+		return nil
+	}
+	var removed []table.Put
+	for v := head.Oldest; v <= head.Snapshots[0]; v++ {
+		removed = append(removed, table.Put{Key: l.deltaKey(v), Delete: true})
+	}
+	head.Oldest = head.Snapshots[0] + 1
+	return removed
+}
+
+func encodeSnapshot(a *assignment.Assignment) ([]byte, error) {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if err := json.NewEncoder(w).Encode(a); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// decodeSnapshot relies on gzip's checksum to find damage.
+func decodeSnapshot(content []byte) (*assignment.Assignment, error) {
+	r, err := gzip.NewReader(bytes.NewReader(content))
+	if err != nil {
+		return nil, err
+	}
+	plain, err := io.ReadAll(r)
+	if err != nil {
+		return nil, err
+	}
+	var a assignment.Assignment
+	if err := json.Unmarshal(plain, &a); err != nil {
+		return nil, err
+	}
+	return &a, nil
+}
--- /dev/null
+++ b/basilcross/event/event.go
@@ -0,0 +1,82 @@
+// Package event numbers the log events, so that operators can look each one up
+// and alert on it whatever its wording.
+package event
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+)
+
+// Event is an entry of the catalogue. Numbers are never reused.
+type Event struct {
+	Number  int
+	Name    string
+	Level   slog.Level
+	Meaning string
+	// Action is what an operator does about it; empty means nothing.
+	Action string
+}
+
+// The catalogue, by range: 1xx the process, 2xx seats and leases, 3xx targets
+// and assignments, 4xx requests, 5xx configuration, 6xx the platform.
+var (
+	Started           = Event{100, "started", slog.LevelInfo, "The daemon listens for callers.", ""}
+	Stopping          = Event{101, "stopping", slog.LevelInfo, "A termination signal arrived; requests in flight are finished.", ""}
+	Stopped           = Event{102, "stopped", slog.LevelInfo, "The daemon ends.", ""}
+	DutyFailed        = Event{103, "dutyFailed", slog.LevelError, "A duty of the supervisor tree ended with an error and is started again.", "If it repeats, read the error; the duty's work stands still meanwhile."}
+	SingleInstance    = Event{104, "singleInstance", slog.LevelWarn, "No platform address is set, so the table is in this process's memory. Good for one instance only.", "Set --platform for anything but a trial."}
+	SeatGained        = Event{200, "seatGained", slog.LevelInfo, "This instance leads its availability zone or plans for the fleet.", ""}
+	SeatLost          = Event{201, "seatLost", slog.LevelWarn, "This instance's seat went to another, or its authority lapsed.", "Look for a pause or a cut of this instance at that time."}
+	SeatHandedOver    = Event{202, "seatHandedOver", slog.LevelInfo, "This instance gave its seat back while shutting down.", ""}
+	ZoneEvicted       = Event{203, "zoneEvicted", slog.LevelWarn, "A whole availability zone was silent; its seat was taken away and its targets' shards go to others.", "Look into that zone. Its instances come back by themselves."}
+	AuthorityLapsed   = Event{204, "authorityLapsed", slog.LevelWarn, "No poll of the zone leader was answered in time; this instance renews no target.", "If it lasts, see whether the zone has a leader."}
+	AuthorityBack     = Event{205, "authorityBack", slog.LevelInfo, "The zone leader answers again.", ""}
+	TargetFailing     = Event{300, "targetFailing", slog.LevelWarn, "A target left several renewals unanswered.", "Look at the target."}
+	TargetAnswers     = Event{301, "targetAnswers", slog.LevelInfo, "A target answers renewals again.", ""}
+	AssignmentWritten = Event{302, "assignmentWritten", slog.LevelInfo, "The planner's next assignment took effect in the table service.", ""}
+	AssignmentRefused = Event{303, "assignmentRefused", slog.LevelInfo, "The planner's write lost to another write or to a new term. It decides anew.", ""}
+	AssignmentLoaded  = Event{304, "assignmentLoaded", slog.LevelDebug, "A newer assignment is in force on this instance.", ""}
+	SnapshotDamaged   = Event{305, "snapshotDamaged", slog.LevelError, "An assignment snapshot in the object store is missing or damaged; an older one and more deltas are used.", "Check the object store. The next snapshot heals it."}
+	TargetSilent      = Event{400, "targetSilent", slog.LevelInfo, "A request got no answer in time; the open connections to the target are dropped.", "If many targets show it at once, suspect the network between."}
+	AnswerCut         = Event{401, "answerCut", slog.LevelInfo, "A target's answer ended early; the caller's connection was broken off or the request refused.", ""}
+	TargetEjected     = Event{402, "targetEjected", slog.LevelWarn, "A target of an undivided service fails too often and gets no requests for a while.", "Look at the target."}
+	ConfigInForce     = Event{500, "configInForce", slog.LevelInfo, "A newer configuration is in force on this instance.", ""}
+	ConfigAccepted    = Event{501, "configAccepted", slog.LevelInfo, "An operator's configuration took effect in the table service.", ""}
+	ConfigStale       = Event{502, "configStale", slog.LevelWarn, "Somebody offered an older configuration than the one in force; it was ignored.", ""}
+	PlatformDown      = Event{600, "platformDown", slog.LevelWarn, "The table service does not answer. Authority is extended among zone leaders; nothing new is agreed.", "Look at the platform. Keys go on being served."}
+	PlatformBack      = Event{601, "platformBack", slog.LevelInfo, "The table service answers again.", ""}
+	RelayInUse        = Event{602, "relayInUse", slog.LevelWarn, "The table service is reached through another zone's leader only.", "Look at the zone's way to the platform."}
+)
+
+// Catalogue returns all events by number.
+func Catalogue() []Event {
+	return []Event{
+		Started, Stopping, Stopped, DutyFailed, SingleInstance,
+		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
+		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
+		TargetSilent, AnswerCut, TargetEjected,
+		ConfigInForce, ConfigAccepted, ConfigStale,
+		PlatformDown, PlatformBack, RelayInUse,
+	}
+}
+
+// Log writes the event with its number and the given attributes.
+func (e Event) Log(log *slog.Logger, attrs ...any) {
+	attrs = append([]any{"event", e.Number}, attrs...)
+	log.Log(context.Background(), e.Level, e.Name, attrs...)
+}
+
+// Markdown returns the catalogue as the page docs/EVENTS.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Log events\n\nEvery log line carries `event`, the number below. This page is made from the\ncatalogue in the package `event`; a test keeps the two alike.\n")
+	for _, e := range Catalogue() {
+		fmt.Fprintf(&b, "\n## %d %s\n\n%s: %s\n", e.Number, e.Name, e.Level, e.Meaning)
+		if e.Action != "" {
+			fmt.Fprintf(&b, "\nWhat to do: %s\n", e.Action)
+		}
+	}
+	return b.String()
+}
--- a/basilcross/plan/balance.go
+++ b/basilcross/plan/balance.go
@@ -65,10 +65,16 @@
 	return p.load[t.ID] / float64(max(1, t.Slots))
 }
 
+func (p *planner) placeable(t *assignment.Target) bool {
+	led := p.in.Led == nil || p.in.Led[t.Zone]
+	return led && t.State == assignment.Active
+}
+
+// active returns the targets that may get shards.
 func (p *planner) active() []*assignment.Target {
 	var active []*assignment.Target
 	for i := range p.next.Targets {
-		if t := &p.next.Targets[i]; t.State == assignment.Active {
+		if t := &p.next.Targets[i]; p.placeable(t) {
 			active = append(active, t)
 		}
 	}
--- a/basilcross/plan/plan.go
+++ b/basilcross/plan/plan.go
@@ -35,6 +35,14 @@
 	Released []zone.Release
 	Returned []zone.Release
 	Drained  []zone.Drain
+	// Led names the zones with a leader that reports; targets elsewhere get no
+	// shards, since nobody would renew their leases. Nil means all.
+	Led map[string]bool
+	// Settled is set when the reports of every leader should be in. Before,
+	// a new service is not divided yet, lest it all go to the first zone.
+	Settled bool
+	// Balance allows moves for balance alone.
+	Balance bool
 	// Evicted names zones whose seat is taken away in the same transaction.
 	Evicted map[string]bool
 	// Quiet is the version that every gateway has had in force for longer
@@ -81,7 +89,9 @@
 		p.finishMoves()
 		p.placeOrphans()
 		p.startDrains()
-		p.rebalance()
+		if in.Balance {
+			p.rebalance()
+		}
 	}
 	if len(p.causes) == 0 {
 		return Decision{}
@@ -197,7 +207,10 @@
 }
 
 func (p *planner) split() {
-	if len(p.next.Shards) > 0 || len(p.next.Targets) == 0 {
+	if len(p.next.Shards) > 0 || len(p.active()) == 0 {
+		return
+	}
+	if !p.in.Settled && len(p.active()) < len(p.next.Targets) {
 		return
 	}
 	p.next.Shards = shard.Split(max(1, p.in.Shards))
@@ -234,7 +247,7 @@
 }
 
 func (p *planner) give(s *shard.Shard, to string) {
-	if t := p.target(to); t == nil || t.State != assignment.Active {
+	if t := p.target(to); t == nil || !p.placeable(t) {
 		to = ""
 	}
 	s.Owner = to
--- a/basilcross/seat/seat.go
+++ b/basilcross/seat/seat.go
@@ -3,6 +3,7 @@
 package seat
 
 import (
+	"strings"
 	"time"
 
 	"basilcross.example/basilcross/lease"
@@ -55,6 +56,14 @@
 	pending  map[string]time.Time
 	gainedAt time.Time
 	graceful bool
+	hint     hint
+}
+
+// hint is the holder's own word, passed on with its answers, that its
+// authority under a row version ends by a time.
+type hint struct {
+	version uint64
+	end     time.Time
 }
 
 // Observe takes in the seat's row as read from the table, received at now. A
@@ -153,9 +162,19 @@
 	if s.record.Holder == "" || s.record.HandedOver {
 		return true
 	}
+	if s.hint.version == s.version && !s.hint.end.IsZero() {
+		return now.After(s.hint.end)
+	}
 	return now.Sub(s.seen) > lease.Wait(Hold)
 }
 
+// Hint takes in what the holder said, received at now: that it had no more
+// than left of its authority under this row version. A candidate that has
+// heard it need not wait for a whole Hold after its own first reading.
+func (s *Seat) Hint(now time.Time, version uint64, left time.Duration) {
+	s.hint = hint{version: version, end: now.Add(lease.Wait(left))}
+}
+
 // Silence returns how long the row has stood unchanged.
 func (s *Seat) Silence(now time.Time) time.Duration { return now.Sub(s.seen) }
 
@@ -218,3 +237,8 @@
 	}
 	return tx, nil
 }
+
+// NameOf returns the seat of a row's key; ok is false for other rows.
+func NameOf(key string) (name string, ok bool) {
+	return strings.CutPrefix(key, RowKey(""))
+}
--- /dev/null
+++ b/basilcross/slot/slot.go
@@ -0,0 +1,294 @@
+// Package slot shares a target's few slots among the requests of one gateway,
+// and, by what the target's answers show, among gateways that never talk to
+// each other about it.
+package slot
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// Priorities is the number of classes; 0 goes first.
+	Priorities = 10
+	// classRatio is how many more turns a class gets than the next lower one
+	// while both wait. The lowest still gets some, so nothing starves.
+	classRatio = 4.0
+
+	floorLimit = 1.0 / 64
+	shedCut    = 0.7
+	// lateCut is milder than shedCut: a slow answer may be the request's own
+	// nature, a shed one is the target's word.
+	lateCut   = 0.9
+	slowRatio = 2.0
+	// smoothing of the latency averages, per answer.
+	fastShare = 0.2
+	slowShare = 0.01
+)
+
+// Result is how an admitted request ended.
+type Result int
+
+// The results that a limit learns from.
+const (
+	// Answered: the target gave an answer in time.
+	Answered Result = iota
+	// Shed: the target had no slot.
+	Shed
+	// Failed: no answer; tells nothing about slots.
+	Failed
+)
+
+// FullError says that too many requests wait already.
+type FullError struct {
+	Waiting int
+}
+
+func (e *FullError) Error() string { return "slot: queue is full" }
+
+// Limiter admits requests to one target. Set Slots and QueueLimit before the
+// first use; the zero value has one slot and no queue.
+//
+// The limit is a number of requests in flight, and may fall below one: then
+// one request is in flight at a time, with a pause after it, so that hundreds
+// of gateways can share three slots. It falls when the target sheds or answers
+// much later than usual, and rises slowly with every answer while it is used up.
+type Limiter struct {
+	// Slots is how many requests the target runs at a time.
+	Slots int
+	// QueueLimit is how many requests may wait.
+	QueueLimit int
+
+	mu       sync.Mutex
+	limit    float64
+	inFlight int
+	waiting  int
+	queues   [Priorities][]*waiter
+	pass     [Priorities]float64
+	resumeAt time.Time
+	timer    *time.Timer
+	fast     float64
+	slow     float64
+}
+
+type waiter struct {
+	ready chan struct{}
+	// admitted and dropped are guarded by the limiter's lock.
+	admitted bool
+	dropped  bool
+}
+
+// Acquire waits for a slot. The caller calls the returned function once, when
+// the request has ended. The error is the context's, or a FullError.
+func (l *Limiter) Acquire(ctx context.Context, priority int) (release func(Result), err error) {
+	w, err := l.enter(priority)
+	if err != nil {
+		return nil, err
+	}
+	if w != nil {
+		if err := l.wait(ctx, w); err != nil {
+			return nil, err
+		}
+	}
+	began := time.Now()
+	return func(r Result) { l.release(r, time.Since(began)) }, nil
+}
+
+// enter admits at once (nil waiter), or queues.
+func (l *Limiter) enter(priority int) (*waiter, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	if l.waiting == 0 && l.room(time.Now()) {
+		l.inFlight++
+		return nil, nil
+	}
+	if l.waiting >= l.QueueLimit && !l.dropBelow(priority) {
+		return nil, &FullError{Waiting: l.waiting}
+	}
+	w := &waiter{ready: make(chan struct{})}
+	if len(l.queues[priority]) == 0 {
+		l.pass[priority] = max(l.pass[priority], l.leastPass())
+	}
+	l.queues[priority] = append(l.queues[priority], w)
+	l.waiting++
+	l.admit(time.Now())
+	return w, nil
+}
+
+func (l *Limiter) init() {
+	if l.limit == 0 {
+		l.limit = float64(max(1, l.Slots))
+	}
+}
+
+// dropBelow makes room by dropping the newest waiter of a lower class.
+func (l *Limiter) dropBelow(priority int) bool {
+	for p := Priorities - 1; p > priority; p-- {
+		n := len(l.queues[p])
+		if n == 0 {
+			continue
+		}
+		w := l.queues[p][n-1]
+		l.queues[p] = l.queues[p][:n-1]
+		l.waiting--
+		w.dropped = true
+		close(w.ready)
+		return true
+	}
+	return false
+}
+
+func (l *Limiter) wait(ctx context.Context, w *waiter) error {
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case w.dropped:
+		return &FullError{Waiting: l.waiting}
+	case ctx.Err() == nil:
+		return nil
+	case w.admitted:
+		// Admitted and given up in the same moment: the slot goes on.
+		l.inFlight--
+		l.admit(time.Now())
+	default:
+		l.remove(w)
+	}
+	return ctx.Err()
+}
+
+func (l *Limiter) remove(w *waiter) {
+	for p := range l.queues {
+		for i, queued := range l.queues[p] {
+			if queued == w {
+				l.queues[p] = append(l.queues[p][:i], l.queues[p][i+1:]...)
+				l.waiting--
+				return
+			}
+		}
+	}
+}
+
+func (l *Limiter) room(now time.Time) bool {
+	allowed := int(math.Floor(max(1, l.limit)))
+	return l.inFlight < allowed && !now.Before(l.resumeAt)
+}
+
+// admit lets in as many waiters as there is room for.
+func (l *Limiter) admit(now time.Time) {
+	for l.waiting > 0 && l.room(now) {
+		w := l.next()
+		w.admitted = true
+		l.inFlight++
+		close(w.ready)
+	}
+	if l.waiting > 0 && now.Before(l.resumeAt) {
+		l.wakeAt(l.resumeAt.Sub(now))
+	}
+}
+
+func (l *Limiter) wakeAt(d time.Duration) {
+	if l.timer != nil {
+		l.timer.Stop()
+	}
+	l.timer = time.AfterFunc(d, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.admit(time.Now())
+	})
+}
+
+// next takes the first waiter of the class that has had the least of its
+// share (stride scheduling).
+func (l *Limiter) next() *waiter {
+	best := -1
+	for p := range l.queues {
+		if len(l.queues[p]) > 0 && (best < 0 || l.pass[p] < l.pass[best]) {
+			best = p
+		}
+	}
+	w := l.queues[best][0]
+	l.queues[best] = l.queues[best][1:]
+	l.pass[best] += math.Pow(classRatio, float64(best))
+	l.waiting--
+	return w
+}
+
+// leastPass is where a class joins that had nobody waiting: it must not claim
+// the turns that it did not want.
+func (l *Limiter) leastPass() float64 {
+	least := math.Inf(1)
+	for p := range l.queues {
+		if len(l.queues[p]) > 0 {
+			least = min(least, l.pass[p])
+		}
+	}
+	if math.IsInf(least, 1) {
+		l.pass = [Priorities]float64{}
+		return 0
+	}
+	return least
+}
+
+func (l *Limiter) release(r Result, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used := float64(l.inFlight) >= math.Floor(l.limit)
+	l.inFlight--
+	l.learn(r, took.Seconds(), used)
+	now := time.Now()
+	if l.limit < 1 {
+		pause := l.fast * (1/l.limit - 1)
+		l.resumeAt = now.Add(time.Duration(pause * float64(time.Second)))
+	}
+	l.admit(now)
+}
+
+func (l *Limiter) learn(r Result, took float64, used bool) {
+	switch r {
+	case Shed:
+		l.limit = max(floorLimit, l.limit*shedCut)
+	case Answered:
+		l.measure(took)
+		if l.fast > slowRatio*l.slow {
+			l.limit = max(floorLimit, l.limit*lateCut)
+			return
+		}
+		if used {
+			l.limit = min(float64(max(1, l.Slots)), l.limit+0.05/max(l.limit, 0.05))
+		}
+	case Failed:
+	}
+}
+
+func (l *Limiter) measure(took float64) {
+	if l.slow == 0 {
+		l.fast, l.slow = took, took
+		return
+	}
+	l.fast += fastShare * (took - l.fast)
+	l.slow += slowShare * (took - l.slow)
+}
+
+// State is a view of a limiter for metrics and for choosing among targets.
+type State struct {
+	Limit    float64
+	InFlight int
+	Waiting  int
+	// Latency is the recent average in seconds.
+	Latency float64
+}
+
+// State returns the present state.
+func (l *Limiter) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	return State{Limit: l.limit, InFlight: l.inFlight, Waiting: l.waiting, Latency: l.fast}
+}
--- /dev/null
+++ b/basilcross/slot/slot_test.go
@@ -0,0 +1,119 @@
+package slot_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilcross.example/basilcross/slot"
+	"gotest.tools/v3/assert"
+)
+
+func acquire(t *testing.T, l *slot.Limiter, priority int) func(slot.Result) {
+	t.Helper()
+	release, err := l.Acquire(context.Background(), priority)
+	assert.NilError(t, err)
+	return release
+}
+
+// Archive pulls fill the queue and a confirmation arrives. It takes the place
+// of the newest pull and goes first when a slot is free.
+func TestHigherPriorityGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slot.Limiter{Slots: 1, QueueLimit: 2}
+		release := acquire(t, l, 0)
+		order := make(chan int, 3)
+		wait := func(priority int) {
+			r, err := l.Acquire(context.Background(), priority)
+			if err != nil {
+				order <- -priority
+				return
+			}
+			order <- priority
+			r(slot.Answered)
+		}
+		go wait(9)
+		synctest.Wait()
+		go wait(8)
+		synctest.Wait()
+		go wait(1)
+		synctest.Wait()
+		assert.Equal(t, <-order, -9, "the lowest class is dropped for room")
+		release(slot.Answered)
+		assert.Equal(t, <-order, 1)
+		assert.Equal(t, <-order, 8)
+	})
+}
+
+// Two classes wait all the time. The higher one gets four turns for each of
+// the lower one's, and the lower one is not starved.
+func TestLowerPriorityIsNotStarved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slot.Limiter{Slots: 1, QueueLimit: 1000}
+		release := acquire(t, l, 0)
+		served := map[int]int{}
+		order := make(chan int, 1000)
+		for range 100 {
+			for _, p := range []int{2, 3} {
+				go func() {
+					r, _ := l.Acquire(context.Background(), p)
+					order <- p
+					r(slot.Answered)
+				}()
+			}
+		}
+		synctest.Wait()
+		release(slot.Answered)
+		for range 50 {
+			served[<-order]++
+		}
+		assert.Assert(t, served[3] >= 9 && served[3] <= 11, "%v", served)
+	})
+}
+
+// A target with three slots is shared by so many gateways that it sheds most
+// of what this one sends. The limit falls below one request, and pauses
+// between requests keep to it.
+func TestLimitFallsBelowOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slot.Limiter{Slots: 3, QueueLimit: 1}
+		for range 30 {
+			release := acquire(t, l, 0)
+			time.Sleep(10 * time.Millisecond)
+			release(slot.Answered)
+			acquire(t, l, 0)(slot.Shed)
+		}
+		limit := l.State().Limit
+		assert.Assert(t, limit < 1, "%v", limit)
+		acquire(t, l, 0)(slot.Shed)
+		began := time.Now()
+		acquire(t, l, 0)
+		assert.Assert(t, time.Since(began) > 0)
+	})
+}
+
+// A request's deadline passes while it waits. It leaves the queue, and the
+// next free slot goes to somebody who still wants it.
+func TestGivenUpWaiterFreesItsPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slot.Limiter{Slots: 1, QueueLimit: 1}
+		release := acquire(t, l, 0)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := l.Acquire(ctx, 0)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Equal(t, l.State().Waiting, 0)
+		release(slot.Answered)
+		acquire(t, l, 0)
+	})
+}
+
+func TestFullQueueRefuses(t *testing.T) {
+	l := &slot.Limiter{Slots: 1}
+	acquire(t, l, 0)
+	_, err := l.Acquire(context.Background(), 0)
+	var full *slot.FullError
+	assert.Assert(t, errors.As(err, &full))
+}
--- /dev/null
+++ b/gateway/daemon/daemon.go
@@ -0,0 +1,307 @@
+// Package daemon puts the gateway together: one supervisor tree of duties, two
+// listeners for callers and instances, and one for operators.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/egress"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/platform"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/gateway/admin"
+	"basilcross.example/gateway/authority"
+	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/entry"
+	"basilcross.example/gateway/follower"
+	"basilcross.example/gateway/heat"
+	"basilcross.example/gateway/lane"
+	"basilcross.example/gateway/leader"
+	"basilcross.example/gateway/planner"
+	"basilcross.example/gateway/renewer"
+	"basilcross.example/gateway/settings"
+	"basilcross.example/gateway/view"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// userTimeout breaks off connections whose other end acknowledges nothing.
+	userTimeout = 3 * time.Second
+	// headerTimeout is how long a caller may take for a request's head.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes callers' connections that are not used.
+	idleTimeout = 2 * time.Minute
+	// bodyTimeout bounds the reading of a whole request.
+	bodyTimeout = time.Minute
+	// maxHeader bounds a request's head.
+	maxHeader = 32 << 10
+	// refreshInterval is how often expiring exceptions are looked at.
+	refreshInterval = time.Second
+	// handOverTimeout bounds the writes by which a leader steps down.
+	handOverTimeout = time.Second
+)
+
+// Daemon is one gateway. Create it with New, then call Run.
+type Daemon struct {
+	settings settings.Settings
+	log      *slog.Logger
+	view     *view.View
+	lanes    *lane.Set
+	leader   *leader.Duty
+	planner  *planner.Duty
+	follower *follower.Duty
+	renewer  *renewer.Duty
+	front    http.Handler
+	admin    http.Handler
+	control  http.Handler
+	draining atomic.Bool
+}
+
+// New puts a daemon together.
+func New(s settings.Settings, log *slog.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: log, view: &view.View{Zone: s.Zone}}
+	dialer := &egress.Dialer{Proxy: s.EgressProxy, UserTimeout: userTimeout}
+	client := controlClient(dialer)
+	backend, err := newBackend(s, client, log)
+	if err != nil {
+		return nil, err
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	d.lanes = &lane.Set{Dial: dialer.DialContext}
+	cell := &authority.Cell{}
+	sum := &heat.Sum{}
+	d.buildDuties(backend, client, cell, sum)
+	d.front = entry.New(entry.Options{
+		Zone: s.Zone, Region: s.Region, View: d.view, Authority: cell, Lanes: d.lanes,
+		Heat: sum, Metrics: entry.NewMetrics(registry), Log: log,
+	})
+	d.admin = admin.New(admin.Options{
+		Instance: s.Instance, Zone: s.Zone, View: d.view, Table: backend.table, Leader: d.leader,
+		Ready: d.Ready, Registry: registry, Log: log, Pprof: s.Pprof,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(control.ZonePathPrefix, control.NewZoneServer(d.leader))
+	mux.Handle(control.PlannerPathPrefix, control.NewPlannerServer(d.planner))
+	d.control = mux
+	return d, nil
+}
+
+func (d *Daemon) buildDuties(b *backend, client *http.Client, cell *authority.Cell, sum *heat.Sum) {
+	s := d.settings
+	incarnation := rand.Text()
+	d.renewer = renewer.New(renewer.Options{
+		Instance: s.Instance, View: d.view, Authority: cell,
+		Caller: &renewer.HTTPCaller{Client: client}, Log: d.log,
+	})
+	d.follower = &follower.Duty{
+		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone, Peers: s.Peers,
+		View: d.view, Authority: cell, Renewer: d.renewer, Loads: sum, Client: client, Log: d.log,
+		Hint: func(now time.Time, version uint64, left time.Duration) { d.leader.Hint(now, version, left) },
+	}
+	d.planner = planner.New(planner.Options{
+		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(),
+		Table: b.table, Objects: b.objects, View: d.view, Client: client, Log: d.log, Token: rand.Text,
+		Instances: b.instances,
+		Leading:   func(now time.Time) bool { return d.leader.Leading(now) },
+	})
+	d.leader = leader.New(leader.Options{
+		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone,
+		Table: b.table, Objects: b.objects, View: d.view, Follower: d.follower, Authority: cell,
+		Planner: d.planner, Client: client, Log: d.log, Token: rand.Text,
+	})
+}
+
+// controlClient reaches instances, the platform and targets' grants.
+func controlClient(dialer *egress.Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     idleTimeout,
+	}}
+}
+
+// backend is where agreed state lives.
+type backend struct {
+	table     table.Client
+	objects   object.Client
+	instances func(ctx context.Context) ([]platform.Instance, error)
+}
+
+func newBackend(s settings.Settings, client *http.Client, log *slog.Logger) (*backend, error) {
+	if s.Platform != "" {
+		c := &platform.Client{Base: s.Platform, HTTP: client}
+		return &backend{table: c, objects: c, instances: c.Instances}, nil
+	}
+	listed, err := s.ListedTargets()
+	if err != nil {
+		return nil, err
+	}
+	event.SingleInstance.Log(log)
+	return &backend{
+		table:   &table.Memory{},
+		objects: &object.Memory{},
+		instances: func(context.Context) ([]platform.Instance, error) {
+			return listed, nil
+		},
+	}, nil
+}
+
+// Ready tells whether callers should be sent here.
+func (d *Daemon) Ready() bool {
+	return !d.draining.Load() && d.view.Load().Config != nil
+}
+
+// Run serves until the context ends, then shuts down without cutting off any
+// request in flight.
+func (d *Daemon) Run(ctx context.Context) error {
+	servers, err := d.listen()
+	if err != nil {
+		return err
+	}
+	dutyCtx, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	tree := d.tree()
+	var group errgroup.Group
+	group.Go(func() error { return ignoreCanceled(tree.Serve(dutyCtx)) })
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		group.Go(func() error {
+			err := s.serve()
+			failed <- err
+			return err
+		})
+	}
+	event.Started.Log(d.log, "callers", d.settings.CallersListen, "zone", d.settings.Zone)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	d.shutDown(servers)
+	stopDuties()
+	return errors.Join(err, group.Wait())
+}
+
+// tree is the supervisor tree: every background duty with its name. Intervals
+// stand as constants in the duties' packages.
+func (d *Daemon) tree() *suture.Supervisor {
+	root := suture.New("gateway", suture.Spec{
+		EventHook: func(e suture.Event) {
+			event.DutyFailed.Log(d.log, "detail", e.String())
+		},
+	})
+	root.Add(d.leader)
+	root.Add(&leader.Reporter{Leader: d.leader})
+	root.Add(d.planner)
+	root.Add(d.follower)
+	root.Add(d.renewer)
+	root.Add(&housekeeper{view: d.view, lanes: d.lanes})
+	return root
+}
+
+// shutDown fails readiness, gives the balancer time to notice, hands the roles
+// over, and lets every request in flight finish.
+func (d *Daemon) shutDown(servers []*server) {
+	event.Stopping.Log(d.log)
+	d.draining.Store(true)
+	handOver, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	d.planner.Stop(handOver)
+	d.leader.Stop(handOver)
+	cancel()
+	time.Sleep(d.settings.DrainWait)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			d.log.Warn("listener not closed in time", "address", s.Addr, "error", err)
+		}
+	}
+	event.Stopped.Log(d.log)
+}
+
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.Addr, err)
+}
+
+func (d *Daemon) listen() ([]*server, error) {
+	var servers []*server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{d.settings.CallersListen, d.front},
+		{d.settings.ControlListen, d.control},
+		{d.settings.AdminListen, d.admin},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		servers = append(servers, &server{listener: listener, Server: &http.Server{
+			Addr:              l.address,
+			Handler:           l.handler,
+			ReadHeaderTimeout: headerTimeout,
+			ReadTimeout:       bodyTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+			ErrorLog:          slog.NewLogLogger(d.log.Handler(), slog.LevelDebug),
+		}})
+	}
+	return servers, nil
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// housekeeper works out expiring rules anew and closes lanes to targets that
+// are gone.
+type housekeeper struct {
+	view  *view.View
+	lanes *lane.Set
+}
+
+// Serve looks after both until the context ends.
+func (h *housekeeper) Serve(ctx context.Context) error {
+	tick := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			h.view.Refresh(now)
+			known := map[string]bool{}
+			for _, s := range h.view.Load().Services {
+				for id := range s.Targets {
+					known[id] = true
+				}
+			}
+			h.lanes.Keep(known)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/entry/call.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"basilcross.example/basilcross/grant"
+	"basilcross.example/basilcross/refusal"
+	"basilcross.example/basilcross/shard"
+	"basilcross.example/gateway/view"
+)
+
+const (
+	// bufferLimit is the largest body held in memory, which makes a request
+	// repeatable and an answer complete before its first byte is passed on.
+	bufferLimit = 64 << 10
+	// ownerWait bounds the time that a request waits for its key's next owner.
+	ownerWait = time.Second
+	// ownerPoll is the longest wait before the present owner is asked again:
+	// its lease may have come back without a new assignment.
+	ownerPoll = 50 * time.Millisecond
+	shedPause = 20 * time.Millisecond
+)
+
+// call is one caller's request.
+type call struct {
+	service  string
+	kindName string
+	key      string
+	hash     uint64
+	kind     view.Kind
+	deadline time.Duration
+	// ownerUntil is when waiting for an owner ends.
+	ownerUntil time.Time
+	sheds      int
+
+	method string
+	uri    string
+	host   string
+	header http.Header
+	// body is complete if buffered; else the caller's body is streamed, and
+	// the request can be sent once only.
+	body     []byte
+	buffered bool
+	stream   io.Reader
+	length   int64
+	sent     bool
+}
+
+// accept reads what there is to know of a request before it is sent anywhere.
+// The call is usable for metrics also with a refusal.
+func (f *Front) accept(r *http.Request) (*call, *refusal.Error) {
+	c := &call{
+		service:  r.PathValue("service"),
+		kindName: r.PathValue("kind"),
+		key:      r.PathValue("key"),
+		method:   r.Method,
+		uri:      r.URL.RequestURI(),
+		host:     r.Host,
+		length:   r.ContentLength,
+	}
+	s := f.View.Load()
+	if s.Config == nil {
+		return c, &refusal.Error{
+			Cause: refusal.NoConfig, Outcome: refusal.DidNotRun, RetryAfter: time.Second,
+			Detail: "no configuration is in force on this instance yet",
+		}
+	}
+	if refused := c.classify(s, f.Zone); refused != nil {
+		return c, refused
+	}
+	if refused := c.setDeadline(r); refused != nil {
+		return c, refused
+	}
+	if c.key == "" {
+		return c, refusal.New(refusal.BadRequest, "the path has no key: want /service/kind/key")
+	}
+	c.hash = shard.Hash(c.service, c.key)
+	c.header = forwarded(r)
+	return c, c.readBody(r)
+}
+
+func (c *call) classify(s *view.Snapshot, zone string) *refusal.Error {
+	kind, ok := s.Kind(zone, c.service, c.kindName, c.key)
+	if ok {
+		c.kind = kind
+		return nil
+	}
+	if _, known := s.Config.Service(c.service); !known {
+		refused := refusal.New(refusal.UnknownService, "no service "+strconv.Quote(c.service))
+		c.service, c.kindName = "", ""
+		return refused
+	}
+	refused := refusal.New(refusal.UnknownKind, "service "+c.service+" has no kind "+strconv.Quote(c.kindName))
+	c.kindName = ""
+	return refused
+}
+
+// setDeadline takes the kind's deadline, or the caller's if that is shorter.
+func (c *call) setDeadline(r *http.Request) *refusal.Error {
+	c.deadline = time.Duration(*c.kind.Rules.Deadline)
+	if text := r.Header.Get(grant.DeadlineHeader); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 32)
+		if err != nil || ms <= 0 {
+			return refusal.New(refusal.BadRequest, grant.DeadlineHeader+": want a positive number of milliseconds")
+		}
+		c.deadline = min(c.deadline, time.Duration(ms)*time.Millisecond)
+	}
+	c.ownerUntil = time.Now().Add(min(ownerWait, c.deadline))
+	return nil
+}
+
+func (c *call) readBody(r *http.Request) *refusal.Error {
+	limit := int64(*c.kind.Rules.BodyLimit)
+	if r.ContentLength > limit {
+		return refusal.New(refusal.BodyTooLarge, "the body is larger than its kind allows")
+	}
+	if r.ContentLength == 0 {
+		c.buffered = true
+		return nil
+	}
+	limited := http.MaxBytesReader(nil, r.Body, limit)
+	head, err := io.ReadAll(io.LimitReader(limited, bufferLimit+1))
+	if err != nil {
+		return bodyRefusal(err)
+	}
+	if len(head) <= bufferLimit {
+		c.body, c.buffered, c.length = head, true, int64(len(head))
+		return nil
+	}
+	c.stream = io.MultiReader(bytes.NewReader(head), limited)
+	return nil
+}
+
+func bodyRefusal(err error) *refusal.Error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refusal.New(refusal.BodyTooLarge, "the body is larger than its kind allows")
+	}
+	return refusal.New(refusal.BadRequest, "the body could not be read: "+err.Error())
+}
+
+// reader returns the body for one sending, and the length to announce.
+func (c *call) reader() (io.Reader, int64) {
+	if !c.buffered {
+		return c.stream, c.length
+	}
+	if len(c.body) == 0 {
+		return nil, 0
+	}
+	return bytes.NewReader(c.body), int64(len(c.body))
+}
+
+// shedWait pauses after a target had no slot; longer each time.
+func (c *call) shedWait(ctx context.Context) bool {
+	c.sheds++
+	pause := shedPause * time.Duration(c.sheds)
+	timer := time.NewTimer(pause/2 + rand.N(pause)) //nolint:gosec // jitter needs no secrecy
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// forwarded returns the headers to pass on. Headers by which targets know what
+// a gateway says are never taken from callers.
+func forwarded(r *http.Request) http.Header {
+	h := r.Header.Clone()
+	removeHopByHop(h)
+	for _, name := range []string{"Expect", "Content-Length", grant.EpochHeader, grant.HashHeader, grant.DeadlineHeader} {
+		h.Del(name)
+	}
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		if prior := h.Get("X-Forwarded-For"); prior != "" {
+			host = prior + ", " + host
+		}
+		h.Set("X-Forwarded-For", host)
+	}
+	return h
+}
+
+func removeHopByHop(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for _, name := range splitList(list) {
+			h.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
--- /dev/null
+++ b/gateway/entry/choose.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/refusal"
+	"basilcross.example/gateway/lane"
+	"basilcross.example/gateway/view"
+)
+
+// choose picks a target of an undivided service: in this zone if one has room,
+// else in this region, else across the link.
+func (f *Front) choose(s *view.Snapshot, service *view.Service, c *call) (*route, *failed) {
+	now := time.Now()
+	var best *route
+	for _, tier := range f.tiers(service.Active) {
+		r, room := f.lighter(now, s, tier)
+		if r == nil {
+			continue
+		}
+		if room {
+			return r, nil
+		}
+		if best == nil {
+			best = r
+		}
+	}
+	if best != nil {
+		return best, nil
+	}
+	if len(service.Active) == 0 {
+		e := refusal.New(refusal.NoTarget, "no target of the service is in use")
+		e.RetryAfter = time.Second
+		return nil, &failed{refusal: e, wait: forOwner}
+	}
+	// Every target is ejected: trying one is better than refusing all.
+	return f.routeTo(s, service.Active[rand.IntN(len(service.Active))]), nil //nolint:gosec // no secrecy needed
+}
+
+func (f *Front) routeTo(s *view.Snapshot, t *assignment.Target) *route {
+	return &route{lane: f.Lanes.To(t), target: t, seen: s}
+}
+
+// tiers groups targets by nearness.
+func (f *Front) tiers(targets []*assignment.Target) [3][]*assignment.Target {
+	var tiers [3][]*assignment.Target
+	for _, t := range targets {
+		switch {
+		case t.Zone == f.Zone:
+			tiers[0] = append(tiers[0], t)
+		case t.Region == f.Region:
+			tiers[1] = append(tiers[1], t)
+		default:
+			tiers[2] = append(tiers[2], t)
+		}
+	}
+	return tiers
+}
+
+// lighter returns the less loaded of two random targets that are not ejected,
+// and whether it has room now.
+func (f *Front) lighter(now time.Time, s *view.Snapshot, tier []*assignment.Target) (r *route, room bool) {
+	least := 0.0
+	for range 2 {
+		t, l := f.sample(now, tier)
+		if t == nil {
+			return r, room
+		}
+		state := l.Slots.State()
+		load := float64(state.InFlight+state.Waiting+1) / max(state.Limit, 0.01)
+		if r == nil || load < least {
+			r = &route{lane: l, target: t, seen: s}
+			room = load <= 1 || state.InFlight == 0
+			least = load
+		}
+	}
+	return r, room
+}
+
+func (f *Front) sample(now time.Time, tier []*assignment.Target) (*assignment.Target, *lane.Lane) {
+	if len(tier) == 0 {
+		return nil, nil
+	}
+	start := rand.IntN(len(tier)) //nolint:gosec // no secrecy needed
+	for i := range tier {
+		t := tier[(start+i)%len(tier)]
+		if l := f.Lanes.To(t); !l.Ejected(now) {
+			return t, l
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/gateway/lane/lane.go
@@ -0,0 +1,118 @@
+// Package lane is one gateway's way to one target: its connections, its share
+// of the target's slots, and what the gateway has seen of its health.
+package lane
+
+import (
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/pool"
+	"basilcross.example/basilcross/slot"
+)
+
+const (
+	// ejectAfter is how many failures in a row eject a target.
+	ejectAfter = 5
+	// firstEjection is the first time out; each further one doubles, up to
+	// maxEjection.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	// queueLimit is the queue of a lane until a request brings its own rule.
+	queueLimit = 64
+)
+
+// Lane is the way to one target.
+type Lane struct {
+	Target string
+	Pool   *pool.Pool
+	Slots  *slot.Limiter
+
+	mu        sync.Mutex
+	failures  int
+	ejections int
+	until     time.Time
+}
+
+// Succeeded notes an answer.
+func (l *Lane) Succeeded() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures, l.ejections = 0, 0
+}
+
+// Failed notes a request without an answer, and tells whether the target was
+// ejected for it.
+func (l *Lane) Failed(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failures++
+	if l.failures < ejectAfter || now.Before(l.until) {
+		return false
+	}
+	out := min(firstEjection<<min(l.ejections, 10), maxEjection)
+	l.ejections++
+	l.failures = 0
+	l.until = now.Add(out)
+	return true
+}
+
+// Ejected tells whether the target is out at now.
+func (l *Lane) Ejected(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.until)
+}
+
+// Set holds the lanes to all targets.
+type Set struct {
+	Dial pool.DialFunc
+
+	mu    sync.RWMutex
+	lanes map[string]*Lane
+}
+
+// To returns the lane to a target, opened anew if its address has changed.
+func (s *Set) To(t *assignment.Target) *Lane {
+	s.mu.RLock()
+	l := s.lanes[t.ID]
+	s.mu.RUnlock()
+	if l != nil && l.Pool.Address == t.Address {
+		return l
+	}
+	return s.open(t)
+}
+
+func (s *Set) open(t *assignment.Target) *Lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.lanes[t.ID]
+	if old != nil && old.Pool.Address == t.Address {
+		return old
+	}
+	if old != nil {
+		old.Pool.Close()
+	}
+	if s.lanes == nil {
+		s.lanes = map[string]*Lane{}
+	}
+	l := &Lane{
+		Target: t.ID,
+		Pool:   &pool.Pool{Address: t.Address, Dial: s.Dial},
+		Slots:  &slot.Limiter{Slots: t.Slots, QueueLimit: queueLimit},
+	}
+	s.lanes[t.ID] = l
+	return l
+}
+
+// Keep closes the lanes to targets that are not in the list.
+func (s *Set) Keep(targets map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.lanes {
+		if !targets[id] {
+			l.Pool.Close()
+			delete(s.lanes, id)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/leader/leader.go
@@ -0,0 +1,310 @@
+// Package leader is the duty of leading an availability zone: holding the
+// zone's seat, reading what is agreed from the table, and answering the polls
+// of the zone's instances.
+package leader
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/deltalog"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/seat"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/basilcross/zone"
+	"basilcross.example/gateway/authority"
+	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/follower"
+	"basilcross.example/gateway/view"
+)
+
+const (
+	// turnInterval lies between two renewals of the seat, each of which also
+	// reads what is new.
+	turnInterval = 250 * time.Millisecond
+	// candidateInterval lies between two looks at the seat while the leader
+	// is silent.
+	candidateInterval = 100 * time.Millisecond
+	// silentAfter is the leader's silence after which an instance looks at
+	// the seat itself.
+	silentAfter = 400 * time.Millisecond
+	// rankDelay is what each place in the order of candidates waits longer.
+	rankDelay = 80 * time.Millisecond
+	// maxRank bounds the wait of instances far down the order.
+	maxRank = 5
+	// tableTimeout bounds one transaction; a later answer would bring less
+	// authority than it costs to wait for.
+	tableTimeout = 800 * time.Millisecond
+)
+
+// Options are what a Duty needs; all fields must be set.
+type Options struct {
+	Instance    string
+	Incarnation string
+	Address     string
+	Zone        string
+	Table       table.Client
+	Objects     object.Client
+	View        *view.View
+	Follower    *follower.Duty
+	Authority   *authority.Cell
+	Planner     Planner
+	Client      *http.Client
+	Log         *slog.Logger
+	// Token returns a new unique token.
+	Token func() string
+}
+
+// Planner is the planning duty of the same instance.
+type Planner interface {
+	control.Planner
+	// Observe takes in the planner seat's row; nil if there is none.
+	Observe(now time.Time, row *table.Row)
+	// Address returns where the present planner is; empty if unknown.
+	Address() string
+}
+
+// Duty leads the zone while its instance holds the seat, and stands by as a
+// candidate otherwise.
+type Duty struct {
+	Options
+
+	mu       sync.Mutex
+	seat     seat.Seat
+	zone     *zone.Leader
+	ready    bool
+	started  time.Time
+	free     time.Time
+	logs     map[string]*deltalog.Log
+	news     chan struct{}
+	nudges   chan struct{}
+	loads    loadSum
+	tableBad bool
+	stopping bool
+}
+
+// New returns a duty that has not looked at the seat yet.
+func New(o Options) *Duty {
+	d := &Duty{Options: o, logs: map[string]*deltalog.Log{}}
+	d.news = make(chan struct{})
+	d.nudges = make(chan struct{}, 1)
+	d.started = time.Now()
+	d.seat = seat.Seat{Name: o.Zone, Self: seat.Record{
+		Holder:      o.Instance,
+		Incarnation: o.Incarnation,
+		Address:     o.Address,
+	}}
+	return d
+}
+
+// Serve holds or watches the seat until the context ends.
+func (d *Duty) Serve(ctx context.Context) error {
+	for {
+		pause := d.turn(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pause):
+		case <-d.nudges:
+		}
+	}
+}
+
+// turn does what is due and returns the pause until the next turn.
+func (d *Duty) turn(ctx context.Context) time.Duration {
+	if d.Holding() {
+		d.renew(ctx)
+		return turnInterval
+	}
+	if d.leaderSilent() {
+		d.stand(ctx)
+		return candidateInterval
+	}
+	return candidateInterval
+}
+
+// Holding tells whether this instance holds the seat as far as it knows.
+func (d *Duty) Holding() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seat.Holding()
+}
+
+// Leading tells whether this instance has the authority of the zone's leader
+// at now.
+func (d *Duty) Leading(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.leading(now)
+}
+
+func (d *Duty) leading(now time.Time) bool {
+	return d.ready && d.seat.Holding() && d.seat.Authority().Valid(now)
+}
+
+func (d *Duty) leaderSilent() bool {
+	last := d.Authority.Contact()
+	if last.Before(d.started) {
+		last = d.started.Add(-silentAfter)
+	}
+	return time.Since(last) >= silentAfter
+}
+
+// renew keeps the seat and reads what is new in one round trip.
+func (d *Duty) renew(ctx context.Context) {
+	d.mu.Lock()
+	if d.stopping {
+		d.mu.Unlock()
+		return
+	}
+	token := d.Token()
+	tx, err := d.seat.Renew(time.Now(), token)
+	d.mu.Unlock()
+	if err != nil {
+		d.Log.Error("renew", "error", err)
+		return
+	}
+	d.transact(ctx, tx)
+}
+
+// transact adds the reading of all heads to a write, carries both out, and
+// takes in the result.
+func (d *Duty) transact(ctx context.Context, tx table.Transaction) bool {
+	tx.ReadPrefixes = []string{headPrefix}
+	tx.ReadKeys = []string{seat.TermKey(d.Zone)}
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	res, err := d.Table.Transact(callCtx, tx)
+	d.noteTable(err)
+	if err != nil {
+		return false
+	}
+	d.absorb(ctx, res)
+	return true
+}
+
+func (d *Duty) noteTable(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	bad := err != nil
+	if bad == d.tableBad {
+		return
+	}
+	d.tableBad = bad
+	if bad {
+		event.PlatformDown.Log(d.Log, "error", err)
+		return
+	}
+	event.PlatformBack.Log(d.Log)
+}
+
+// stand looks at the seat as a candidate and takes it when it is free.
+func (d *Duty) stand(ctx context.Context) {
+	if !d.transact(ctx, table.Transaction{}) {
+		return
+	}
+	d.mu.Lock()
+	now := time.Now()
+	d.followRecord(now)
+	if d.stopping || !d.mayClaim(now) {
+		d.mu.Unlock()
+		return
+	}
+	tx, err := d.seat.Claim(now, d.Token())
+	d.mu.Unlock()
+	if err != nil {
+		d.Log.Error("claim", "error", err)
+		return
+	}
+	d.transact(ctx, tx)
+}
+
+// followRecord points the follower at a holder that may still be there.
+func (d *Duty) followRecord(now time.Time) {
+	r, _ := d.seat.Record()
+	if r.Holder != "" && r.Address != d.Address && !d.seat.Claimable(now) {
+		d.Follower.SetLeader(r.Address)
+	}
+}
+
+// mayClaim lets the candidates go one after another, so that a free seat is
+// not fought over by every instance of the zone at once.
+func (d *Duty) mayClaim(now time.Time) bool {
+	if !d.seat.Claimable(now) {
+		d.free = time.Time{}
+		return false
+	}
+	if d.free.IsZero() {
+		d.free = now
+	}
+	return now.Sub(d.free) >= d.rank()*rankDelay
+}
+
+func (d *Duty) rank() time.Duration {
+	for i, m := range d.Follower.Members() {
+		if m == d.Instance {
+			return time.Duration(min(i, maxRank))
+		}
+	}
+	return 0
+}
+
+// Hint takes in what the present leader said of its seat.
+func (d *Duty) Hint(now time.Time, version uint64, left time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.seat.Hint(now, version, left)
+}
+
+// broadcast wakes all who wait for news. It is called with the lock held.
+func (d *Duty) broadcast() {
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+// Stop hands the seat over before the instance shuts down.
+func (d *Duty) Stop(ctx context.Context) {
+	d.mu.Lock()
+	d.stopping = true
+	if !d.seat.Holding() {
+		d.mu.Unlock()
+		return
+	}
+	tx, err := d.seat.HandOver(time.Now(), d.Token())
+	d.zone, d.ready = nil, false
+	d.broadcast()
+	d.mu.Unlock()
+	if err == nil {
+		_, err = d.Table.Transact(ctx, tx)
+	}
+	if err != nil {
+		d.Log.Warn("seat not handed over", "error", err)
+		return
+	}
+	event.SeatHandedOver.Log(d.Log, "seat", d.Zone)
+}
+
+// Status is a leader's state for operators.
+type Status struct {
+	Zone    string        `json:"zone"`
+	Leading bool          `json:"leading"`
+	Record  seat.Record   `json:"record"`
+	Members []zone.Member `json:"members,omitempty"`
+	TableOK bool          `json:"tableOk"`
+}
+
+// Status returns the present state.
+func (d *Duty) Status() Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, _ := d.seat.Record()
+	s := Status{Zone: d.Zone, Leading: d.leading(time.Now()), Record: r, TableOK: !d.tableBad}
+	if d.zone != nil {
+		s.Members = d.zone.Members()
+	}
+	return s
+}
--- /dev/null
+++ b/gateway/planner/decide.go
@@ -0,0 +1,261 @@
+package planner
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/config"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/lease"
+	"basilcross.example/basilcross/plan"
+	"basilcross.example/basilcross/platform"
+	"basilcross.example/basilcross/seat"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/basilcross/zone"
+	"basilcross.example/gateway/control"
+	"golang.org/x/sync/errgroup"
+)
+
+// decide plans every service and writes what changes in one transaction.
+func (d *Duty) decide(ctx context.Context) {
+	doc := d.View.Load().Config
+	if doc == nil || d.listed == nil {
+		return
+	}
+	now := time.Now()
+	evicted := d.lostZones(now)
+	balance := now.Sub(d.balanced) >= balanceInterval
+	if balance {
+		d.balanced = now
+	}
+	b := &batch{duty: d, tx: table.Transaction{Token: d.Token()}}
+	for _, service := range doc.Services {
+		in := d.input(now, doc, service, evicted)
+		in.Balance = balance
+		decision := plan.Next(d.log(service.Name).Current(), in)
+		if decision.Next == nil {
+			continue
+		}
+		if err := b.add(ctx, decision, evicted); err != nil {
+			d.Log.Error("plan", "service", service.Name, "error", err)
+			return
+		}
+	}
+	for name := range evicted {
+		if err := b.evict(now, d.zones[name]); err != nil {
+			d.Log.Error("evict", "zone", name, "error", err)
+			return
+		}
+	}
+	if len(b.tx.Puts) > 0 {
+		b.write(ctx)
+	}
+}
+
+// lostZones returns the zones whose seat nobody renews or takes over.
+func (d *Duty) lostZones(now time.Time) map[string]bool {
+	lost := map[string]bool{}
+	for name, z := range d.zones {
+		r, _ := z.Record()
+		if r.Holder != "" && z.Silence(now) > lease.Wait(seat.Hold)+evictGrace {
+			lost[name] = true
+		}
+	}
+	return lost
+}
+
+// input gathers what a decision about a service rests on.
+func (d *Duty) input(now time.Time, doc *config.Document, service config.Service, evicted map[string]bool) plan.Input {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	in := plan.Input{
+		Divided:  service.Divided,
+		Shards:   service.InitialShards(),
+		Complete: true,
+		Draining: map[string]bool{},
+		Evicted:  evicted,
+		Led:      map[string]bool{},
+		Settled:  now.Sub(d.held) > settleAfter,
+		Loads:    d.loads.of(service.Name, now),
+	}
+	for _, i := range d.listed {
+		if i.Role != platform.TargetRole || i.Service != service.Name {
+			continue
+		}
+		in.Listed = append(in.Listed, plan.Listing{Target: listedTarget(i), Leaving: i.Leaving})
+		rules := doc.Resolve(config.Scope{Service: i.Service, Zone: i.Zone, Target: i.ID}, now)
+		in.Draining[i.ID] = *rules.Drain
+	}
+	reached := ^uint64(0)
+	for name, r := range d.reports {
+		if now.Sub(r.at) > reportAge || evicted[name] {
+			continue
+		}
+		in.Led[name] = true
+		in.Released = append(in.Released, decodeReleases(r.req.GetReleased())...)
+		in.Returned = append(in.Returned, decodeReleases(r.req.GetReturned())...)
+		in.Drained = append(in.Drained, decodeDrains(r.req.GetDrained())...)
+		reached = min(reached, knownVersion(r.req.GetReached(), service.Name))
+	}
+	in.Quiet = d.quietOf(now, service.Name, d.reachedEverywhere(in.Led, reached), doc)
+	return in
+}
+
+// reachedEverywhere is zero while a zone whose gateways may have authority has
+// not reported.
+func (d *Duty) reachedEverywhere(led map[string]bool, reached uint64) uint64 {
+	for name, z := range d.zones {
+		if r, _ := z.Record(); r.Holder != "" && !led[name] {
+			return 0
+		}
+	}
+	return reached
+}
+
+func (d *Duty) quietOf(now time.Time, service string, reached uint64, doc *config.Document) uint64 {
+	q, ok := d.quiet[service]
+	if !ok {
+		q = &quietVersion{}
+		d.quiet[service] = q
+	}
+	return q.note(now, reached, longestDeadline(doc, service, now)+pauseMargin)
+}
+
+func listedTarget(i platform.Instance) assignment.Target {
+	return assignment.Target{
+		ID:      i.ID,
+		Service: i.Service,
+		Zone:    i.Zone,
+		Region:  i.Region,
+		Address: i.Address,
+		Fenced:  i.Fenced,
+		Slots:   i.Slots,
+	}
+}
+
+func decodeReleases(releases []*control.Release) []zone.Release {
+	out := make([]zone.Release, 0, len(releases))
+	for _, r := range releases {
+		out = append(out, zone.Release{Target: r.GetTarget(), Generation: r.GetGeneration()})
+	}
+	return out
+}
+
+func decodeDrains(drains []*control.Drain) []zone.Drain {
+	out := make([]zone.Drain, 0, len(drains))
+	for _, r := range drains {
+		out = append(out, zone.Drain{Service: r.GetService(), First: r.GetFirst(), Epoch: r.GetEpoch(), Version: r.GetVersion()})
+	}
+	return out
+}
+
+func knownVersion(known []*control.Known, name string) uint64 {
+	for _, k := range known {
+		if k.GetName() == name {
+			return k.GetVersion()
+		}
+	}
+	return 0
+}
+
+// batch is one transaction with the decisions of all services.
+type batch struct {
+	duty     *Duty
+	tx       table.Transaction
+	services []string
+	causes   []string
+}
+
+func (b *batch) add(ctx context.Context, decision plan.Decision, evicted map[string]bool) error {
+	service := decision.Next.Service
+	tx, err := b.duty.log(service).Append(ctx, decision.Next, b.tx.Token)
+	if err != nil {
+		return err
+	}
+	b.tx.Puts = append(b.tx.Puts, tx.Puts...)
+	b.tx.Conditions = append(b.tx.Conditions, tx.Conditions...)
+	for _, name := range decision.Zones {
+		if !evicted[name] {
+			b.requireTerm(name)
+		}
+	}
+	b.services = append(b.services, service)
+	b.causes = append(b.causes, service+": "+strings.Join(decision.Causes, ", "))
+	return nil
+}
+
+// requireTerm makes the write depend on the zone's leader still being the one
+// that reported. The failure: a leader reports a target as released and loses
+// its seat; the next leader, who knows nothing of that, renews the target
+// while this write gives its shards away. With the condition one of the two
+// sees the other: the write fails, or the new leader reads the new assignment.
+func (b *batch) requireTerm(zone string) {
+	b.duty.mu.Lock()
+	version := b.duty.reports[zone].req.GetTermVersion()
+	b.duty.mu.Unlock()
+	for _, c := range b.tx.Conditions {
+		if c.Key == seat.TermKey(zone) {
+			return
+		}
+	}
+	b.tx.Conditions = append(b.tx.Conditions, table.Condition{Key: seat.TermKey(zone), Version: version})
+}
+
+// evict takes the zone's seat away in the same transaction.
+func (b *batch) evict(now time.Time, z *seat.Seat) error {
+	tx, err := z.Evict(now, b.tx.Token)
+	if err != nil {
+		return err
+	}
+	b.tx.Puts = append(b.tx.Puts, tx.Puts...)
+	b.tx.Conditions = append(b.tx.Conditions, tx.Conditions...)
+	b.causes = append(b.causes, "zone "+z.Name+" evicted")
+	return nil
+}
+
+func (b *batch) write(ctx context.Context) {
+	d := b.duty
+	callCtx, cancel := context.WithTimeout(ctx, 2*tableTimeout)
+	defer cancel()
+	b.tx.ReadPrefixes = []string{"head/"}
+	res, err := table.Settle(callCtx, d.Table, b.tx)
+	if err != nil {
+		d.Log.Warn("assignment not settled", "error", err)
+		return
+	}
+	if !res.Committed {
+		event.AssignmentRefused.Log(d.Log, "causes", b.causes)
+		d.absorb(ctx, res)
+		return
+	}
+	for _, service := range b.services {
+		delta := d.log(service).Accept(res.Revision)
+		if err := d.View.ApplyDelta(delta); err != nil {
+			d.Log.Debug("own delta", "error", err)
+		}
+	}
+	d.absorb(ctx, res)
+	event.AssignmentWritten.Log(d.Log, "causes", b.causes)
+	d.nudge(ctx)
+}
+
+// nudge tells every zone's leader to read the table now.
+func (d *Duty) nudge(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, nudgeTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for _, z := range d.zones {
+		r, _ := z.Record()
+		if r.Address == "" {
+			continue
+		}
+		group.Go(func() error {
+			// A lost nudge only delays the news until the leader's next turn.
+			_, _ = control.NewZoneProtobufClient("http://"+r.Address, d.Client).Nudge(ctx, &control.NudgeRequest{})
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
--- /dev/null
+++ b/gateway/planner/load.go
@@ -0,0 +1,115 @@
+package planner
+
+import (
+	"time"
+
+	"basilcross.example/basilcross/config"
+	"basilcross.example/gateway/control"
+)
+
+const (
+	// loadWindow is the time constant of the load averages.
+	loadWindow = 10 * time.Second
+	// loadStep is how often the averages take in what was reported.
+	loadStep = time.Second
+	// pauseMargin is how long a gateway may be paused between its last look
+	// at its authority and the first byte of a request, for targets that do
+	// not check. A longer pause is the residual risk.
+	pauseMargin = 2 * time.Second
+)
+
+// loadAverage smooths the reported loads, by service and shard.
+type loadAverage struct {
+	pending map[string]map[uint64]float64
+	rates   map[string]map[uint64]float64
+	stepped time.Time
+}
+
+func (l *loadAverage) add(loads []*control.ShardLoad) {
+	if l.pending == nil {
+		l.pending = map[string]map[uint64]float64{}
+		l.rates = map[string]map[uint64]float64{}
+		l.stepped = time.Now()
+	}
+	for _, s := range loads {
+		byShard, ok := l.pending[s.GetService()]
+		if !ok {
+			byShard = map[uint64]float64{}
+			l.pending[s.GetService()] = byShard
+		}
+		byShard[s.GetFirst()] += float64(s.GetWork())
+	}
+}
+
+// of returns a service's rates in work per second.
+func (l *loadAverage) of(service string, now time.Time) map[uint64]float64 {
+	if elapsed := now.Sub(l.stepped); l.pending != nil && elapsed >= loadStep {
+		l.step(elapsed)
+		l.stepped = now
+	}
+	return l.rates[service]
+}
+
+func (l *loadAverage) step(elapsed time.Duration) {
+	share := min(1, elapsed.Seconds()/loadWindow.Seconds())
+	for service, byShard := range l.pending {
+		rates, ok := l.rates[service]
+		if !ok {
+			rates = map[uint64]float64{}
+			l.rates[service] = rates
+		}
+		for first := range rates {
+			if _, ok := byShard[first]; !ok {
+				byShard[first] = 0
+			}
+		}
+		for first, work := range byShard {
+			rates[first] += share * (work/elapsed.Seconds() - rates[first])
+		}
+		l.pending[service] = map[uint64]float64{}
+	}
+}
+
+// quietVersion tracks since when every gateway has had a version in force.
+type quietVersion struct {
+	marks []mark
+	quiet uint64
+}
+
+type mark struct {
+	at      time.Time
+	version uint64
+}
+
+// maxMarks bounds the history.
+const maxMarks = 256
+
+// note takes in the version that all have reached and returns the newest that
+// all have had for at least wait.
+func (q *quietVersion) note(now time.Time, reached uint64, wait time.Duration) uint64 {
+	if reached == ^uint64(0) {
+		return q.quiet
+	}
+	if n := len(q.marks); n == 0 || q.marks[n-1].version < reached {
+		q.marks = append(q.marks, mark{at: now, version: reached})
+	}
+	for len(q.marks) > 0 && (now.Sub(q.marks[0].at) >= wait || len(q.marks) > maxMarks) {
+		if now.Sub(q.marks[0].at) >= wait {
+			q.quiet = max(q.quiet, q.marks[0].version)
+		}
+		q.marks = q.marks[1:]
+	}
+	return q.quiet
+}
+
+// longestDeadline is the longest time that a request to a service may take.
+func longestDeadline(doc *config.Document, service string, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, k := range doc.Kinds {
+		if k.Service == service {
+			rules := doc.Resolve(config.Scope{Service: service, Kind: k.Name}, now)
+			longest = max(longest, time.Duration(*rules.Deadline))
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/gateway/planner/planner.go
@@ -0,0 +1,295 @@
+// Package planner is the duty of deciding assignments for the whole fleet,
+// carried out by the zone leader that holds the planner's seat. Losing the
+// seat in the middle of a decision harms nothing: each decision is one
+// conditional write.
+package planner
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/deltalog"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/platform"
+	"basilcross.example/basilcross/seat"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/view"
+)
+
+const (
+	// SeatName is the name of the planner's seat; no zone may have it.
+	SeatName = "$planner"
+	// interval lies between two looks at what there is to decide.
+	interval = 100 * time.Millisecond
+	// renewInterval lies between two renewals of the planner's seat, which
+	// also show the zones' seats.
+	renewInterval = 250 * time.Millisecond
+	// listInterval lies between two readings of the platform's list.
+	listInterval = time.Second
+	// balanceInterval lies between two decisions for balance.
+	balanceInterval = time.Second
+	// settleAfter is how long a new planner waits for reports.
+	settleAfter = 2 * time.Second
+	// evictGrace is what a silent zone's own candidates get after its seat
+	// became free, before the whole zone counts as lost.
+	evictGrace = 250 * time.Millisecond
+	// reportAge is the silence after which a zone counts as not led.
+	reportAge    = 4 * time.Second
+	tableTimeout = 800 * time.Millisecond
+	nudgeTimeout = 300 * time.Millisecond
+)
+
+// Options are what a Duty needs; all fields must be set.
+type Options struct {
+	Instance    string
+	Incarnation string
+	Address     string
+	Table       table.Client
+	Objects     object.Client
+	View        *view.View
+	Client      *http.Client
+	Log         *slog.Logger
+	Token       func() string
+	// Instances reads the platform's list.
+	Instances func(ctx context.Context) ([]platform.Instance, error)
+	// Leading tells whether this instance leads a zone; only those plan.
+	Leading func(now time.Time) bool
+}
+
+// Duty plans while its instance holds the planner's seat.
+type Duty struct {
+	Options
+
+	mu       sync.Mutex
+	seat     seat.Seat
+	reports  map[string]zoneReport
+	kick     chan struct{}
+	loads    loadAverage
+	stopping bool
+
+	// The rest belongs to Serve alone.
+	logs     map[string]*deltalog.Log
+	zones    map[string]*seat.Seat
+	listed   []platform.Instance
+	listedAt time.Time
+	renewed  time.Time
+	balanced time.Time
+	held     time.Time
+	quiet    map[string]*quietVersion
+}
+
+// zoneReport is the last report of a zone's leader.
+type zoneReport struct {
+	at  time.Time
+	req *control.ReportRequest
+}
+
+// New returns a duty without the seat.
+func New(o Options) *Duty {
+	return &Duty{
+		Options: o,
+		seat: seat.Seat{Name: SeatName, Self: seat.Record{
+			Holder: o.Instance, Incarnation: o.Incarnation, Address: o.Address,
+		}},
+		reports: map[string]zoneReport{},
+		kick:    make(chan struct{}, 1),
+		logs:    map[string]*deltalog.Log{},
+		zones:   map[string]*seat.Seat{},
+		quiet:   map[string]*quietVersion{},
+	}
+}
+
+// Observe takes in the planner seat's row.
+func (d *Duty) Observe(now time.Time, row *table.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.seat.Observe(now, row); err != nil {
+		d.Log.Error("planner seat", "error", err)
+	}
+}
+
+// Address returns where the planner is, as far as known.
+func (d *Duty) Address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, _ := d.seat.Record()
+	return r.Address
+}
+
+// Planning tells whether this instance plans at now.
+func (d *Duty) Planning(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seat.Holding() && d.seat.Authority().Valid(now)
+}
+
+// Report takes in what a zone's leader knows.
+func (d *Duty) Report(_ context.Context, req *control.ReportRequest) (*control.ReportResponse, error) {
+	now := time.Now()
+	if !d.Planning(now) {
+		return &control.ReportResponse{}, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reports[req.GetZone()] = zoneReport{at: now, req: req}
+	d.loads.add(req.GetLoads())
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+	return &control.ReportResponse{Planning: true}, nil
+}
+
+// Serve plans until the context ends.
+func (d *Duty) Serve(ctx context.Context) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		case <-d.kick:
+		}
+		d.turn(ctx)
+	}
+}
+
+func (d *Duty) turn(ctx context.Context) {
+	now := time.Now()
+	if !d.Leading(now) {
+		d.held = time.Time{}
+		return
+	}
+	if now.Sub(d.renewed) >= renewInterval {
+		d.renewed = now
+		d.keepSeat(ctx, now)
+	}
+	if !d.Planning(time.Now()) {
+		d.held = time.Time{}
+		return
+	}
+	if d.held.IsZero() {
+		d.held = now
+		event.SeatGained.Log(d.Log, "seat", SeatName)
+	}
+	d.list(ctx, now)
+	d.decide(ctx)
+}
+
+// keepSeat renews the planner's seat, or takes it when it is free, and reads
+// the heads in the same round trip.
+func (d *Duty) keepSeat(ctx context.Context, now time.Time) {
+	d.mu.Lock()
+	var tx table.Transaction
+	var err error
+	switch {
+	case d.stopping:
+	case d.seat.Holding():
+		tx, err = d.seat.Renew(now, d.Token())
+	case d.seat.Claimable(now):
+		tx, err = d.seat.Claim(now, d.Token())
+	}
+	d.mu.Unlock()
+	if err != nil || len(tx.Puts) == 0 {
+		return
+	}
+	tx.ReadPrefixes = []string{"head/"}
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	res, err := d.Table.Transact(callCtx, tx)
+	if err != nil {
+		return
+	}
+	d.absorb(ctx, res)
+}
+
+// absorb takes in a reading of all heads.
+func (d *Duty) absorb(ctx context.Context, res table.Result) {
+	now := time.Now()
+	for _, row := range res.Rows {
+		if name, ok := seat.NameOf(row.Key); ok {
+			d.absorbSeat(now, name, row)
+			continue
+		}
+		if service, ok := deltalog.ServiceOf(row.Key); ok {
+			d.absorbAssignment(ctx, service, row)
+		}
+	}
+}
+
+func (d *Duty) absorbSeat(now time.Time, name string, row table.Row) {
+	if name == SeatName {
+		d.Observe(now, &row)
+		return
+	}
+	z, ok := d.zones[name]
+	if !ok {
+		z = &seat.Seat{Name: name}
+		d.zones[name] = z
+	}
+	if err := z.Observe(now, &row); err != nil {
+		d.Log.Error("seat row", "seat", name, "error", err)
+	}
+}
+
+func (d *Duty) log(service string) *deltalog.Log {
+	l, ok := d.logs[service]
+	if !ok {
+		l = &deltalog.Log{Service: service, Table: d.Table, Objects: d.Objects}
+		l.Damaged = func(name string, err error) {
+			event.SnapshotDamaged.Log(d.Log, "object", name, "error", err)
+		}
+		d.logs[service] = l
+	}
+	return l
+}
+
+func (d *Duty) absorbAssignment(ctx context.Context, service string, row table.Row) {
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	if _, err := d.log(service).CatchUp(callCtx, row); err != nil {
+		d.Log.Warn("planner not caught up", "service", service, "error", err)
+	}
+}
+
+// list reads the platform's instance list. It lags and may fail; the last one
+// read is used on.
+func (d *Duty) list(ctx context.Context, now time.Time) {
+	if now.Sub(d.listedAt) < listInterval {
+		return
+	}
+	d.listedAt = now
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	listed, err := d.Instances(callCtx)
+	if err != nil {
+		return
+	}
+	d.listed = listed
+}
+
+// Stop hands the planner's seat over before the instance shuts down.
+func (d *Duty) Stop(ctx context.Context) {
+	d.mu.Lock()
+	d.stopping = true
+	if !d.seat.Holding() {
+		d.mu.Unlock()
+		return
+	}
+	tx, err := d.seat.HandOver(time.Now(), d.Token())
+	d.mu.Unlock()
+	if err == nil {
+		_, err = d.Table.Transact(ctx, tx)
+	}
+	if err != nil {
+		d.Log.Warn("planner's seat not handed over", "error", err)
+		return
+	}
+	event.SeatHandedOver.Log(d.Log, "seat", SeatName)
+}
--- /dev/null
+++ b/gateway/renewer/grants.go
@@ -0,0 +1,81 @@
+package renewer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/grant"
+	"basilcross.example/gateway/view"
+)
+
+// grantIndex keeps each target's grants for the assignments last asked about.
+type grantIndex struct {
+	services map[string]serviceGrants
+}
+
+type serviceGrants struct {
+	assignment *assignment.Assignment
+	byTarget   map[string][]grant.Grant
+}
+
+func (x *grantIndex) of(s *view.Service, target string) []grant.Grant {
+	name := s.Assignment.Service
+	if x.services == nil {
+		x.services = map[string]serviceGrants{}
+	}
+	if x.services[name].assignment != s.Assignment {
+		x.services[name] = indexGrants(s.Assignment)
+	}
+	return x.services[name].byTarget[target]
+}
+
+func indexGrants(a *assignment.Assignment) serviceGrants {
+	g := serviceGrants{assignment: a, byTarget: map[string][]grant.Grant{}}
+	for _, s := range a.Shards {
+		g.byTarget[s.Owner] = append(g.byTarget[s.Owner], grant.Grant{
+			First:   s.First,
+			Last:    s.Last,
+			Epoch:   s.Epoch,
+			Revoked: s.MovingTo != "",
+		})
+	}
+	return g
+}
+
+// HTTPCaller sends orders over HTTP, the stand-in for the users' own protocol.
+type HTTPCaller struct {
+	Client *http.Client
+}
+
+// maxStatus bounds what is read of a target's status.
+const maxStatus = 1 << 20
+
+// Order posts the order and returns the target's status.
+func (c *HTTPCaller) Order(ctx context.Context, address string, o grant.Order) (grant.Status, error) {
+	var s grant.Status
+	content, err := json.Marshal(o)
+	if err != nil {
+		return s, fmt.Errorf("encode order: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+grant.Path, bytes.NewReader(content))
+	if err != nil {
+		return s, fmt.Errorf("order: %w", err)
+	}
+	res, err := c.Client.Do(req)
+	if err != nil {
+		return s, fmt.Errorf("order: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return s, fmt.Errorf("order: target answered %d", res.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, maxStatus)).Decode(&s); err != nil {
+		return s, fmt.Errorf("order: %w", err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/gateway/settings/settings_test.go
@@ -0,0 +1,41 @@
+package settings_test
+
+import (
+	"testing"
+	"time"
+
+	"basilcross.example/gateway/settings"
+	"github.com/spf13/pflag"
+	"gotest.tools/v3/assert"
+)
+
+func TestDefaultsAreValid(t *testing.T) {
+	s := settings.Defaults()
+	assert.NilError(t, s.Validate())
+}
+
+func TestAllFaultsAreReportedTogether(t *testing.T) {
+	s := settings.Defaults()
+	s.Zone = "a/b"
+	s.AdminListen = "8082"
+	s.LogFormat = "xml"
+	err := s.Validate()
+	for _, field := range []string{"--zone", "--admin-listen", "--log-format"} {
+		assert.ErrorContains(t, err, field)
+	}
+}
+
+func TestFlagGoesBeforeEnvironment(t *testing.T) {
+	s := settings.Defaults()
+	f := pflag.NewFlagSet("gateway", pflag.ContinueOnError)
+	s.Bind(f)
+	assert.NilError(t, f.Parse([]string{"--zone=graz"}))
+	env := map[string]string{"BASILCROSS_ZONE": "wien", "BASILCROSS_DRAIN_WAIT": "9s"}
+	lookup := func(name string) (string, bool) {
+		value, ok := env[name]
+		return value, ok
+	}
+	assert.NilError(t, settings.FromEnvironment(f, lookup))
+	assert.Equal(t, s.Zone, "graz")
+	assert.Equal(t, s.DrainWait, 9*time.Second)
+}
--- /dev/null
+++ b/gateway/view/view.go
@@ -0,0 +1,248 @@
+// Package view is what an instance holds to be in force: the configuration and
+// the assignment of each service. Requests read it without locks.
+package view
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/config"
+	"basilcross.example/basilcross/shard"
+)
+
+// Service is one service as it is in force; it never changes.
+type Service struct {
+	Assignment *assignment.Assignment
+	Map        *shard.Map
+	Targets    map[string]*assignment.Target
+	// Active are the targets that may get new requests.
+	Active []*assignment.Target
+}
+
+// Snapshot is everything in force at one moment; it never changes.
+type Snapshot struct {
+	Config   *config.Document
+	Services map[string]*Service
+	// Changed is closed when there is a newer snapshot.
+	Changed <-chan struct{}
+
+	changed chan struct{}
+	kinds   map[config.Scope]*Kind
+	keyed   bool
+}
+
+// Kind is a kind's rules within one zone, with every field set.
+type Kind struct {
+	Idempotent bool
+	Rules      config.Rules
+}
+
+// deltasKept is how many deltas per service are kept for others that follow.
+const deltasKept = 64
+
+// View holds the present snapshot. Zone is the instance's own. The zero value
+// is empty.
+type View struct {
+	Zone string
+
+	current atomic.Pointer[Snapshot]
+	mu      sync.Mutex
+	deltas  map[string][]assignment.Delta
+}
+
+// Load returns the present snapshot. It takes no lock.
+func (v *View) Load() *Snapshot {
+	if s := v.current.Load(); s != nil {
+		return s
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.current.Load() == nil {
+		v.publish(&Snapshot{})
+	}
+	return v.current.Load()
+}
+
+// publish is called with the lock held.
+func (v *View) publish(s *Snapshot) {
+	s.changed = make(chan struct{})
+	s.Changed = s.changed
+	old := v.current.Swap(s)
+	if old != nil {
+		close(old.changed)
+	}
+}
+
+func (v *View) copyCurrent() *Snapshot {
+	next := &Snapshot{Services: map[string]*Service{}}
+	if s := v.current.Load(); s != nil {
+		next.Config, next.kinds, next.keyed = s.Config, s.kinds, s.keyed
+		for name, service := range s.Services {
+			next.Services[name] = service
+		}
+	}
+	return next
+}
+
+// StaleError is an offer of something older than what is in force.
+type StaleError struct {
+	Name           string
+	InForce, Offer uint64
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("%s: version %d was offered while %d is in force", e.Name, e.Offer, e.InForce)
+}
+
+// SetConfig puts a configuration in force. One that is not newer is refused: an
+// instance never goes back, whoever offers it.
+func (v *View) SetConfig(d *config.Document) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.copyCurrent()
+	if next.Config != nil && d.Version <= next.Config.Version {
+		return &StaleError{Name: "config", InForce: next.Config.Version, Offer: d.Version}
+	}
+	next.Config = d
+	next.index(v.Zone, time.Now())
+	v.publish(next)
+	return nil
+}
+
+// Refresh works out the rules anew, since exceptions expire with time.
+func (v *View) Refresh(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.copyCurrent()
+	if next.Config == nil {
+		return
+	}
+	next.index(v.Zone, now)
+	v.publish(next)
+}
+
+// index works out each kind's rules for this zone once, so that a request
+// costs one look-up.
+func (s *Snapshot) index(zone string, now time.Time) {
+	s.kinds = map[config.Scope]*Kind{}
+	s.keyed = false
+	for _, k := range s.Config.Kinds {
+		scope := config.Scope{Service: k.Service, Kind: k.Name}
+		query := scope
+		query.Zone = zone
+		s.kinds[scope] = &Kind{Idempotent: k.Idempotent, Rules: s.Config.Resolve(query, now)}
+	}
+	for _, e := range s.Config.Exceptions {
+		s.keyed = s.keyed || e.Scope.Key != "" && e.Live(now)
+	}
+}
+
+// Kind returns the rules for a request; ok is false if there is no such kind.
+func (s *Snapshot) Kind(zone, service, kind, key string) (k Kind, ok bool) {
+	found, ok := s.kinds[config.Scope{Service: service, Kind: kind}]
+	if !ok {
+		return Kind{}, false
+	}
+	if !s.keyed {
+		return *found, true
+	}
+	query := config.Scope{Service: service, Kind: kind, Zone: zone, Key: key}
+	return Kind{Idempotent: found.Idempotent, Rules: s.Config.Resolve(query, time.Now())}, true
+}
+
+// ApplyDelta puts the next version of an assignment in force.
+func (v *View) ApplyDelta(d assignment.Delta) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.copyCurrent()
+	have := &assignment.Assignment{Service: d.Service}
+	if s, ok := next.Services[d.Service]; ok {
+		have = s.Assignment
+	}
+	if d.To <= have.Version {
+		return nil
+	}
+	a, err := have.Apply(d)
+	if err != nil {
+		return fmt.Errorf("apply delta of %s: %w", d.Service, err)
+	}
+	service, err := newService(a)
+	if err != nil {
+		return fmt.Errorf("apply delta of %s: %w", d.Service, err)
+	}
+	next.Services[d.Service] = service
+	v.keep(d)
+	v.publish(next)
+	return nil
+}
+
+func (v *View) keep(d assignment.Delta) {
+	if v.deltas == nil {
+		v.deltas = map[string][]assignment.Delta{}
+	}
+	kept := v.deltas[d.Service]
+	if d.From == 0 {
+		kept = nil
+	}
+	if len(kept) >= deltasKept {
+		kept = kept[1:]
+	}
+	v.deltas[d.Service] = append(kept[:len(kept):len(kept)], d)
+}
+
+func newService(a *assignment.Assignment) (*Service, error) {
+	s := &Service{Assignment: a, Targets: make(map[string]*assignment.Target, len(a.Targets))}
+	for i := range a.Targets {
+		t := &a.Targets[i]
+		s.Targets[t.ID] = t
+		if t.State == assignment.Active {
+			s.Active = append(s.Active, t)
+		}
+	}
+	if len(a.Shards) == 0 {
+		return s, nil
+	}
+	m, err := shard.New(a.Shards)
+	s.Map = m
+	return s, err
+}
+
+// Since returns the deltas that lead from a version to the present one, or one
+// delta that replaces all.
+func (v *View) Since(service string, from uint64) []assignment.Delta {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.current.Load()
+	if s == nil || s.Services[service] == nil {
+		return nil
+	}
+	a := s.Services[service].Assignment
+	if from >= a.Version {
+		return nil
+	}
+	for i, d := range v.deltas[service] {
+		if d.From == from {
+			return v.deltas[service][i:]
+		}
+	}
+	return []assignment.Delta{assignment.Diff(&assignment.Assignment{Service: service}, a)}
+}
+
+// Versions returns what is in force, by service and "config".
+func (s *Snapshot) Versions() map[string]uint64 {
+	versions := make(map[string]uint64, len(s.Services)+1)
+	for name, service := range s.Services {
+		versions[name] = service.Assignment.Version
+	}
+	if s.Config != nil {
+		versions[ConfigName] = s.Config.Version
+	}
+	return versions
+}
+
+// ConfigName is the configuration's name among the versions; no service may
+// have it.
+const ConfigName = "$config"
