--- a/basilcross/grant/guard.go
+++ b/basilcross/grant/guard.go
@@ -21,13 +21,14 @@
 	// admit requests for a grant; for tests and for audits.
 	Held func(g Grant, from, until time.Time)
 
-	mu      sync.Mutex
-	version uint64
-	grants  []Grant
-	running map[Drained]int
-	lease   lease.Lease
-	stamp   uint64
-	issued  map[uint64]time.Time
+	mu       sync.Mutex
+	heldFrom time.Time
+	version  uint64
+	grants   []Grant
+	running  map[Drained]int
+	lease    lease.Lease
+	stamp    uint64
+	issued   map[uint64]time.Time
 }
 
 // Apply takes an order that arrived at now. Orders under an older version than
@@ -36,9 +37,10 @@
 func (g *Guard) Apply(now time.Time, o Order) Status {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.tellHeld(now)
 	renewed := false
 	if o.Lease > 0 && o.Incarnation == g.Incarnation && o.Version >= g.version {
-		g.adopt(now, o)
+		g.adopt(o)
 		renewed = o.Version == g.version && g.extend(now, o)
 	}
 	return Status{
@@ -52,11 +54,10 @@
 }
 
 // adopt takes over a newer version's grants, if the order has them.
-func (g *Guard) adopt(now time.Time, o Order) {
+func (g *Guard) adopt(o Order) {
 	if o.Version == g.version || !o.Full {
 		return
 	}
-	g.reportUntil(now)
 	g.version = o.Version
 	g.grants = slices.Clone(o.Grants)
 	slices.SortFunc(g.grants, func(a, b Grant) int {
@@ -79,7 +80,6 @@
 	if !next.Valid(now) {
 		return false
 	}
-	g.reportUntil(now)
 	g.lease = g.lease.Later(next)
 	return true
 }
@@ -94,18 +94,28 @@
 	return g.stamp
 }
 
-// reportUntil tells Held of the span from now to the present lease's end. The
-// next call may cut that span short, so spans are told with their outer bound.
-func (g *Guard) reportUntil(now time.Time) {
+// Flush tells Held of the span up to now; Apply does so by itself. It is
+// called before a guard is given up.
+func (g *Guard) Flush(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tellHeld(now)
+}
+
+func (g *Guard) tellHeld(now time.Time) {
 	if g.Held == nil {
 		return
 	}
-	left := g.lease.Left(now)
+	until := now
+	if end := g.lease.Sent.Add(g.lease.Length); end.Before(now) {
+		until = end
+	}
 	for _, grant := range g.grants {
-		if left > 0 && !grant.Revoked {
-			g.Held(grant, now, now.Add(left))
+		if !grant.Revoked && until.After(g.heldFrom) {
+			g.Held(grant, g.heldFrom, until)
 		}
 	}
+	g.heldFrom = now
 }
 
 func (g *Guard) drained() []Drained {
--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -251,7 +251,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	life := maxAge - rand.N(maxAge/4) //nolint:gosec // jitter needs no secrecy
+	life := maxAge - rand.N(maxAge/4)
 	c := &conn{Conn: raw, lastAnswer: now, dies: now.Add(life)}
 	c.reader = bufio.NewReaderSize(raw, bufferSize)
 	c.writer = bufio.NewWriterSize(c, bufferSize)
--- /dev/null
+++ b/ctl/command/config.go
@@ -0,0 +1,246 @@
+package command
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"basilcross.example/basilcross/config"
+	"github.com/spf13/cobra"
+)
+
+const usageConfig = `Read and change the fleet's configuration. Every change is a whole new version,
+based on the one that you read; if somebody else was faster, nothing is changed
+and you are told.
+
+Examples:
+  basilcross config get > fleet.json
+  basilcross config check fleet.json
+  basilcross config set fleet.json
+  basilcross config explain --service menus --kind lists --key graz-7
+  basilcross config wait --version 7 --gateways http://10.0.1.1:8082,http://10.0.2.1:8082`
+
+func configCommand(s *shared) *cobra.Command {
+	c := &cobra.Command{Use: "config", Short: "Read and change the configuration", Long: usageConfig}
+	c.AddCommand(configGet(s), configCheck(s), configSet(s), configExplain(s), configWait(s), configHistory(s), configRollBack(s))
+	return c
+}
+
+func configGet(s *shared) *cobra.Command {
+	var version uint64
+	c := &cobra.Command{
+		Use: "get", Short: "Print a version, the newest by default", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			doc, err := s.document(c.Context(), version)
+			if err != nil {
+				return err
+			}
+			return writeJSON(c.OutOrStdout(), doc)
+		},
+	}
+	c.Flags().Uint64Var(&version, "version", 0, "version to print; 0 is the newest")
+	return c
+}
+
+// document reads a version; zero is the newest.
+func (s *shared) document(ctx context.Context, version uint64) (*config.Document, error) {
+	var doc config.Document
+	query := url.Values{}
+	if version != 0 {
+		query.Set("version", strconv.FormatUint(version, 10))
+	}
+	if err := s.client.Get(ctx, "/v1/config", query, &doc); err != nil {
+		return nil, withCode(err)
+	}
+	return &doc, nil
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func readFile(name string) (*config.Document, error) {
+	content, err := os.ReadFile(name) //nolint:gosec // named by the operator
+	if err != nil {
+		return nil, &ExitError{Code: ExitUsage, Cause: err}
+	}
+	doc, err := config.Parse(content)
+	if err != nil {
+		return nil, &ExitError{Code: ExitInvalid, Cause: fmt.Errorf("%s: %w", name, err)}
+	}
+	return doc, nil
+}
+
+func configCheck(_ *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE", Short: "Check a document without submitting it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := readFile(args[0]); err != nil {
+				return err
+			}
+			fmt.Fprintln(c.OutOrStdout(), "valid")
+			return nil
+		},
+	}
+}
+
+func configSet(s *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "set FILE", Short: "Submit a document as the next version", Args: cobra.ExactArgs(1),
+		Long: "Submit a document as the successor of the version that its field version names.",
+		RunE: func(c *cobra.Command, args []string) error {
+			doc, err := readFile(args[0])
+			if err != nil {
+				return err
+			}
+			return s.submit(c.Context(), c.OutOrStdout(), doc.Version, doc)
+		},
+	}
+}
+
+// submit proposes the document and says which version it became.
+func (s *shared) submit(ctx context.Context, out io.Writer, basedOn uint64, doc *config.Document) error {
+	content, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	query := url.Values{"basedOn": {strconv.FormatUint(basedOn, 10)}, "id": {rand.Text()}}
+	var accepted struct {
+		Version uint64 `json:"version"`
+	}
+	if err := s.client.Post(ctx, "/v1/config", query, content, &accepted); err != nil {
+		return withCode(err)
+	}
+	return s.print(out, accepted, func(w io.Writer) { fmt.Fprintf(w, "accepted as version %d\n", accepted.Version) })
+}
+
+func configExplain(s *shared) *cobra.Command {
+	var scope config.Scope
+	c := &cobra.Command{
+		Use: "explain", Short: "Show which rule decides each value", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			var sources []config.Source
+			query := url.Values{
+				"service": {scope.Service}, "kind": {scope.Kind}, "zone": {scope.Zone}, "target": {scope.Target}, "key": {scope.Key},
+			}
+			if err := s.client.Get(c.Context(), "/v1/config/explain", query, &sources); err != nil {
+				return withCode(err)
+			}
+			return s.print(c.OutOrStdout(), sources, func(w io.Writer) {
+				fmt.Fprintln(w, "FIELD\tVALUE\tRULE\tREASON")
+				for _, x := range sources {
+					fmt.Fprintf(w, "%s\t%v\t%s\t%s\n", x.Field, x.Value, x.Rule, x.Reason)
+				}
+			})
+		},
+	}
+	bindScope(c, &scope)
+	return c
+}
+
+func bindScope(c *cobra.Command, scope *config.Scope) {
+	c.Flags().StringVar(&scope.Service, "service", "", "service")
+	c.Flags().StringVar(&scope.Kind, "kind", "", "kind of request")
+	c.Flags().StringVar(&scope.Zone, "zone", "", "availability zone")
+	c.Flags().StringVar(&scope.Target, "target", "", "target")
+	c.Flags().StringVar(&scope.Key, "key", "", "key")
+}
+
+// waitInterval lies between two looks at the gateways.
+const waitInterval = 100 * time.Millisecond
+
+func configWait(s *shared) *cobra.Command {
+	var version uint64
+	var gateways []string
+	var timeout time.Duration
+	c := &cobra.Command{
+		Use: "wait", Short: "Wait until a version is in force, and name the laggards", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if len(gateways) == 0 {
+				gateways = []string{s.client.Server}
+			}
+			ctx, cancel := context.WithTimeout(c.Context(), timeout)
+			defer cancel()
+			for {
+				late := s.laggards(ctx, gateways, version)
+				if len(late) == 0 {
+					fmt.Fprintf(c.OutOrStdout(), "version %d is in force on %d gateways\n", version, len(gateways))
+					return nil
+				}
+				select {
+				case <-ctx.Done():
+					return &ExitError{Code: ExitTimeout, Cause: fmt.Errorf("not in force yet on %v", late)}
+				case <-time.After(waitInterval):
+				}
+			}
+		},
+	}
+	c.Flags().Uint64Var(&version, "version", 0, "version to wait for")
+	c.Flags().StringSliceVar(&gateways, "gateways", nil, "admin URLs to ask; empty: the --server")
+	c.Flags().DurationVar(&timeout, "timeout", 10*time.Second, "longest wait")
+	return c
+}
+
+func (s *shared) laggards(ctx context.Context, gateways []string, version uint64) []string {
+	var late []string
+	for _, g := range gateways {
+		one := s.client
+		one.Server = g
+		var st fleetStatus
+		if err := one.Get(ctx, "/v1/status", nil, &st); err != nil || st.Versions["$config"] < version {
+			late = append(late, g)
+		}
+	}
+	return late
+}
+
+func configHistory(s *shared) *cobra.Command {
+	return &cobra.Command{
+		Use: "history", Short: "List the versions with author and reason", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return s.showAudit(c, "operators") },
+	}
+}
+
+func configRollBack(s *shared) *cobra.Command {
+	var version uint64
+	var reason, author string
+	c := &cobra.Command{
+		Use: "roll-back", Short: "Submit an old version's content as the next version", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			current, err := s.document(c.Context(), 0)
+			if err != nil {
+				return err
+			}
+			old, err := s.document(c.Context(), version)
+			if err != nil {
+				return err
+			}
+			old.Reason, old.Author = reason, author
+			if err := old.Validate(); err != nil {
+				return &ExitError{Code: ExitInvalid, Cause: err}
+			}
+			return s.submit(c.Context(), c.OutOrStdout(), current.Version, old)
+		},
+	}
+	c.Flags().Uint64Var(&version, "to", 0, "version whose content is wanted again")
+	bindReason(c, &reason, &author)
+	_ = c.MarkFlagRequired("to")
+	return c
+}
+
+func bindReason(c *cobra.Command, reason, author *string) {
+	c.Flags().StringVar(reason, "reason", "", "written reason, kept in the audit trail")
+	c.Flags().StringVar(author, "author", os.Getenv("USER"), "who answers for it")
+	_ = c.MarkFlagRequired("reason")
+}
+
+var errNoSuchException = errors.New("there is no exception of this name")
--- /dev/null
+++ b/ctl/command/drain.go
@@ -0,0 +1,45 @@
+package command
+
+import (
+	"basilcross.example/basilcross/config"
+	"github.com/spf13/cobra"
+)
+
+const usageDrain = `Take a target out of use: its shards move to others, it gets no new requests,
+and what runs there is finished. A drain is an exception with a reason.
+
+Examples:
+  basilcross drain menus-graz-1 --reason "its disk is being replaced"
+  basilcross undrain menus-graz-1 --reason "the disk was replaced"`
+
+func drainID(target string) string { return "drain-" + target }
+
+func drainCommand(s *shared) *cobra.Command {
+	var reason, author string
+	c := &cobra.Command{
+		Use: "drain TARGET", Short: "Take a target out of use", Long: usageDrain, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return s.change(c, author, reason, func(d *config.Document) error {
+				d.Exceptions = append(d.Exceptions, config.Exception{
+					ID: drainID(args[0]), Scope: config.Scope{Target: args[0]},
+					Set: config.Rules{Drain: config.Ptr(true)}, Reason: reason, Author: author,
+				})
+				return nil
+			})
+		},
+	}
+	bindReason(c, &reason, &author)
+	return c
+}
+
+func undrainCommand(s *shared) *cobra.Command {
+	var reason, author string
+	c := &cobra.Command{
+		Use: "undrain TARGET", Short: "Take a drained target into use again", Long: usageDrain, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return s.change(c, author, reason, func(d *config.Document) error { return removeException(d, drainID(args[0])) })
+		},
+	}
+	bindReason(c, &reason, &author)
+	return c
+}
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -189,7 +189,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	d.shutDown(servers)
+	d.shutDown(context.WithoutCancel(ctx), servers)
 	stopDuties()
 	return errors.Join(err, group.Wait())
 }
@@ -213,15 +213,15 @@
 
 // shutDown fails readiness, gives the balancer time to notice, hands the roles
 // over, and lets every request in flight finish.
-func (d *Daemon) shutDown(servers []*server) {
+func (d *Daemon) shutDown(ctx context.Context, servers []*server) {
 	event.Stopping.Log(d.log)
 	d.draining.Store(true)
-	handOver, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	handOver, cancel := context.WithTimeout(ctx, handOverTimeout)
 	d.planner.Stop(handOver)
 	d.leader.Stop(handOver)
 	cancel()
 	time.Sleep(d.settings.DrainWait)
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.StopTimeout)
+	ctx, cancel = context.WithTimeout(ctx, d.settings.StopTimeout)
 	defer cancel()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
--- a/gateway/entry/attempt.go
+++ b/gateway/entry/attempt.go
@@ -66,7 +66,7 @@
 		return nil, waitForOwner(refusal.NoOwner, "the service has no assignment yet")
 	}
 	if service.Map == nil {
-		return f.choose(s, service, c)
+		return f.choose(s, service)
 	}
 	sh, _ := service.Map.Find(c.hash)
 	f.Heat.Add(c.service, sh.First, *c.kind.Rules.Weight)
--- a/gateway/entry/call.go
+++ b/gateway/entry/call.go
@@ -162,7 +162,7 @@
 func (c *call) shedWait(ctx context.Context) bool {
 	c.sheds++
 	pause := shedPause * time.Duration(c.sheds)
-	timer := time.NewTimer(pause/2 + rand.N(pause)) //nolint:gosec // jitter needs no secrecy
+	timer := time.NewTimer(pause/2 + rand.N(pause))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/gateway/entry/choose.go
+++ b/gateway/entry/choose.go
@@ -12,7 +12,7 @@
 
 // choose picks a target of an undivided service: in this zone if one has room,
 // else in this region, else across the link.
-func (f *Front) choose(s *view.Snapshot, service *view.Service, c *call) (*route, *failed) {
+func (f *Front) choose(s *view.Snapshot, service *view.Service) (*route, *failed) {
 	now := time.Now()
 	var best *route
 	for _, tier := range f.tiers(service.Active) {
@@ -36,7 +36,7 @@
 		return nil, &failed{refusal: e, wait: forOwner}
 	}
 	// Every target is ejected: trying one is better than refusing all.
-	return f.routeTo(s, service.Active[rand.IntN(len(service.Active))]), nil //nolint:gosec // no secrecy needed
+	return f.routeTo(s, service.Active[rand.IntN(len(service.Active))]), nil
 }
 
 func (f *Front) routeTo(s *view.Snapshot, t *assignment.Target) *route {
@@ -83,7 +83,7 @@
 	if len(tier) == 0 {
 		return nil, nil
 	}
-	start := rand.IntN(len(tier)) //nolint:gosec // no secrecy needed
+	start := rand.IntN(len(tier))
 	for i := range tier {
 		t := tier[(start+i)%len(tier)]
 		if l := f.Lanes.To(t); !l.Ejected(now) {
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -95,7 +95,11 @@
 }
 
 // run sends the request until it is answered or given up.
+//
+// An attempt that may have run makes the whole request one that may have run,
+// whatever later attempts prove about themselves.
 func (f *Front) run(ctx context.Context, c *call) outcome {
+	doubt := false
 	for attempt := 0; ; attempt++ {
 		out := f.attempt(ctx, c)
 		last, isFailed := out.(*failed)
@@ -103,6 +107,10 @@
 			f.budget(c.service).Success()
 			return out
 		}
+		doubt = doubt || last.refusal.Outcome == refusal.Unknown
+		if doubt {
+			last.refusal.Outcome = refusal.Unknown
+		}
 		if !f.again(ctx, c, last, attempt) {
 			return last
 		}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -133,7 +134,7 @@
 	}
 	check(s.Platform == "" || len(s.TargetList) == 0, "target", s.TargetList, "nothing, since the platform lists the targets")
 	check(s.LogFormat == "json" || s.LogFormat == "text", "log-format", s.LogFormat, "json or text")
-	check(strings.Contains(" debug info warn error ", " "+s.LogLevel+" "), "log-level", s.LogLevel, "debug, info, warn or error")
+	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
 	check(s.DrainWait >= 0 && s.DrainWait <= maxDrainWait, "drain-wait", s.DrainWait, "0s to 5m")
 	check(s.StopTimeout > 0 && s.StopTimeout <= maxStopTimeout, "stop-timeout", s.StopTimeout, "more than 0s and at most 1h")
 	return errors.Join(faults...)
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,208 @@
+// Package caller stands in for the users' callers: open-loop load whose
+// requests are sent when they are due, whether or not earlier ones are done.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/refusal"
+	"basilcross.example/basilcross/shard"
+	"basilcross.example/standin/deployment"
+	"basilcross.example/standin/judge"
+	"basilcross.example/standin/target"
+)
+
+const (
+	// keys is the number of different keys of a service, zipf their skew.
+	keys = 20_000
+	zipf = 1.05
+	// patience is how much longer than the deadline a caller waits.
+	patience = 2 * time.Second
+	// balancerTries is how many gateways the balancer tries to connect to.
+	balancerTries = 3
+)
+
+// Gateway is a way in, as the balancer sees it.
+type Gateway struct {
+	Name    string
+	Address string
+	Ready   atomic.Bool
+}
+
+// Load sends requests to the gateways that are ready.
+type Load struct {
+	Deployment deployment.Deployment
+	Gateways   []*Gateway
+	History    *judge.History
+	Rate       float64
+	Seed       uint64
+
+	client *http.Client
+	next   atomic.Uint64
+}
+
+// Init prepares the load.
+func (l *Load) Init() {
+	l.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     time.Minute,
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+	}}
+}
+
+// Run sends with exponentially distributed gaps until the context ends, then
+// waits for the last answers.
+func (l *Load) Run(ctx context.Context) {
+	random := rand.New(rand.NewPCG(l.Seed, 1))
+	ranks := rand.NewZipf(random, zipf, 1, keys-1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	due := time.Now()
+	for {
+		due = due.Add(time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(due)):
+		}
+		kind := l.pick(random.Float64())
+		key := fmt.Sprintf("k%d", ranks.Uint64())
+		at := due
+		group.Go(func() { l.Call(kind, key, at) })
+	}
+}
+
+func (l *Load) pick(x float64) deployment.Kind {
+	for _, k := range l.Deployment.Kinds {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return l.Deployment.Kinds[0]
+}
+
+// Call sends one request through any gateway that is ready and records it.
+func (l *Load) Call(kind deployment.Kind, key string, due time.Time) judge.Call {
+	return l.CallVia(l.Gateways, kind, key, due)
+}
+
+// CallVia sends one request through one of some gateways and records it.
+func (l *Load) CallVia(ways []*Gateway, kind deployment.Kind, key string, due time.Time) judge.Call {
+	c := judge.Call{
+		Request: fmt.Sprintf("r%d", l.next.Add(1)),
+		Service: kind.Service,
+		Kind:    kind.Name,
+		Hash:    shard.Hash(kind.Service, key),
+		Write:   !kind.Idempotent,
+		Due:     due,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), kind.Deadline+patience)
+	defer cancel()
+	time.Sleep(l.Deployment.CallerDelay)
+	l.send(ctx, ways, kind, key, &c)
+	time.Sleep(l.Deployment.CallerDelay)
+	c.Done = time.Now()
+	l.History.AddCall(c)
+	return c
+}
+
+// send goes through the balancer, which tries another gateway only if it could
+// not connect at all.
+func (l *Load) send(ctx context.Context, ways []*Gateway, kind deployment.Kind, key string, c *judge.Call) {
+	c.Outcome = judge.Unknown
+	for range balancerTries {
+		g := ready(ways)
+		if g == nil {
+			c.Outcome, c.Cause = judge.DidNotRun, "no gateway is ready"
+			return
+		}
+		c.Gateway = g.Name
+		err := l.sendTo(ctx, g, kind, key, c)
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			continue
+		}
+		if err != nil {
+			c.Outcome, c.Cause = judge.Cut, err.Error()
+		}
+		return
+	}
+	c.Outcome, c.Cause = judge.DidNotRun, "no gateway could be connected to"
+}
+
+func ready(ways []*Gateway) *Gateway {
+	start := rand.IntN(len(ways))
+	for i := range ways {
+		if g := ways[(start+i)%len(ways)]; g.Ready.Load() {
+			return g
+		}
+	}
+	return nil
+}
+
+func (l *Load) sendTo(ctx context.Context, g *Gateway, kind deployment.Kind, key string, c *judge.Call) error {
+	method, body := http.MethodGet, ""
+	if c.Write {
+		method, body = http.MethodPost, "a deposit of 35 EUR for "+key
+	}
+	url := fmt.Sprintf("http://%s/%s/%s/%s", g.Address, kind.Service, kind.Name, key)
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set(target.RequestHeader, c.Request)
+	res, err := l.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	content, err := io.ReadAll(res.Body)
+	if err != nil {
+		return err
+	}
+	classify(c, res, content)
+	return nil
+}
+
+func classify(c *judge.Call, res *http.Response, content []byte) {
+	switch refusal.Outcome(res.Header.Get(refusal.OutcomeHeader)) {
+	case refusal.DidNotRun:
+		c.Outcome = judge.DidNotRun
+	case refusal.Unknown:
+		c.Outcome = judge.Unknown
+	default:
+		c.Outcome = judge.Answered
+		var a target.Answer
+		err := json.Unmarshal(content, &a)
+		c.Right = err == nil && a.Request == c.Request && a.End
+		c.Ran = res.StatusCode == http.StatusOK
+		return
+	}
+	var b refusal.Body
+	if json.Unmarshal(content, &b) == nil {
+		c.Cause = b.Name
+	}
+}
+
+// KeyIn returns a key of the service whose hash lies in the range.
+func KeyIn(service string, first, last uint64) string {
+	for i := range math.MaxInt32 {
+		key := fmt.Sprintf("p%d", i)
+		if h := shard.Hash(service, key); first <= h && h <= last {
+			return key
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,155 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"basilcross.example/standin/caller"
+	"basilcross.example/standin/deployment"
+	"basilcross.example/standin/judge"
+	"basilcross.example/standin/scenario"
+)
+
+const (
+	// readyInterval is how often the balancer asks gateways for readiness.
+	readyInterval = 250 * time.Millisecond
+	// settle is the load's time before the first figures count.
+	settle = time.Second
+	// progressInterval lies between two lines of progress.
+	progressInterval = 2 * time.Second
+)
+
+// Run carries out a scenario, shows its progress, and returns the report.
+func Run(ctx context.Context, s *scenario.Scenario, out io.Writer) (*Report, error) {
+	d, err := deployment.Find(s.Deployment)
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "basilcross-demo-")
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(out, "%s: %d gateways, %d zones; logs in %s\n", d.Name, d.Gateways, len(d.Zones), folder)
+	binary, err := buildGateway(folder)
+	if err != nil {
+		return nil, err
+	}
+	f := newFleet(d, binary, folder)
+	defer f.close()
+	if err := f.start(ctx); err != nil {
+		return nil, err
+	}
+	return f.play(ctx, s, out)
+}
+
+// play runs load and faults on a fleet that is up.
+func (f *fleet) play(ctx context.Context, s *scenario.Scenario, out io.Writer) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.load = &caller.Load{Deployment: f.deployment, History: f.history, Rate: s.Load.RequestsPerSecond, Seed: s.Seed}
+	for _, g := range f.gateways {
+		f.load.Gateways = append(f.load.Gateways, g.entry)
+	}
+	f.load.Init()
+	var watch sync.WaitGroup
+	watch.Go(func() { f.balance(ctx) })
+	if err := f.await(ctx, "gateways are ready", func() bool { return f.load.Gateways[0].Ready.Load() }); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	usage := f.usage()
+	loadCtx, stopLoad := context.WithDeadline(ctx, began.Add(time.Duration(s.Seconds)*time.Second))
+	defer stopLoad()
+	watch.Go(func() { f.progress(loadCtx, began, out) })
+	results := f.schedule(ctx, s, began, out)
+	f.load.Run(loadCtx)
+	faults := results()
+	used := f.usage().since(usage)
+	for _, t := range f.targets {
+		t.Thaw()
+		t.Flush()
+	}
+	cancel()
+	watch.Wait()
+	return f.report(s, began, faults, used), nil
+}
+
+// schedule starts every fault at its time; the returned function waits for all.
+func (f *fleet) schedule(ctx context.Context, s *scenario.Scenario, began time.Time, out io.Writer) func() []*FaultResult {
+	results := make([]*FaultResult, len(s.Faults))
+	var group sync.WaitGroup
+	for i, fault := range s.Faults {
+		group.Go(func() {
+			time.Sleep(time.Until(began.Add(fault.At())))
+			fmt.Fprintf(out, "%6.1fs  %s %s\n", time.Since(began).Seconds(), fault.Do, fault.On)
+			results[i] = f.inflict(ctx, fault)
+		})
+	}
+	return func() []*FaultResult {
+		group.Wait()
+		return results
+	}
+}
+
+// balance keeps the readiness of every gateway and watches the versions.
+func (f *fleet) balance(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for _, g := range f.gateways {
+		group.Go(func() {
+			tick := time.NewTicker(readyInterval)
+			defer tick.Stop()
+			for {
+				f.look(g)
+				select {
+				case <-ctx.Done():
+					return
+				case <-tick.C:
+				}
+			}
+		})
+	}
+}
+
+func (f *fleet) look(g *gateway) {
+	g.entry.Ready.Store(g.get("/readyz", nil) == nil)
+	var s status
+	if g.get("/v1/status", &s) != nil {
+		return
+	}
+	version := s.Versions[configName]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if version < g.version {
+		f.history.AddReverted()
+	}
+	g.version = version
+}
+
+func (f *fleet) progress(ctx context.Context, began time.Time, out io.Writer) {
+	tick := time.NewTicker(progressInterval)
+	defer tick.Stop()
+	seen := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		calls := f.history.CallsSince(seen)
+		seen += len(calls)
+		answered, refused := 0, 0
+		for _, c := range calls {
+			if c.Outcome == judge.Answered {
+				answered++
+			} else {
+				refused++
+			}
+		}
+		fmt.Fprintf(out, "%6.1fs  %5d answered, %4d not\n", time.Since(began).Seconds(), answered, refused)
+	}
+}
--- /dev/null
+++ b/standin/demo/fault.go
@@ -0,0 +1,307 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"basilcross.example/basilcross/config"
+	"basilcross.example/standin/caller"
+	"basilcross.example/standin/deployment"
+	"basilcross.example/standin/judge"
+	"basilcross.example/standin/link"
+	"basilcross.example/standin/scenario"
+)
+
+const (
+	// slowStore is the delay of storeSlow.
+	slowStore = 400 * time.Millisecond
+	// probeGap lies between two probes of a lost key, probeFor bounds them.
+	probeGap = 50 * time.Millisecond
+	probeFor = 8 * time.Second
+	// inForceFor bounds the wait for a configuration.
+	inForceFor = 10 * time.Second
+)
+
+// FaultResult is what a fault led to.
+type FaultResult struct {
+	Do   string `json:"do"`
+	On   string `json:"on,omitempty"`
+	AtMs int    `json:"atMs"`
+	// ServedAgainMs is when the last of the keys concerned was answered
+	// again, -1 if one was not; absent where no key is concerned.
+	ServedAgainMs *int `json:"servedAgainMs,omitempty"`
+	// InForceMs is when a configuration was in force on every gateway.
+	InForceMs *int `json:"inForceMs,omitempty"`
+	Refused   int  `json:"refused"`
+
+	at time.Time
+}
+
+// inflict brings a fault about, measures, and mends it after its time.
+func (f *fleet) inflict(ctx context.Context, fault scenario.Fault) *FaultResult {
+	r := &FaultResult{Do: fault.Do, On: fault.On, AtMs: fault.AtMs, at: time.Now()}
+	ranges := f.concerned(fault)
+	mend := f.begin(ctx, fault, r)
+	var group sync.WaitGroup
+	if len(ranges) > 0 {
+		group.Go(func() { r.ServedAgainMs = f.probe(ctx, ranges, fault.On, r.at) })
+	}
+	if fault.ForMs > 0 && mend != nil {
+		select {
+		case <-time.After(time.Until(r.at.Add(fault.For()))):
+		case <-ctx.Done():
+		}
+		mend()
+	}
+	group.Wait()
+	return r
+}
+
+func (f *fleet) begin(ctx context.Context, fault scenario.Fault, r *FaultResult) (mend func()) {
+	t := f.targets[fault.On]
+	g := f.gateway(fault.On)
+	switch fault.Do {
+	case "killTarget":
+		t.Kill()
+		return func() { _ = t.Start() }
+	case "freezeTarget":
+		t.Freeze()
+		return t.Thaw
+	case "startTarget":
+		_ = t.Start()
+	case "drainTarget":
+		f.history.AddLeaving(judge.Leaving{Target: fault.On, At: time.Now()})
+		f.store.Leave(fault.On, true)
+	case "killGateway":
+		g.signal(syscall.SIGKILL)
+		return func() { _ = f.startGateway(g) }
+	case "freezeGateway":
+		g.signal(syscall.SIGSTOP)
+		return func() { g.signal(syscall.SIGCONT) }
+	case "stopGateway":
+		f.stop(g)
+		return func() { _ = f.startGateway(g) }
+	case "startGateway":
+		_ = f.startGateway(g)
+	case "changeConfig":
+		r.InForceMs = f.changeConfig(ctx)
+	default:
+		return f.beginNetwork(fault)
+	}
+	return nil
+}
+
+func (f *fleet) beginNetwork(fault scenario.Fault) (mend func()) {
+	both := func(act func(bool)) func() {
+		act(true)
+		return func() { act(false) }
+	}
+	switch fault.Do {
+	case "cutZone":
+		return both(func(cut bool) { f.cutZone(fault.On, cut) })
+	case "cutZoneFromPlatform":
+		return both(func(cut bool) { f.network.Cut(fault.On, link.PlatformPlace, cut) })
+	case "cutRegions":
+		return both(f.cutRegions)
+	case "storeDown":
+		return both(f.store.SetDown)
+	case "loseStoreAnswers":
+		return both(f.store.SetLose)
+	case "storeSlow":
+		f.store.SetSlow(slowStore)
+		return func() { f.store.SetSlow(0) }
+	case "silenceConnections":
+		f.network.Silence()
+	}
+	return nil
+}
+
+func (f *fleet) gateway(name string) *gateway {
+	for _, g := range f.gateways {
+		if g.Name == name {
+			return g
+		}
+	}
+	return nil
+}
+
+func (f *fleet) cutZone(name string, cut bool) {
+	f.network.Cut(name, link.PlatformPlace, cut)
+	for _, z := range f.deployment.Zones {
+		if z.Name != name {
+			f.network.Cut(name, z.Name, cut)
+		}
+	}
+}
+
+func (f *fleet) cutRegions(cut bool) {
+	store := f.zone(f.deployment.StoreZone)
+	for _, a := range f.deployment.Zones {
+		if a.Region != store.Region {
+			f.network.Cut(a.Name, link.PlatformPlace, cut)
+		}
+		for _, b := range f.deployment.Zones {
+			if a.Region != b.Region {
+				f.network.Cut(a.Name, b.Name, cut)
+			}
+		}
+	}
+}
+
+// lost is a part of a service whose owner a fault takes away.
+type lost struct {
+	service     string
+	first, last uint64
+}
+
+// concerned returns the parts whose keys a fault takes from their owner.
+func (f *fleet) concerned(fault scenario.Fault) []lost {
+	var owners []string
+	switch fault.Do {
+	case "killTarget", "freezeTarget", "drainTarget":
+		owners = []string{fault.On}
+	case "cutZone":
+		for _, i := range f.deployment.TargetInstances() {
+			if i.Zone.Name == fault.On {
+				owners = append(owners, i.Name)
+			}
+		}
+	}
+	var parts []lost
+	for _, s := range f.deployment.Services {
+		var a struct {
+			Shards []struct {
+				First, Last uint64
+				Owner       string
+			} `json:"shards"`
+		}
+		if !s.Divided || f.anyGateway(fault.On).get("/v1/assignment?service="+s.Name, &a) != nil {
+			continue
+		}
+		for _, sh := range a.Shards {
+			if slices.Contains(owners, sh.Owner) {
+				parts = append(parts, lost{s.Name, sh.First, sh.Last})
+			}
+		}
+	}
+	return parts
+}
+
+// anyGateway returns a ready gateway outside of a zone.
+func (f *fleet) anyGateway(zone string) *gateway {
+	for _, g := range f.gateways {
+		if g.Zone.Name != zone && g.entry.Ready.Load() {
+			return g
+		}
+	}
+	return f.gateways[0]
+}
+
+// probe asks for a key of each part until it is answered, through gateways
+// outside of a lost zone: those inside reach its targets until the leases end.
+func (f *fleet) probe(ctx context.Context, parts []lost, on string, began time.Time) *int {
+	var ways []*caller.Gateway
+	for _, g := range f.gateways {
+		if g.Zone.Name != on {
+			ways = append(ways, g.entry)
+		}
+	}
+	ctx, cancel := context.WithDeadline(ctx, began.Add(probeFor))
+	defer cancel()
+	latest := 0
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for _, part := range parts {
+		group.Go(func() {
+			ms := f.probePart(ctx, ways, part, began)
+			mu.Lock()
+			defer mu.Unlock()
+			if ms < 0 || latest < 0 {
+				latest = -1
+				return
+			}
+			latest = max(latest, ms)
+		})
+	}
+	group.Wait()
+	return &latest
+}
+
+func (f *fleet) probePart(ctx context.Context, ways []*caller.Gateway, part lost, began time.Time) int {
+	kind := f.probeKind(part.service)
+	key := caller.KeyIn(part.service, part.first, part.last)
+	answered := make(chan time.Time, 1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	tick := time.NewTicker(probeGap)
+	defer tick.Stop()
+	for {
+		select {
+		case at := <-answered:
+			return int(at.Sub(began).Milliseconds())
+		case <-ctx.Done():
+			return -1
+		case <-tick.C:
+		}
+		group.Go(func() {
+			c := f.load.CallVia(ways, kind, key, time.Now())
+			if c.Outcome == judge.Answered {
+				select {
+				case answered <- c.Done:
+				default:
+				}
+			}
+		})
+	}
+}
+
+// probeKind is an idempotent kind of the service.
+func (f *fleet) probeKind(service string) deployment.Kind {
+	for _, k := range f.deployment.Kinds {
+		if k.Service == service && k.Idempotent {
+			return k
+		}
+	}
+	return f.deployment.Kinds[0]
+}
+
+// changeConfig accepts a new version and returns when all have it in force.
+func (f *fleet) changeConfig(ctx context.Context) *int {
+	never := -1
+	g := f.anyGateway("")
+	var doc config.Document
+	if g.get("/v1/config", &doc) != nil {
+		return &never
+	}
+	version := doc.Version
+	doc.Reason = fmt.Sprintf("changed by the demo after version %d", version)
+	began := time.Now()
+	if f.submit(ctx, version, &doc, fmt.Sprint("change-", version)) != nil {
+		return &never
+	}
+	for time.Since(began) < inForceFor {
+		if f.allHave(version + 1) {
+			ms := int(time.Since(began).Milliseconds())
+			return &ms
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return &never
+}
+
+func (f *fleet) allHave(version uint64) bool {
+	for _, g := range f.gateways {
+		if !g.entry.Ready.Load() {
+			continue
+		}
+		var s status
+		if g.get("/v1/status", &s) != nil || s.Versions[configName] < version {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/standin/demo/fleet.go
@@ -0,0 +1,384 @@
+// Package demo runs a whole deployment on one machine: gateways as processes,
+// the rest in this one, with load, faults, and a judge at the end.
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"basilcross.example/basilcross/config"
+	"basilcross.example/basilcross/platform"
+	"basilcross.example/standin/caller"
+	"basilcross.example/standin/deployment"
+	"basilcross.example/standin/judge"
+	"basilcross.example/standin/link"
+	"basilcross.example/standin/store"
+	"basilcross.example/standin/target"
+)
+
+// gateway is one gateway process with what surrounds it.
+type gateway struct {
+	deployment.Instance
+	entry   *caller.Gateway
+	egress  *link.Egress
+	flags   []string
+	admin   string
+	control string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	exited  chan struct{}
+	version uint64
+}
+
+// fleet is everything that runs.
+type fleet struct {
+	deployment deployment.Deployment
+	binary     string
+	logs       string
+	history    *judge.History
+	store      *store.Store
+	network    *link.Network
+	targets    map[string]*target.Target
+	gateways   []*gateway
+	load       *caller.Load
+	closers    []func()
+	group      sync.WaitGroup
+}
+
+// buildGateway compiles the gateway into a folder of its own.
+func buildGateway(folder string) (string, error) {
+	binary := filepath.Join(folder, "basilcross-gateway")
+	out, err := exec.Command("go", "build", "-o", binary, "basilcross.example/gateway").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build gateway: %w: %s", err, out)
+	}
+	return binary, nil
+}
+
+func newFleet(d deployment.Deployment, binary, logs string) *fleet {
+	return &fleet{
+		deployment: d,
+		binary:     binary,
+		logs:       logs,
+		history:    &judge.History{},
+		store:      &store.Store{},
+		network:    link.New(d),
+		targets:    map[string]*target.Target{},
+	}
+}
+
+func (f *fleet) zone(name string) deployment.Zone {
+	for _, z := range f.deployment.Zones {
+		if z.Name == name {
+			return z
+		}
+	}
+	return deployment.Zone{}
+}
+
+// start brings up the platform, the targets and the gateways.
+func (f *fleet) start(ctx context.Context) error {
+	platformAddress, err := f.startPlatform()
+	if err != nil {
+		return err
+	}
+	if err := f.startTargets(); err != nil {
+		return err
+	}
+	for _, i := range f.deployment.GatewayInstances() {
+		if err := f.addGateway(i, platformAddress); err != nil {
+			return err
+		}
+	}
+	for _, g := range f.gateways {
+		if err := f.startGateway(g); err != nil {
+			return err
+		}
+	}
+	return f.setUp(ctx)
+}
+
+func (f *fleet) startPlatform() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: f.store, ReadHeaderTimeout: time.Minute}
+	f.group.Go(func() { _ = server.Serve(l) })
+	f.closers = append(f.closers, func() { _ = server.Close() })
+	place := f.zone(f.deployment.StoreZone)
+	place.Name = link.PlatformPlace
+	f.network.Place(l.Addr().String(), place, true)
+	return l.Addr().String(), nil
+}
+
+func (f *fleet) startTargets() error {
+	work, write := map[string]time.Duration{}, map[string]bool{}
+	for _, k := range f.deployment.Kinds {
+		work[k.Name], write[k.Name] = k.Work, !k.Idempotent
+	}
+	for _, i := range f.deployment.TargetInstances() {
+		t := &target.Target{Name: i.Name, Service: i.Service, Fenced: true, Work: work, Write: write, History: f.history}
+		address, err := t.Listen()
+		if err != nil {
+			return err
+		}
+		f.targets[i.Name] = t
+		f.closers = append(f.closers, t.Kill)
+		f.network.Place(address, i.Zone, false)
+		f.store.Add(platform.Instance{
+			ID: i.Name, Zone: i.Zone.Name, Region: i.Zone.Region, Address: address, Role: platform.TargetRole,
+			Service: i.Service.Name, Slots: i.Service.Slots, Fenced: true,
+		})
+	}
+	return nil
+}
+
+// Ports for gateways lie below the range from which the system takes those of
+// outgoing connections: one of these could take a port between its choice and
+// the gateway's start, or while the gateway is being restarted.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+	portTries = 100
+)
+
+// freeAddress finds a free loopback address and lets go of it again.
+func freeAddress() (string, error) {
+	var last error
+	for range portTries {
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil {
+			last = err
+			continue
+		}
+		return l.Addr().String(), l.Close()
+	}
+	return "", last
+}
+
+func (f *fleet) addGateway(i deployment.Instance, platformAddress string) error {
+	var addresses [3]string
+	for n := range addresses {
+		a, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		addresses[n] = a
+	}
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	g := &gateway{Instance: i, admin: addresses[2], control: addresses[1]}
+	g.entry = &caller.Gateway{Name: i.Name, Address: addresses[0]}
+	g.egress = &link.Egress{Zone: i.Zone}
+	f.group.Go(func() { f.network.Serve(proxy, g.egress) })
+	f.closers = append(f.closers, func() { _ = proxy.Close() })
+	f.network.Place(g.control, i.Zone, true)
+	f.store.Add(platform.Instance{ID: i.Name, Zone: i.Zone.Name, Region: i.Zone.Region, Address: g.control, Role: platform.GatewayRole})
+	g.flags = []string{
+		"--instance", i.Name, "--zone", i.Zone.Name, "--region", i.Zone.Region,
+		"--callers-listen", addresses[0], "--control-listen", g.control, "--admin-listen", g.admin,
+		"--platform", "http://" + platformAddress, "--egress-proxy", proxy.Addr().String(),
+		"--drain-wait", "1s", "--pprof",
+	}
+	for _, other := range f.gateways {
+		g.flags = append(g.flags, "--peers", other.control)
+	}
+	f.gateways = append(f.gateways, g)
+	return nil
+}
+
+func (f *fleet) startGateway(g *gateway) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil {
+		return nil
+	}
+	log, err := os.OpenFile(filepath.Join(f.logs, g.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	c := exec.Command(f.binary, g.flags...)
+	c.Env = append(os.Environ(), "GOMAXPROCS=2")
+	c.Stderr = log
+	if err := c.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", g.Name, err)
+	}
+	g.process, g.exited, g.version = c, make(chan struct{}), 0
+	exited := g.exited
+	f.group.Go(func() {
+		_ = c.Wait()
+		_ = log.Close()
+		g.entry.Ready.Store(false)
+		g.mu.Lock()
+		g.process = nil
+		g.mu.Unlock()
+		close(exited)
+	})
+	return nil
+}
+
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.process != nil {
+		_ = g.process.Process.Signal(s)
+	}
+}
+
+// stop asks a gateway to shut down and records the span.
+func (f *fleet) stop(g *gateway) {
+	g.mu.Lock()
+	exited := g.exited
+	g.mu.Unlock()
+	began := time.Now()
+	g.signal(syscall.SIGTERM)
+	<-exited
+	f.history.AddStop(judge.Stop{Gateway: g.Name, At: began, Ended: time.Now()})
+}
+
+var adminClient = &http.Client{Timeout: 2 * time.Second}
+
+func (g *gateway) get(path string, v any) error {
+	res, err := adminClient.Get("http://" + g.admin + path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered %d", path, res.StatusCode)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.NewDecoder(res.Body).Decode(v)
+}
+
+// status is the part of a gateway's status that the demo reads.
+type status struct {
+	Versions map[string]uint64 `json:"versions"`
+	Leader   struct {
+		Leading bool `json:"leading"`
+	} `json:"leader"`
+}
+
+// configName is the configuration among the versions of a status.
+const configName = "$config"
+
+// setUp submits the first configuration and waits until every key is served.
+func (f *fleet) setUp(ctx context.Context) error {
+	if err := f.submit(ctx, 0, f.deployment.Document(), "first"); err != nil {
+		return err
+	}
+	return f.await(ctx, "every gateway has every assignment", func() bool {
+		for _, g := range f.gateways {
+			var s status
+			if g.get("/v1/status", &s) != nil || len(s.Versions) < len(f.deployment.Services)+1 {
+				return false
+			}
+		}
+		return f.allHeld()
+	})
+}
+
+// allHeld tells whether every part of every divided service has an owner.
+func (f *fleet) allHeld() bool {
+	for _, s := range f.deployment.Services {
+		var a struct {
+			Shards []struct {
+				Owner string `json:"owner"`
+			} `json:"shards"`
+		}
+		if !s.Divided {
+			continue
+		}
+		if f.gateways[0].get("/v1/assignment?service="+s.Name, &a) != nil || len(a.Shards) == 0 {
+			return false
+		}
+		for _, sh := range a.Shards {
+			if sh.Owner == "" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// setUpTimeout bounds each wait of the beginning.
+const setUpTimeout = 30 * time.Second
+
+func (f *fleet) await(ctx context.Context, what string, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, setUpTimeout)
+	defer cancel()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not reached: %s; the gateways' logs are in %s", what, f.logs)
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// submit proposes a configuration through any gateway that answers.
+func (f *fleet) submit(ctx context.Context, basedOn uint64, doc *config.Document, id string) error {
+	content, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	var last error
+	accepted := func() bool {
+		for _, g := range f.gateways {
+			if last = g.post("/v1/config?id="+id+"&basedOn="+strconv.FormatUint(basedOn, 10), content); last == nil {
+				return true
+			}
+		}
+		return false
+	}
+	if err := f.await(ctx, "configuration accepted", accepted); err != nil {
+		return fmt.Errorf("%w: %w", err, last)
+	}
+	return nil
+}
+
+func (g *gateway) post(path string, content []byte) error {
+	res, err := adminClient.Post("http://"+g.admin+path, "application/json", bytes.NewReader(content))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(res.Body)
+		return fmt.Errorf("%s answered %d: %s", path, res.StatusCode, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// close ends everything that was started.
+func (f *fleet) close() {
+	for _, g := range f.gateways {
+		g.signal(syscall.SIGCONT)
+		g.signal(syscall.SIGKILL)
+	}
+	for _, c := range f.closers {
+		c()
+	}
+}
--- /dev/null
+++ b/standin/demo/report.go
@@ -0,0 +1,288 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"basilcross.example/standin/judge"
+	"basilcross.example/standin/scenario"
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the outcome of a run.
+type Report struct {
+	Deployment string              `json:"deployment"`
+	Seconds    int                 `json:"seconds"`
+	Requests   Requests            `json:"requests"`
+	Violations judge.Violations    `json:"violations"`
+	LatencyMs  map[string]Latency  `json:"latencyMs"`
+	Causes     map[string]int      `json:"causes"`
+	Faults     []*FaultResult      `json:"faults"`
+	Imbalance  map[string]float64  `json:"imbalanceMaxOverMean"`
+	Moved      map[string]float64  `json:"movedShare"`
+	LeastMoved map[string]float64  `json:"leastMovedShare"`
+	Control    map[string]*Control `json:"control"`
+	Platform   Platform            `json:"platform"`
+	Unmet      []string            `json:"unmet"`
+}
+
+// Requests counts them by outcome.
+type Requests struct {
+	Sent             int `json:"sent"`
+	Answered         int `json:"answered"`
+	RefusedDidNotRun int `json:"refusedDidNotRun"`
+	Unknown          int `json:"unknown"`
+}
+
+// Latency is counted from the intended time of sending.
+type Latency struct {
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// Control is what a gateway used; CPU and memory include the requests' own.
+type Control struct {
+	CPUShare          float64 `json:"cpuShare"`
+	RSSMB             float64 `json:"rssMB"`
+	BytesPerSecond    float64 `json:"bytesPerSecond"`
+	MessagesPerSecond float64 `json:"messagesPerSecond"`
+}
+
+// Platform is the load on the table service.
+type Platform struct {
+	ReadsPerSecond  float64 `json:"readsPerSecond"`
+	WritesPerSecond float64 `json:"writesPerSecond"`
+}
+
+// usage is a reading of all counters.
+type usage struct {
+	at       time.Time
+	reads    uint64
+	writes   uint64
+	gateways map[string]gatewayUsage
+}
+
+type gatewayUsage struct {
+	cpu   time.Duration
+	rss   int64
+	bytes int64
+	calls int64
+}
+
+func (f *fleet) usage() usage {
+	u := usage{at: time.Now(), gateways: map[string]gatewayUsage{}}
+	u.reads, u.writes = f.store.Table.Counts()
+	for _, g := range f.gateways {
+		g.mu.Lock()
+		one := gatewayUsage{bytes: g.egress.ControlBytes.Load(), calls: g.egress.ControlPieces.Load()}
+		if g.process != nil {
+			one.cpu, one.rss = processUsage(g.process.Process.Pid)
+		}
+		g.mu.Unlock()
+		u.gateways[g.Name] = one
+	}
+	return u
+}
+
+// clockTick is the unit of processor time in /proc.
+const clockTick = 10 * time.Millisecond
+
+// processUsage reads processor time and resident memory from /proc.
+func processUsage(pid int) (cpu time.Duration, rss int64) {
+	content, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, 0
+	}
+	// The name in parentheses may hold spaces; fields are counted after it.
+	fields := strings.Fields(string(content[strings.LastIndexByte(string(content), ')')+1:]))
+	const user, system, resident = 11, 12, 21
+	u, _ := strconv.ParseInt(fields[user], 10, 64)
+	s, _ := strconv.ParseInt(fields[system], 10, 64)
+	pages, _ := strconv.ParseInt(fields[resident], 10, 64)
+	return time.Duration(u+s) * clockTick, pages * int64(os.Getpagesize())
+}
+
+func (u usage) since(before usage) usage {
+	out := usage{at: before.at, reads: u.reads - before.reads, writes: u.writes - before.writes, gateways: map[string]gatewayUsage{}}
+	for name, now := range u.gateways {
+		then := before.gateways[name]
+		out.gateways[name] = gatewayUsage{cpu: max(0, now.cpu-then.cpu), rss: now.rss, bytes: now.bytes - then.bytes, calls: now.calls - then.calls}
+	}
+	return out
+}
+
+func (f *fleet) report(s *scenario.Scenario, began time.Time, faults []*FaultResult, used usage) *Report {
+	ended := time.Now()
+	seconds := ended.Sub(began).Seconds()
+	r := &Report{
+		Deployment: s.Deployment, Seconds: s.Seconds, Violations: f.history.Judge(), Faults: faults,
+		LatencyMs: map[string]Latency{}, Causes: map[string]int{}, Imbalance: map[string]float64{},
+		Moved: map[string]float64{}, LeastMoved: map[string]float64{}, Control: map[string]*Control{},
+		Platform: Platform{ReadsPerSecond: float64(used.reads) / seconds, WritesPerSecond: float64(used.writes) / seconds},
+	}
+	r.countCalls(f.history.CallsSince(0))
+	for _, fault := range faults {
+		fault.Refused = refusedAfter(f.history.CallsSince(0), fault.at)
+	}
+	for _, service := range f.deployment.Services {
+		r.Imbalance[service.Name] = f.history.Imbalance(service.Name, began.Add(settle), ended)
+		if service.Divided {
+			r.Moved[service.Name] = f.history.Moved(service.Name, began, ended)
+			r.LeastMoved[service.Name] = f.leastMoved(s)
+		}
+	}
+	for name, g := range used.gateways {
+		r.Control[name] = &Control{
+			CPUShare: g.cpu.Seconds() / seconds, RSSMB: float64(g.rss) / (1 << 20),
+			BytesPerSecond: float64(g.bytes) / seconds, MessagesPerSecond: float64(g.calls) / seconds,
+		}
+	}
+	r.compare(s.Expect)
+	return r
+}
+
+// refusedWindow is how long after a fault refusals are put down to it.
+const refusedWindow = 3 * time.Second
+
+func refusedAfter(calls []judge.Call, at time.Time) int {
+	n := 0
+	for _, c := range calls {
+		if c.Outcome != judge.Answered && c.Due.After(at) && c.Due.Before(at.Add(refusedWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
+// leastMoved is what a planner with perfect knowledge would have moved: the
+// share of each target that was lost or drained, once.
+func (f *fleet) leastMoved(s *scenario.Scenario) float64 {
+	divided := map[string]string{}
+	total := 0
+	for _, i := range f.deployment.TargetInstances() {
+		if i.Service.Divided {
+			divided[i.Name] = i.Zone.Name
+			total++
+		}
+	}
+	gone := map[string]bool{}
+	for _, fault := range s.Faults {
+		for name, zone := range divided {
+			onTarget := slices.Contains([]string{"killTarget", "freezeTarget", "drainTarget"}, fault.Do) && fault.On == name
+			if onTarget || fault.Do == "cutZone" && fault.On == zone {
+				gone[name] = true
+			}
+		}
+	}
+	return float64(len(gone)) / float64(total)
+}
+
+func (r *Report) countCalls(calls []judge.Call) {
+	histograms := map[string]*hdrhistogram.Histogram{}
+	for _, c := range calls {
+		r.Requests.Sent++
+		switch c.Outcome {
+		case judge.Answered:
+			r.Requests.Answered++
+		case judge.DidNotRun:
+			r.Requests.RefusedDidNotRun++
+		case judge.Unknown, judge.Cut:
+			r.Requests.Unknown++
+		}
+		if c.Outcome != judge.Answered {
+			r.Causes[c.Cause]++
+			continue
+		}
+		h, ok := histograms[c.Kind]
+		if !ok {
+			h = hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+			histograms[c.Kind] = h
+		}
+		_ = h.RecordValue(c.Done.Sub(c.Due).Microseconds())
+	}
+	for kind, h := range histograms {
+		at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+		r.LatencyMs[kind] = Latency{P50: at(50), P99: at(99), P999: at(99.9)}
+	}
+}
+
+// compare notes every expectation that does not hold.
+func (r *Report) compare(e scenario.Expect) {
+	unmet := func(format string, args ...any) { r.Unmet = append(r.Unmet, fmt.Sprintf(format, args...)) }
+	if n := r.Violations.Total(); n > 0 && (e.Violations == nil || n > *e.Violations) {
+		unmet("%d violations", n)
+	}
+	for _, f := range r.Faults {
+		if f.ServedAgainMs != nil && e.ServedAgainMs != nil && (*f.ServedAgainMs < 0 || *f.ServedAgainMs > *e.ServedAgainMs) {
+			unmet("%s %s: served again after %d ms, expected %d", f.Do, f.On, *f.ServedAgainMs, *e.ServedAgainMs)
+		}
+		if f.InForceMs != nil && *f.InForceMs < 0 {
+			unmet("the changed configuration did not come into force everywhere")
+		}
+	}
+	percent := func(n int) float64 { return 100 * float64(n) / float64(max(1, r.Requests.Sent)) }
+	if e.AnsweredPercent != nil && percent(r.Requests.Answered) < *e.AnsweredPercent {
+		unmet("%.2f%% answered, expected %.2f%%", percent(r.Requests.Answered), *e.AnsweredPercent)
+	}
+	if e.UnknownPercent != nil && percent(r.Requests.Unknown) > *e.UnknownPercent {
+		unmet("%.3f%% unknown, expected at most %.3f%%", percent(r.Requests.Unknown), *e.UnknownPercent)
+	}
+}
+
+// WriteJSON writes the report.
+func (r *Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// WriteText writes the report for people.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "\nrequests: %d sent, %d answered, %d refused and did not run, %d unknown\n",
+		r.Requests.Sent, r.Requests.Answered, r.Requests.RefusedDidNotRun, r.Requests.Unknown)
+	fmt.Fprintf(w, "violations: %+v\n", r.Violations)
+	for _, kind := range sortedKeys(r.LatencyMs) {
+		l := r.LatencyMs[kind]
+		fmt.Fprintf(w, "  %-14s p50 %7.1f ms   p99 %7.1f ms   p99.9 %7.1f ms\n", kind, l.P50, l.P99, l.P999)
+	}
+	for _, cause := range sortedKeys(r.Causes) {
+		fmt.Fprintf(w, "  not answered: %5d  %s\n", r.Causes[cause], cause)
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintf(w, "fault %-20s %-20s", f.Do, f.On)
+		if f.ServedAgainMs != nil {
+			fmt.Fprintf(w, " served again after %d ms,", *f.ServedAgainMs)
+		}
+		if f.InForceMs != nil {
+			fmt.Fprintf(w, " in force everywhere after %d ms,", *f.InForceMs)
+		}
+		fmt.Fprintf(w, " %d not answered in the 3 s after\n", f.Refused)
+	}
+	for _, name := range sortedKeys(r.Imbalance) {
+		fmt.Fprintf(w, "service %-10s max/mean %.2f, moved %.3f of the keys (least needed %.3f)\n", name, r.Imbalance[name], r.Moved[name], r.LeastMoved[name])
+	}
+	for _, name := range sortedKeys(r.Control) {
+		c := r.Control[name]
+		fmt.Fprintf(w, "  %-16s cpu %.3f of a core, %.0f MB, control %.0f bytes/s\n", name, c.CPUShare, c.RSSMB, c.BytesPerSecond)
+	}
+	fmt.Fprintf(w, "platform: %.1f reads/s, %.1f writes/s\n", r.Platform.ReadsPerSecond, r.Platform.WritesPerSecond)
+	for _, u := range r.Unmet {
+		fmt.Fprintln(w, "NOT MET:", u)
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/standin/store/store.go
@@ -0,0 +1,154 @@
+// Package store stands in for the platform: table service, object store and a
+// lagging instance list over HTTP, with switches for what goes wrong.
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/platform"
+	"basilcross.example/basilcross/table"
+)
+
+// listLag is how far the instance list is behind.
+const listLag = time.Second
+
+// Store is the platform. The zero value is empty and works.
+type Store struct {
+	Table   table.Memory
+	Objects object.Memory
+
+	mu   sync.Mutex
+	down bool
+	slow time.Duration
+	lose bool
+	list []listing
+}
+
+type listing struct {
+	platform.Instance
+	listed  time.Time
+	leaving time.Time
+}
+
+// SetDown makes every call fail.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// SetSlow delays every call.
+func (s *Store) SetSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
+// SetLose loses the answers to writes after they have taken effect.
+func (s *Store) SetLose(lose bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lose = lose
+}
+
+// Add lists an instance.
+func (s *Store) Add(i platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list = append(s.list, listing{Instance: i, listed: time.Now()})
+}
+
+// Leave marks an instance as leaving, or takes the mark back.
+func (s *Store) Leave(id string, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.list {
+		if s.list[i].ID != id {
+			continue
+		}
+		s.list[i].leaving = time.Time{}
+		if leaving {
+			s.list[i].leaving = time.Now()
+		}
+	}
+}
+
+// Instances returns the list as the platform shows it now.
+func (s *Store) Instances() []platform.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Instance
+	shown := time.Now().Add(-listLag)
+	for _, l := range s.list {
+		i := l.Instance
+		i.Leaving = !l.leaving.IsZero() && l.leaving.Before(shown)
+		out = append(out, i)
+	}
+	return out
+}
+
+// ServeHTTP serves the platform's calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down, slow, lose := s.down, s.slow, s.lose
+	s.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(slow)
+	switch {
+	case r.URL.Path == platform.TransactPath:
+		s.transact(w, r, lose)
+	case r.URL.Path == platform.InstancesPath:
+		answer(w, s.Instances())
+	case strings.HasPrefix(r.URL.Path, platform.ObjectPath):
+		s.object(w, r, strings.TrimPrefix(r.URL.Path, platform.ObjectPath))
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request, lose bool) {
+	var tx table.Transaction
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	res, err := s.Table.Transact(r.Context(), tx)
+	if err != nil || lose && len(tx.Puts) > 0 {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, res)
+}
+
+func (s *Store) object(w http.ResponseWriter, r *http.Request, name string) {
+	if r.Method == http.MethodPut {
+		content, err := io.ReadAll(r.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := s.Objects.Put(r.Context(), name, content); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+		return
+	}
+	content, err := s.Objects.Get(r.Context(), name)
+	if err != nil {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(content)
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write is the other end's loss, as it would be in life.
+	_ = json.NewEncoder(w).Encode(v)
+}
