Riding out store outages: extension by other zones' leaders, evictions, relay

Cause: with the table service down every authority lapsed after 1.2 s; a zone cut off from the platform only stopped as well. Change: a leader that cannot renew goes on while n-f leaders extend it; taking a silent seat goes by an intent in its row, f+1 confirmations, and a wait for the holder's table authority and for promises made before. A confirmer names the rest of its own promise, so the healthy case adds no wait beyond the hold. Transactions go through another leader while the direct way fails.

--- /dev/null
+++ b/basilcross/promise/promise.go
@@ -0,0 +1,91 @@
+// Package promise keeps what a zone's leader has said about other zones' seats
+// while the table service is out of reach: "for the next period I shall take
+// no part in evicting you", and "I no longer extend this seat".
+//
+// With n seats and f losses to tolerate, a holder goes on while n-f leaders,
+// itself included, extend it, and is evicted only with the word of f+1 others.
+// Any two such sets share a leader, and no leader says both at a time.
+package promise
+
+import (
+	"time"
+
+	"basilcross.example/basilcross/lease"
+	"basilcross.example/basilcross/seat"
+)
+
+// Tolerated returns how many of n zones may be lost during an outage.
+func Tolerated(n int) int {
+	if n < 3 {
+		return 0
+	}
+	return 1
+}
+
+// NeededToExtend returns how many other leaders must extend a seat; ok is
+// false if a fleet of n zones extends none. With one zone there is nobody to
+// object, so its leader may not go on by itself.
+func NeededToExtend(n int) (others int, ok bool) {
+	return n - Tolerated(n) - 1, n > 1
+}
+
+// NeededToEvict returns how many other leaders must refrain from extending.
+func NeededToEvict(n int) int {
+	return Tolerated(n) + 1
+}
+
+// Book is one leader's promises. Create one per term; ConfirmFrom must be set
+// to a Wait of seat.Hold after the term began, because the seat's earlier
+// holder may have made promises that this one does not know.
+type Book struct {
+	ConfirmFrom time.Time
+
+	promised map[string]time.Time
+	refused  map[string]uint64
+}
+
+// Request asks for the extension of a seat.
+type Request struct {
+	Zone        string
+	Holder      string
+	Incarnation string
+	// Version is the seat's row version as its holder knows it.
+	Version uint64
+}
+
+// Extend promises, at now, to take no part in evicting the holder for the next
+// Hold. known is the seat's row as last read from the table, with its version.
+func (b *Book) Extend(now time.Time, r Request, known seat.Record, version uint64) bool {
+	if refused, ok := b.refused[r.Zone]; ok && r.Version <= refused {
+		return false
+	}
+	newer := version >= r.Version
+	if newer && (known.Holder != r.Holder || known.Incarnation != r.Incarnation || known.HandedOver) {
+		return false
+	}
+	// The failure: a leader refrains, and at once hands its seat over. Its
+	// successor has no memory of that, but it has read the intent.
+	if newer && known.Intent != "" {
+		return false
+	}
+	if b.promised == nil {
+		b.promised = map[string]time.Time{}
+	}
+	b.promised[r.Zone] = now.Add(lease.Wait(seat.Hold))
+	return true
+}
+
+// Refrain promises to extend the seat no more under this row version or an
+// earlier one, and returns how long promises made before may still count. A
+// renewal by the holder makes a later version, which is extended again.
+func (b *Book) Refrain(now time.Time, zone string, version uint64) (left time.Duration) {
+	if b.refused == nil {
+		b.refused = map[string]uint64{}
+	}
+	b.refused[zone] = max(b.refused[zone], version)
+	until := b.ConfirmFrom
+	if promised := b.promised[zone]; promised.After(until) {
+		until = promised
+	}
+	return max(0, until.Sub(now))
+}
--- a/basilcross/seat/seat.go
+++ b/basilcross/seat/seat.go
@@ -13,6 +13,11 @@
 // Hold is how long a renewal is good for, from the time it was sent.
 const Hold = 1200 * time.Millisecond
 
+// OutageLimit is how long a holder may go on without renewing in the table, on
+// the other zones' leaders' word. It also is how long a seat stays empty if so
+// many leaders are lost at once that nobody can tell whether it is extended.
+const OutageLimit = 3 * time.Minute
+
 // Record is the row of a seat.
 type Record struct {
 	Zone   string `json:"zone"`
@@ -56,14 +61,17 @@
 	pending  map[string]time.Time
 	gainedAt time.Time
 	graceful bool
+	evicting bool
+	renewed  time.Time
 	hint     hint
 }
 
 // hint is the holder's own word, passed on with its answers, that its
-// authority under a row version ends by a time.
+// authority from the table ends by a time unless it renews once more.
 type hint struct {
-	version uint64
-	end     time.Time
+	term     uint64
+	renewals uint64
+	end      time.Time
 }
 
 // Observe takes in the seat's row as read from the table, received at now. A
@@ -95,10 +103,14 @@
 	if s.known && version == s.version {
 		return
 	}
+	// An eviction intent changes the row but not the holder's authority, so
+	// the silence goes on counting.
+	if !s.known || r.Term != s.record.Term || r.Renewals != s.record.Renewals || r.HandedOver != s.record.HandedOver {
+		s.seen = now
+	}
 	s.known = true
 	s.version = version
 	s.record = r
-	s.seen = now
 	if !s.isSelf(r) {
 		s.held = false
 	}
@@ -117,6 +129,9 @@
 		s.gainedAt = now
 	}
 	s.mine = s.mine.Later(lease.New(sent, Hold))
+	if sent.After(s.renewed) {
+		s.renewed = sent
+	}
 	clear(s.pending)
 }
 
@@ -141,6 +156,19 @@
 	return s.mine
 }
 
+// Extend adds authority that the other zones' leaders gave in answer to a round
+// of requests sent at sent. It tells whether the outage limit allows it.
+func (s *Seat) Extend(sent time.Time) bool {
+	if !s.held || sent.Sub(s.renewed) > OutageLimit {
+		return false
+	}
+	s.mine = s.mine.Later(lease.New(sent, Hold))
+	return true
+}
+
+// Renewed is when the last renewal that took effect was sent.
+func (s *Seat) Renewed() time.Time { return s.renewed }
+
 // UnknownUntil is the time until which leases given by an earlier holder may
 // still run. After a silent holder there are none, since the candidate's wait
 // outlasted them; after a handing over they run on for up to Hold.
@@ -151,28 +179,45 @@
 	return s.gainedAt.Add(lease.Wait(Hold))
 }
 
-// Claimable tells whether the seat may be taken at now: nobody holds it, it
-// was handed over, or its row has not changed for longer than the last
-// holder's authority can have lasted. The wait counts from when this
-// instance first saw the version, which is after the holder sent it.
-func (s *Seat) Claimable(now time.Time) bool {
+// Free tells whether the seat may be taken at once: nobody holds it, it was
+// handed over, or its holder was a process at this instance's own address,
+// which is therefore gone.
+func (s *Seat) Free() bool {
 	if !s.known {
 		return false
 	}
-	if s.record.Holder == "" || s.record.HandedOver {
-		return true
-	}
-	if s.hint.version == s.version && !s.hint.end.IsZero() {
-		return now.After(s.hint.end)
+	r := s.record
+	return r.Holder == "" || r.HandedOver || r.Address != "" && r.Address == s.Self.Address && !s.isSelf(r)
+}
+
+// Lapsed tells whether the authority that the holder has from the table has
+// ended by now. The wait counts from when this instance first saw the renewal,
+// which is after the holder sent it. A holder may have more authority from
+// the other zones' leaders; see the package eviction.
+func (s *Seat) Lapsed(now time.Time) bool {
+	return s.known && now.After(s.TableEnd())
+}
+
+// TableEnd is when the authority that the holder has from the table ends.
+func (s *Seat) TableEnd() time.Time {
+	if !s.hint.end.IsZero() && s.hint.term == s.record.Term && s.hint.renewals == s.record.Renewals {
+		return s.hint.end
 	}
-	return now.Sub(s.seen) > lease.Wait(Hold)
+	return s.seen.Add(lease.Wait(Hold))
 }
 
-// Hint takes in what the holder said, received at now: that it had no more
-// than left of its authority under this row version. A candidate that has
-// heard it need not wait for a whole Hold after its own first reading.
-func (s *Seat) Hint(now time.Time, version uint64, left time.Duration) {
-	s.hint = hint{version: version, end: now.Add(lease.Wait(left))}
+// LimitPassed tells whether the row has been silent for longer than any
+// holder extends its authority without the table.
+func (s *Seat) LimitPassed(now time.Time) bool {
+	return s.known && now.Sub(s.seen) > lease.Wait(OutageLimit+Hold)
+}
+
+// Hint takes in what the holder said, received at now: that in this term and
+// with this many renewals it had no more than left of its authority from the
+// table. A candidate that has heard it need not wait for a whole Hold after
+// its own first reading.
+func (s *Seat) Hint(now time.Time, term, renewals uint64, left time.Duration) {
+	s.hint = hint{term: term, renewals: renewals, end: now.Add(lease.Wait(left))}
 }
 
 // Silence returns how long the row has stood unchanged.
@@ -183,7 +228,9 @@
 	next := s.Self
 	next.Zone = s.Name
 	next.Term = s.record.Term + 1
-	s.graceful = s.record.HandedOver
+	// After an eviction every lease of the earlier holder has been waited
+	// out; otherwise some may run on.
+	s.graceful = s.record.Holder != "" && !s.evicting
 	return s.change(now, token, next, true)
 }
 
@@ -205,6 +252,22 @@
 	return tx, err
 }
 
+// Intend returns the write that announces the eviction of the present holder
+// in the row, so that every later holder of another seat reads of it.
+func (s *Seat) Intend(now time.Time, token, who string) (table.Transaction, error) {
+	next := s.record
+	next.Intent = who
+	return s.change(now, token, next, false)
+}
+
+// Take returns the write that takes the seat from a holder whose eviction is
+// complete.
+func (s *Seat) Take(now time.Time, token string) (table.Transaction, error) {
+	s.evicting = true
+	defer func() { s.evicting = false }()
+	return s.Claim(now, token)
+}
+
 // Evict returns the write that leaves the seat without a holder, together
 // with a new term.
 func (s *Seat) Evict(now time.Time, token string) (table.Transaction, error) {
@@ -232,7 +295,7 @@
 	if s.pending == nil {
 		s.pending = map[string]time.Time{}
 	}
-	if s.isSelf(next) && !next.HandedOver {
+	if next.Holder != "" && s.isSelf(next) && !next.HandedOver {
 		s.pending[token] = now
 	}
 	return tx, nil
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -22,11 +22,13 @@
 	"basilcross.example/gateway/authority"
 	"basilcross.example/gateway/control"
 	"basilcross.example/gateway/entry"
+	"basilcross.example/gateway/evictor"
 	"basilcross.example/gateway/follower"
 	"basilcross.example/gateway/heat"
 	"basilcross.example/gateway/lane"
 	"basilcross.example/gateway/leader"
 	"basilcross.example/gateway/planner"
+	"basilcross.example/gateway/relay"
 	"basilcross.example/gateway/renewer"
 	"basilcross.example/gateway/settings"
 	"basilcross.example/gateway/view"
@@ -66,6 +68,7 @@
 	front    http.Handler
 	admin    http.Handler
 	control  http.Handler
+	table    table.Client
 	draining atomic.Bool
 }
 
@@ -89,7 +92,7 @@
 		Heat: sum, Metrics: entry.NewMetrics(registry), Log: log,
 	})
 	d.admin = admin.New(admin.Options{
-		Instance: s.Instance, Zone: s.Zone, View: d.view, Table: backend.table, Leader: d.leader,
+		Instance: s.Instance, Zone: s.Zone, View: d.view, Table: d.table, Leader: d.leader,
 		Ready: d.Ready, Registry: registry, Log: log, Pprof: s.Pprof,
 	})
 	mux := http.NewServeMux()
@@ -109,17 +112,26 @@
 	d.follower = &follower.Duty{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone, Peers: s.Peers,
 		View: d.view, Authority: cell, Renewer: d.renewer, Loads: sum, Client: client, Log: d.log,
-		Hint: func(now time.Time, version uint64, left time.Duration) { d.leader.Hint(now, version, left) },
+		Hint: func(now time.Time, term, renewals uint64, left time.Duration) {
+			d.leader.Hint(now, term, renewals, left)
+		},
+	}
+	second := &relay.Client{
+		Direct: b.table, HTTP: client, Log: d.log,
+		Peers: func() []string { return d.leader.OtherLeaders() },
 	}
+	evictions := &evictor.Evictor{Instance: s.Instance, Table: second, Client: client, Token: rand.Text, Log: d.log}
+	d.table = second
 	d.planner = planner.New(planner.Options{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(),
-		Table: b.table, Objects: b.objects, View: d.view, Client: client, Log: d.log, Token: rand.Text,
+		Table: second, Objects: b.objects, View: d.view, Client: client, Log: d.log, Token: rand.Text,
+		Evictor:   evictions,
 		Instances: b.instances,
 		Leading:   func(now time.Time) bool { return d.leader.Leading(now) },
 	})
 	d.leader = leader.New(leader.Options{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone,
-		Table: b.table, Objects: b.objects, View: d.view, Follower: d.follower, Authority: cell,
+		Table: second, Direct: b.table, Evictor: evictions, Objects: b.objects, View: d.view, Follower: d.follower, Authority: cell,
 		Planner: d.planner, Client: client, Log: d.log, Token: rand.Text,
 	})
 }
@@ -203,6 +215,7 @@
 		},
 	})
 	root.Add(d.leader)
+	root.Add(&leader.Extender{Leader: d.leader})
 	root.Add(&leader.Reporter{Leader: d.leader})
 	root.Add(d.planner)
 	root.Add(d.follower)
--- /dev/null
+++ b/gateway/evictor/evictor.go
@@ -0,0 +1,130 @@
+// Package evictor carries out evictions: it writes the intent, asks the other
+// zones' leaders to refrain, and says when the seat may be taken.
+package evictor
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/eviction"
+	"basilcross.example/basilcross/promise"
+	"basilcross.example/basilcross/seat"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/gateway/control"
+	"golang.org/x/sync/errgroup"
+)
+
+// Suspect is the silence of a row after which its holder's eviction may begin.
+// Attempts against holders that are well would leave refusals behind that
+// spoil the next outage.
+const Suspect = 700 * time.Millisecond
+
+const (
+	tableTimeout = 800 * time.Millisecond
+	askTimeout   = 300 * time.Millisecond
+)
+
+// Evictor works on evictions. All fields must be set.
+type Evictor struct {
+	Instance string
+	Table    table.Client
+	Client   *http.Client
+	Token    func() string
+	Log      *slog.Logger
+
+	mu       sync.Mutex
+	attempts map[string]*eviction.Eviction
+}
+
+// Step goes on with the eviction of a seat's holder and tells whether the seat
+// may now be taken. lock guards the seat; others are the other zones' seats.
+func (e *Evictor) Step(ctx context.Context, lock sync.Locker, s *seat.Seat, others []seat.Record) bool {
+	lock.Lock()
+	record, version := s.Record()
+	tableEnd := s.TableEnd()
+	limit := s.LimitPassed(time.Now())
+	lock.Unlock()
+	if limit {
+		return true
+	}
+	if record.Intent == "" {
+		e.intend(ctx, lock, s)
+		return false
+	}
+	attempt := e.attempt(s.Name)
+	attempt.Begin(version, tableEnd)
+	e.ask(ctx, attempt, s.Name, others)
+	return attempt.Complete(time.Now(), promise.NeededToEvict(len(others)+1))
+}
+
+func (e *Evictor) attempt(name string) *eviction.Eviction {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.attempts == nil {
+		e.attempts = map[string]*eviction.Eviction{}
+	}
+	a, ok := e.attempts[name]
+	if !ok {
+		a = &eviction.Eviction{}
+		e.attempts[name] = a
+	}
+	return a
+}
+
+// intend writes the intent. Whoever reads the row next goes on from there, so
+// a lost answer costs only time.
+func (e *Evictor) intend(ctx context.Context, lock sync.Locker, s *seat.Seat) {
+	lock.Lock()
+	tx, err := s.Intend(time.Now(), e.Token(), e.Instance)
+	lock.Unlock()
+	if err != nil {
+		e.Log.Error("eviction intent", "seat", s.Name, "error", err)
+		return
+	}
+	key := seat.RowKey(s.Name)
+	tx.ReadKeys = []string{key}
+	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	res, err := e.Table.Transact(callCtx, tx)
+	if err != nil {
+		return
+	}
+	if row, ok := res.Row(key); ok {
+		lock.Lock()
+		defer lock.Unlock()
+		if err := s.Observe(time.Now(), &row); err != nil {
+			e.Log.Error("seat row", "seat", s.Name, "error", err)
+		}
+	}
+}
+
+// ask asks every leader that has not confirmed yet.
+func (e *Evictor) ask(ctx context.Context, attempt *eviction.Eviction, zone string, others []seat.Record) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var group errgroup.Group
+	version := attempt.Version()
+	for _, r := range others {
+		if r.Address == "" || attempt.Has(r.Zone) {
+			continue
+		}
+		group.Go(func() error {
+			c := control.NewZoneProtobufClient("http://"+r.Address, e.Client)
+			res, err := c.Refrain(ctx, &control.RefrainRequest{Zone: zone, RowVersion: version})
+			if err != nil || !res.GetConfirmed() || res.GetZone() != r.Zone {
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			attempt.Confirmed(time.Now(), r.Zone, version, time.Duration(res.GetLeftMs())*time.Millisecond)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		e.Log.Debug("refrain", "seat", zone, "error", err)
+	}
+}
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -53,18 +53,18 @@
 	Authority   *authority.Cell
 	Renewer     *renewer.Duty
 	Loads       Loads
-	// Hint is told of the leader's row version and of what it had left.
-	Hint   func(now time.Time, version uint64, left time.Duration)
+	// Hint is told of the leader's renewals and of what it had left.
+	Hint   func(now time.Time, term, renewals uint64, left time.Duration)
 	Client *http.Client
 	Log    *slog.Logger
 
-	mu      sync.Mutex
-	leader  string
-	members []string
-	term    uint64
-	version uint64
-	peer    int
-	lapsed  bool
+	mu       sync.Mutex
+	leader   string
+	members  []string
+	term     uint64
+	renewals uint64
+	peer     int
+	lapsed   bool
 }
 
 // SetLeader tells where the leader is, as read from the seat's row.
@@ -192,7 +192,7 @@
 		Zone:        d.Zone,
 		Term:        d.term,
 		Directive:   directive,
-		SeatVersion: d.version,
+		Renewals:    d.renewals,
 		WaitMs:      uint32(wait.Milliseconds()),
 	}
 	for _, r := range reports {
@@ -234,12 +234,12 @@
 	now := time.Now()
 	left := time.Duration(res.GetAuthorityUs()) * time.Microsecond
 	d.Authority.Extend(sent, left, now)
-	d.Hint(now, res.GetSeatVersion(), left)
+	d.Hint(now, res.GetTerm(), res.GetRenewals(), time.Duration(res.GetTableLeftUs())*time.Microsecond)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.leader = address
 	d.term = res.GetTerm()
-	d.version = res.GetSeatVersion()
+	d.renewals = res.GetRenewals()
 	if res.GetRenews() {
 		d.members = res.GetMembers()
 	}
--- a/gateway/leader/absorb.go
+++ b/gateway/leader/absorb.go
@@ -10,6 +10,8 @@
 	"basilcross.example/basilcross/config"
 	"basilcross.example/basilcross/deltalog"
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/lease"
+	"basilcross.example/basilcross/promise"
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/basilcross/zone"
@@ -51,6 +53,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	for _, row := range res.Rows {
+		d.watchSeat(now, row)
+	}
 	before := d.seat.Holding()
 	var own *table.Row
 	if row, ok := res.Row(seat.RowKey(d.Zone)); ok {
@@ -65,6 +70,22 @@
 	d.noteHolding(before)
 }
 
+// watchSeat keeps what was last read of every zone's seat.
+func (d *Duty) watchSeat(now time.Time, row table.Row) {
+	name, ok := seat.NameOf(row.Key)
+	if !ok || name == planner.SeatName {
+		return
+	}
+	s, ok := d.seats[name]
+	if !ok {
+		s = &seat.Seat{Name: name}
+		d.seats[name] = s
+	}
+	if err := s.Observe(now, &row); err != nil {
+		d.Log.Error("seat row", "seat", name, "error", err)
+	}
+}
+
 // noteHolding begins or ends a term. The zone's state never outlives a term.
 func (d *Duty) noteHolding(before bool) {
 	after := d.seat.Holding()
@@ -72,10 +93,11 @@
 	switch {
 	case after && d.zone == nil:
 		d.zone = &zone.Leader{Zone: d.Zone, UnknownUntil: d.seat.UnknownUntil()}
+		d.book = &promise.Book{ConfirmFrom: time.Now().Add(lease.Wait(seat.Hold))}
 		d.ready = false
 		event.SeatGained.Log(d.Log, "seat", d.Zone, "term", r.Term)
 	case before && !after:
-		d.zone, d.ready = nil, false
+		d.zone, d.book, d.ready = nil, nil, false
 		d.broadcast()
 		event.SeatLost.Log(d.Log, "seat", d.Zone, "holder", r.Holder, "term", r.Term)
 	}
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -13,11 +13,13 @@
 	"basilcross.example/basilcross/deltalog"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/promise"
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/basilcross/zone"
 	"basilcross.example/gateway/authority"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/evictor"
 	"basilcross.example/gateway/follower"
 	"basilcross.example/gateway/view"
 )
@@ -36,6 +38,8 @@
 	rankDelay = 80 * time.Millisecond
 	// maxRank bounds the wait of instances far down the order.
 	maxRank = 5
+	// retryInterval lies between a renewal that failed and the next.
+	retryInterval = 50 * time.Millisecond
 	// tableTimeout bounds one transaction; a later answer would bring less
 	// authority than it costs to wait for.
 	tableTimeout = 800 * time.Millisecond
@@ -48,13 +52,16 @@
 	Address     string
 	Zone        string
 	Table       table.Client
-	Objects     object.Client
-	View        *view.View
-	Follower    *follower.Duty
-	Authority   *authority.Cell
-	Planner     Planner
-	Client      *http.Client
-	Log         *slog.Logger
+	// Direct reaches the table without the help of other leaders.
+	Direct    table.Client
+	Evictor   *evictor.Evictor
+	Objects   object.Client
+	View      *view.View
+	Follower  *follower.Duty
+	Authority *authority.Cell
+	Planner   Planner
+	Client    *http.Client
+	Log       *slog.Logger
 	// Token returns a new unique token.
 	Token func() string
 }
@@ -75,6 +82,8 @@
 
 	mu       sync.Mutex
 	seat     seat.Seat
+	seats    map[string]*seat.Seat
+	book     *promise.Book
 	zone     *zone.Leader
 	ready    bool
 	started  time.Time
@@ -89,7 +98,7 @@
 
 // New returns a duty that has not looked at the seat yet.
 func New(o Options) *Duty {
-	d := &Duty{Options: o, logs: map[string]*deltalog.Log{}}
+	d := &Duty{Options: o, logs: map[string]*deltalog.Log{}, seats: map[string]*seat.Seat{}}
 	d.news = make(chan struct{})
 	d.nudges = make(chan struct{}, 1)
 	d.started = time.Now()
@@ -117,12 +126,13 @@
 // turn does what is due and returns the pause until the next turn.
 func (d *Duty) turn(ctx context.Context) time.Duration {
 	if d.Holding() {
-		d.renew(ctx)
-		return turnInterval
+		if d.renew(ctx) {
+			return turnInterval
+		}
+		return retryInterval
 	}
 	if d.leaderSilent() {
 		d.stand(ctx)
-		return candidateInterval
 	}
 	return candidateInterval
 }
@@ -154,25 +164,26 @@
 	return time.Since(last) >= silentAfter
 }
 
-// renew keeps the seat and reads what is new in one round trip.
-func (d *Duty) renew(ctx context.Context) {
+// renew keeps the seat and reads what is new in one round trip. It tells
+// whether the renewal took effect.
+func (d *Duty) renew(ctx context.Context) bool {
 	d.mu.Lock()
 	if d.stopping {
 		d.mu.Unlock()
-		return
+		return true
 	}
 	token := d.Token()
 	tx, err := d.seat.Renew(time.Now(), token)
 	d.mu.Unlock()
 	if err != nil {
 		d.Log.Error("renew", "error", err)
-		return
+		return false
 	}
-	d.transact(ctx, tx)
+	return d.transact(ctx, tx)
 }
 
-// transact adds the reading of all heads to a write, carries both out, and
-// takes in the result.
+// transact adds the reading of all heads to a write, carries both out, takes
+// in the result, and tells whether it was committed.
 func (d *Duty) transact(ctx context.Context, tx table.Transaction) bool {
 	tx.ReadPrefixes = []string{headPrefix}
 	tx.ReadKeys = []string{seat.TermKey(d.Zone)}
@@ -184,7 +195,7 @@
 		return false
 	}
 	d.absorb(ctx, res)
-	return true
+	return res.Committed
 }
 
 func (d *Duty) noteTable(err error) {
@@ -204,17 +215,24 @@
 
 // stand looks at the seat as a candidate and takes it when it is free.
 func (d *Duty) stand(ctx context.Context) {
-	if !d.transact(ctx, table.Transaction{}) {
-		return
-	}
+	d.transact(ctx, table.Transaction{})
 	d.mu.Lock()
 	now := time.Now()
-	d.followRecord(now)
-	if d.stopping || !d.mayClaim(now) {
-		d.mu.Unlock()
-		return
+	d.followRecord()
+	stopping, free := d.stopping, d.mayClaim(now)
+	d.mu.Unlock()
+	switch {
+	case stopping:
+	case free:
+		d.claim(ctx, (*seat.Seat).Claim)
+	case d.evicted(ctx):
+		d.claim(ctx, (*seat.Seat).Take)
 	}
-	tx, err := d.seat.Claim(now, d.Token())
+}
+
+func (d *Duty) claim(ctx context.Context, how func(*seat.Seat, time.Time, string) (table.Transaction, error)) {
+	d.mu.Lock()
+	tx, err := how(&d.seat, time.Now(), d.Token())
 	d.mu.Unlock()
 	if err != nil {
 		d.Log.Error("claim", "error", err)
@@ -223,10 +241,32 @@
 	d.transact(ctx, tx)
 }
 
+// evicted works on the eviction of a silent holder and tells whether it is
+// complete. The first candidate begins; the others wait longer.
+func (d *Duty) evicted(ctx context.Context) bool {
+	d.mu.Lock()
+	silent := d.seat.Silence(time.Now())
+	first := silent > evictor.Suspect+d.rank()*rankDelay
+	seats := d.otherSeats()
+	d.mu.Unlock()
+	return first && d.Evictor.Step(ctx, &d.mu, &d.seat, seats)
+}
+
+// otherSeats returns the records of the other zones' seats as last read.
+func (d *Duty) otherSeats() []seat.Record {
+	var others []seat.Record
+	for name, s := range d.seats {
+		if r, _ := s.Record(); name != d.Zone {
+			others = append(others, r)
+		}
+	}
+	return others
+}
+
 // followRecord points the follower at a holder that may still be there.
-func (d *Duty) followRecord(now time.Time) {
+func (d *Duty) followRecord() {
 	r, _ := d.seat.Record()
-	if r.Holder != "" && r.Address != d.Address && !d.seat.Claimable(now) {
+	if r.Holder != "" && r.Address != d.Address && !d.seat.Free() {
 		d.Follower.SetLeader(r.Address)
 	}
 }
@@ -234,7 +274,7 @@
 // mayClaim lets the candidates go one after another, so that a free seat is
 // not fought over by every instance of the zone at once.
 func (d *Duty) mayClaim(now time.Time) bool {
-	if !d.seat.Claimable(now) {
+	if !d.seat.Free() {
 		d.free = time.Time{}
 		return false
 	}
@@ -254,10 +294,10 @@
 }
 
 // Hint takes in what the present leader said of its seat.
-func (d *Duty) Hint(now time.Time, version uint64, left time.Duration) {
+func (d *Duty) Hint(now time.Time, term, renewals uint64, left time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.seat.Hint(now, version, left)
+	d.seat.Hint(now, term, renewals, left)
 }
 
 // broadcast wakes all who wait for news. It is called with the lock held.
@@ -275,7 +315,7 @@
 		return
 	}
 	tx, err := d.seat.HandOver(time.Now(), d.Token())
-	d.zone, d.ready = nil, false
+	d.zone, d.book, d.ready = nil, nil, false
 	d.broadcast()
 	d.mu.Unlock()
 	if err == nil {
--- a/gateway/leader/poll.go
+++ b/gateway/leader/poll.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"time"
 
+	"basilcross.example/basilcross/lease"
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/basilcross/zone"
@@ -125,10 +126,10 @@
 		r, _ := d.seat.Record()
 		return &control.PollResponse{LeaderAddress: r.Address}, nil
 	}
-	record, version := d.seat.Record()
-	// A new row version is news too: candidates then know how long the seat
-	// is held, and the authority is fresh.
-	stale := req.GetTerm() != record.Term || req.GetDirective() != d.zone.Version() || req.GetSeatVersion() != version
+	record, _ := d.seat.Record()
+	// A renewal is news too: candidates then know how long the seat is held,
+	// and the authority is fresh.
+	stale := req.GetTerm() != record.Term || req.GetDirective() != d.zone.Version() || req.GetRenewals() != record.Renewals
 	if !stale && !newer(d.View.Load(), req.GetKnown()) {
 		return nil, d.news
 	}
@@ -157,14 +158,15 @@
 
 // compose gives the instance authority and what it lacks.
 func (d *Duty) compose(now time.Time, req *control.PollRequest) *control.PollResponse {
-	record, version := d.seat.Record()
+	record, _ := d.seat.Record()
 	left := d.seat.Authority().Left(now)
 	d.zone.Grant(now, req.GetInstance(), left)
 	res := &control.PollResponse{
 		Leading:     true,
 		Term:        record.Term,
 		AuthorityUs: uint32(left.Microseconds()),
-		SeatVersion: version,
+		Renewals:    record.Renewals,
+		TableLeftUs: uint32(lease.New(d.seat.Renewed(), seat.Hold).Left(now).Microseconds()),
 		Updates:     d.updates(req.GetKnown()),
 	}
 	directive := d.zone.Directive(now, req.GetInstance())
@@ -228,7 +230,7 @@
 	if err := json.Unmarshal(req.GetTransaction(), &tx); err != nil {
 		return nil, twirp.InvalidArgumentError("transaction", err.Error())
 	}
-	res, err := d.Table.Transact(ctx, tx)
+	res, err := d.Direct.Transact(ctx, tx)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
@@ -239,16 +241,6 @@
 	return &control.TransactResponse{Result: content}, nil
 }
 
-// Extend is refused until outages are ridden out; see docs/design/ownership.md.
-func (d *Duty) Extend(context.Context, *control.ExtendRequest) (*control.ExtendResponse, error) {
-	return &control.ExtendResponse{Zone: d.Zone}, nil
-}
-
-// Refrain is refused until outages are ridden out.
-func (d *Duty) Refrain(context.Context, *control.RefrainRequest) (*control.RefrainResponse, error) {
-	return &control.RefrainResponse{Zone: d.Zone}, nil
-}
-
 // nudgeTimeout bounds the telling of other zones' leaders.
 const nudgeTimeout = 300 * time.Millisecond
 
--- a/gateway/planner/decide.go
+++ b/gateway/planner/decide.go
@@ -3,18 +3,19 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"basilcross.example/basilcross/assignment"
 	"basilcross.example/basilcross/config"
 	"basilcross.example/basilcross/event"
-	"basilcross.example/basilcross/lease"
 	"basilcross.example/basilcross/plan"
 	"basilcross.example/basilcross/platform"
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/basilcross/zone"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/evictor"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -25,7 +26,7 @@
 		return
 	}
 	now := time.Now()
-	evicted := d.lostZones(now)
+	evicted := d.lostZones(ctx)
 	balance := now.Sub(d.balanced) >= balanceInterval
 	if balance {
 		d.balanced = now
@@ -54,18 +55,35 @@
 	}
 }
 
-// lostZones returns the zones whose seat nobody renews or takes over.
-func (d *Duty) lostZones(now time.Time) map[string]bool {
+// lostZones works on the eviction of zones whose seat nobody renews or takes
+// over, and returns those for which it is complete.
+func (d *Duty) lostZones(ctx context.Context) map[string]bool {
 	lost := map[string]bool{}
+	var none sync.Mutex
 	for name, z := range d.zones {
 		r, _ := z.Record()
-		if r.Holder != "" && z.Silence(now) > lease.Wait(seat.Hold)+evictGrace {
+		silent := z.Silence(time.Now())
+		if r.Holder == "" || silent < evictor.Suspect {
+			continue
+		}
+		complete := d.Evictor.Step(ctx, &none, z, d.otherSeats(name))
+		if complete && time.Since(z.TableEnd()) > evictGrace {
 			lost[name] = true
 		}
 	}
 	return lost
 }
 
+func (d *Duty) otherSeats(zone string) []seat.Record {
+	var others []seat.Record
+	for name, z := range d.zones {
+		if r, _ := z.Record(); name != zone {
+			others = append(others, r)
+		}
+	}
+	return others
+}
+
 // input gathers what a decision about a service rests on.
 func (d *Duty) input(now time.Time, doc *config.Document, service config.Service, evicted map[string]bool) plan.Input {
 	d.mu.Lock()
--- a/gateway/planner/planner.go
+++ b/gateway/planner/planner.go
@@ -18,6 +18,7 @@
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/evictor"
 	"basilcross.example/gateway/view"
 )
 
@@ -59,6 +60,7 @@
 	Instances func(ctx context.Context) ([]platform.Instance, error)
 	// Leading tells whether this instance leads a zone; only those plan.
 	Leading func(now time.Time) bool
+	Evictor *evictor.Evictor
 }
 
 // Duty plans while its instance holds the planner's seat.
@@ -192,7 +194,8 @@
 	case d.stopping:
 	case d.seat.Holding():
 		tx, err = d.seat.Renew(now, d.Token())
-	case d.seat.Claimable(now):
+	case d.seat.Free() || d.seat.Lapsed(now):
+		// The planner's seat is never extended without the table.
 		tx, err = d.seat.Claim(now, d.Token())
 	}
 	d.mu.Unlock()
--- /dev/null
+++ b/gateway/relay/relay.go
@@ -0,0 +1,100 @@
+// Package relay reaches the table service through other zones' leaders while
+// the direct way fails.
+//
+// A transaction sent twice by two ways does no harm: its conditions let it take
+// effect once, and its token shows whose it was.
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/table"
+	"basilcross.example/gateway/control"
+)
+
+const (
+	// directTimeout bounds the direct try where another way is left.
+	directTimeout = 400 * time.Millisecond
+	// directPause is how long the direct way is not tried after it failed
+	// and a relay worked.
+	directPause = 2 * time.Second
+)
+
+// Client is a table client with a second way. All fields must be set.
+type Client struct {
+	Direct table.Client
+	// Peers returns the control addresses of other zones' leaders.
+	Peers func() []string
+	HTTP  *http.Client
+	Log   *slog.Logger
+
+	mu      sync.Mutex
+	avoid   time.Time
+	relayed bool
+}
+
+// Transact tries the direct way, then one other leader.
+func (c *Client) Transact(ctx context.Context, tx table.Transaction) (table.Result, error) {
+	peers := c.Peers()
+	if len(peers) == 0 {
+		return c.Direct.Transact(ctx, tx)
+	}
+	peer := peers[rand.IntN(len(peers))]
+	if c.avoiding() {
+		if res, err := c.through(ctx, peer, tx); err == nil {
+			return res, nil
+		}
+	}
+	directCtx, cancel := context.WithTimeout(ctx, directTimeout)
+	res, direct := c.Direct.Transact(directCtx, tx)
+	cancel()
+	if direct == nil {
+		c.note(false)
+		return res, nil
+	}
+	res, err := c.through(ctx, peer, tx)
+	if err != nil {
+		return table.Result{}, fmt.Errorf("%w; through %s: %w", direct, peer, err)
+	}
+	c.note(true)
+	return res, nil
+}
+
+func (c *Client) avoiding() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.avoid)
+}
+
+func (c *Client) note(relayed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if relayed {
+		c.avoid = time.Now().Add(directPause)
+	}
+	if relayed && !c.relayed {
+		event.RelayInUse.Log(c.Log)
+	}
+	c.relayed = relayed
+}
+
+func (c *Client) through(ctx context.Context, address string, tx table.Transaction) (table.Result, error) {
+	var res table.Result
+	content, err := json.Marshal(tx)
+	if err != nil {
+		return res, err
+	}
+	answer, err := control.NewZoneProtobufClient("http://"+address, c.HTTP).Transact(ctx, &control.TransactRequest{Transaction: content})
+	if err != nil {
+		return res, err
+	}
+	return res, json.Unmarshal(answer.GetResult(), &res)
+}
