Check of the seat's rules and of the chain of leases by exhaustive search

Change: an abstract model of one seat, three other leaders and an evictor, with delays, losses, hand-overs without memory, slow clocks and pauses; another of leader, gateway and target. Each rule can be switched off. A look at the authority between working out a lease and sending it turned out not to be needed, since leases count from the target's stamp. Conclusion: no rule is superfluous; counterexamples are in docs/design.

--- /dev/null
+++ b/basilcross/internal/chainmodel/chainmodel_test.go
@@ -0,0 +1,29 @@
+package chainmodel_test
+
+import (
+	"testing"
+
+	"basilcross.example/basilcross/internal/chainmodel"
+	"gotest.tools/v3/assert"
+)
+
+// With all rules no target's lease outlives its leader's authority, whatever
+// the delays and slow clocks; without any one of them, one does.
+func TestChainOfLeases(t *testing.T) {
+	states, broken := chainmodel.Search(chainmodel.Rules{})
+	assert.Assert(t, !broken)
+	assert.Assert(t, states > 1000, "only %d states", states)
+	t.Logf("all rules: %d states", states)
+	for name, rules := range map[string]chainmodel.Rules{
+		"poll counted from receipt":  {PollFromReceipt: true},
+		"lease counted from receipt": {LeaseFromReceipt: true},
+		"drift ignored":              {IgnoreDrift: true},
+		"no re-check after a pause":  {NoRecheck: true},
+		"lease of full length":       {UnboundedLease: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			states, broken := chainmodel.Search(rules)
+			assert.Assert(t, broken, "not caught in %d states", states)
+		})
+	}
+}
--- /dev/null
+++ b/basilcross/internal/seatmodel/seatmodel_test.go
@@ -0,0 +1,53 @@
+package seatmodel_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"basilcross.example/basilcross/internal/seatmodel"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+)
+
+// limit is above the number of states with all rules in force.
+const limit = 4_000_000
+
+func TestNoTwoHolders(t *testing.T) {
+	r := seatmodel.Search(seatmodel.Rules{}, limit)
+	assert.Assert(t, r.Complete, "the search did not end")
+	assert.Assert(t, r.Trace == nil, "%v", r.Trace)
+	t.Logf("%d states", r.States)
+}
+
+// Each rule is switched off alone, and the search finds two holders. The page
+// with the shortest ways there is written with -update.
+func TestEveryRuleIsNeeded(t *testing.T) {
+	var page strings.Builder
+	page.WriteString("# What goes wrong without each rule\n\nMade by a test from the search of the package `seatmodel`: for every rule, the\nshortest way to two holders of a seat once that rule is left out.\n")
+	for _, m := range []struct {
+		name  string
+		rules seatmodel.Rules
+	}{
+		{"Authority is counted from sending, not from receipt", seatmodel.Rules{CountFromReceipt: true}},
+		{"Eviction needs f + 1 confirmations, not f", seatmodel.Rules{FewerConfirmations: true}},
+		{"The authority from the table is waited out", seatmodel.Rules{NoTableWait: true}},
+		{"Promises made before are waited out", seatmodel.Rules{NoPromiseWait: true}},
+		{"Clocks may drift", seatmodel.Rules{IgnoreDrift: true}},
+		{"A renewal without an answer is read back, not assumed", seatmodel.Rules{SkipReadBack: true}},
+		{"Authority is checked again after a pause", seatmodel.Rules{NoRecheck: true}},
+		{"The eviction is announced in the row", seatmodel.Rules{NoIntent: true}},
+		{"A new holder reads the other seats' rows", seatmodel.Rules{SuccessorReadsNoRows: true}},
+		{"A new holder confirms nothing for one period", seatmodel.Rules{SuccessorConfirms: true}},
+		{"The taking write depends on the row's version", seatmodel.Rules{TakeUnconditionally: true}},
+		{"Who refrains does not extend", seatmodel.Rules{ExtendAfterRefrain: true}},
+	} {
+		r := seatmodel.Search(m.rules, limit)
+		assert.Assert(t, r.Trace != nil, "%s: not caught in %d states", m.name, r.States)
+		fmt.Fprintf(&page, "\n## %s\n\nWithout it, after %d states:\n\n", m.name, r.States)
+		for i, step := range r.Trace {
+			fmt.Fprintf(&page, "%d. %s\n", i+1, step)
+		}
+	}
+	golden.Assert(t, page.String(), "../../../../docs/design/counterexamples.md")
+}
