Silence on all connections is found out once, not once per target

Cause: after something between the ends lost track of all open connections, each of 33 targets' pools found it out by a timeout of its own, and the retry budget ran dry: 129 of 6386 requests ended unknown, 84 of them repeatable ones. Renewals met silent connections twice in a row and targets lost their leases. Ruled out: earlier suspicion within one pool alone (127 before, 129 after). Change: overdue answers of two targets within a second make all lanes drop their idle connections; control calls keep one idle connection per host, so that the next try is on a new one; a repeatable attempt is given up at twice the time at which it is overdue.

--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -40,6 +40,8 @@
 type Pool struct {
 	Address string
 	Dial    DialFunc
+	// Overdue, if set, is told when an answer is overdue.
+	Overdue func(now time.Time)
 	// IdleLimit is how many idle connections are kept; 0 means 8.
 	IdleLimit int
 
@@ -63,6 +65,9 @@
 	// Proved asks for a connection that was lately proved alive, or a new
 	// one. It is set for requests that must not run twice.
 	Proved bool
+	// Patience is how long an answer may take before the other connections
+	// become suspect; 0 is for ever. The request itself waits on.
+	Patience time.Duration
 	// Before is called when a connection is at hand, immediately before the
 	// first byte is written. Its error stops the request.
 	Before func(now time.Time) error
@@ -130,7 +135,9 @@
 	c.wrote = false
 	// Cancellation reaches a blocked read or write through the deadline.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	calm := p.watch(r)
 	res, failed := c.exchange(r)
+	calm()
 	if failed != nil {
 		stop()
 		_ = c.Close()
@@ -143,6 +150,23 @@
 	return res, nil
 }
 
+// watch makes the idle connections suspect when an answer is overdue. Dropping
+// them costs a millisecond each; finding out one by one that something between
+// the two ends has lost track of them costs a timeout each.
+func (p *Pool) watch(r *Request) (calm func()) {
+	if r.Patience <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(r.Patience, func() {
+		now := time.Now()
+		p.Suspect(now)
+		if p.Overdue != nil {
+			p.Overdue(now)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 func (c *conn) exchange(r *Request) (*http.Response, *Error) {
 	if r.Before != nil {
 		if err := r.Before(time.Now()); err != nil {
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -139,8 +139,9 @@
 // controlClient reaches instances, the platform and targets' grants.
 func controlClient(dialer *egress.Dialer) *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 4,
+		DialContext: dialer.DialContext,
+		// With one idle connection, the try after a silent one is on a new one.
+		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     idleTimeout,
 	}}
 }
--- a/gateway/entry/attempt.go
+++ b/gateway/entry/attempt.go
@@ -19,8 +19,15 @@
 	"basilcross.example/gateway/view"
 )
 
-// minAttempt is the least time given to one attempt of a repeatable request.
-const minAttempt = 100 * time.Millisecond
+const (
+	// minAttempt is the least time given to one attempt of a repeatable
+	// request.
+	minAttempt = 100 * time.Millisecond
+	// overdueAfter and overdueFactor say when an answer is overdue: after
+	// the longer of a fixed time and a multiple of the usual.
+	overdueAfter  = 250 * time.Millisecond
+	overdueFactor = 10
+)
 
 // route is where one attempt goes.
 type route struct {
@@ -85,18 +92,20 @@
 
 // send writes the request to the target and reads the answer's head.
 func (f *Front) send(ctx context.Context, c *call, r *route, release func(slot.Result)) outcome {
-	attemptCtx, cancel := f.attemptContext(ctx, c)
+	overdue := overdue(r.lane)
+	attemptCtx, cancel := f.attemptContext(ctx, c, overdue)
 	body, length := c.reader()
 	c.sent = c.sent || !c.buffered
 	req := &pool.Request{
-		Method: c.method,
-		Target: c.uri,
-		Host:   c.host,
-		Header: c.header,
-		Body:   body,
-		Length: length,
-		Proved: !c.kind.Idempotent,
-		Before: func(now time.Time) error { return f.mayRoute(now, r) },
+		Method:   c.method,
+		Target:   c.uri,
+		Host:     c.host,
+		Header:   c.header,
+		Body:     body,
+		Length:   length,
+		Proved:   !c.kind.Idempotent,
+		Patience: overdue,
+		Before:   func(now time.Time) error { return f.mayRoute(now, r) },
 	}
 	f.address(req.Header, ctx, c, r)
 	res, err := r.lane.Pool.Do(attemptCtx, req)
@@ -124,14 +133,21 @@
 }
 
 // attemptContext leaves time for another attempt where one is allowed: a
-// connection that went silent must not eat up the whole deadline.
-func (f *Front) attemptContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+// connection that went silent must not eat up the whole deadline. The attempt
+// is given up at twice the time at which the answer is overdue.
+func (f *Front) attemptContext(ctx context.Context, c *call, overdue time.Duration) (context.Context, context.CancelFunc) {
 	deadline, _ := ctx.Deadline()
 	left := time.Until(deadline)
 	if !c.kind.Idempotent || !c.buffered || left < 2*minAttempt {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, left/2)
+	return context.WithTimeout(ctx, min(left/2, 2*overdue))
+}
+
+// overdue is when a target's answer is later than its usual time explains.
+func overdue(l *lane.Lane) time.Duration {
+	usual := time.Duration(l.Slots.State().Latency * float64(time.Second))
+	return max(overdueAfter, overdueFactor*usual)
 }
 
 // address tells the target what the request is meant for.
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -30,7 +30,7 @@
 	// authority that the answer brings.
 	wait = 250 * time.Millisecond
 	// pollTimeout bounds one poll.
-	pollTimeout = 600 * time.Millisecond
+	pollTimeout = wait + 200*time.Millisecond
 	// retryPause lies between two polls that failed.
 	retryPause = 60 * time.Millisecond
 	// lapsedAfter is the time without an answer after which it is logged.
--- a/gateway/lane/lane.go
+++ b/gateway/lane/lane.go
@@ -70,6 +70,33 @@
 
 	mu    sync.RWMutex
 	lanes map[string]*Lane
+
+	overdueMu sync.Mutex
+	overdueID string
+	overdueAt time.Time
+}
+
+// together is how close the overdue answers of two targets lie for a common
+// cause.
+const together = time.Second
+
+// overdue is told that a target's answer is overdue. One alone speaks for that
+// target. With two at a time something on the way to all of them has probably
+// lost track of the open connections, so all are dropped: each target's first
+// request would otherwise find it out by a timeout of its own.
+func (s *Set) overdue(id string, now time.Time) {
+	s.overdueMu.Lock()
+	common := s.overdueID != "" && s.overdueID != id && now.Sub(s.overdueAt) < together
+	s.overdueID, s.overdueAt = id, now
+	s.overdueMu.Unlock()
+	if !common {
+		return
+	}
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, l := range s.lanes {
+		l.Pool.Suspect(now)
+	}
 }
 
 // To returns the lane to a target, opened anew if its address has changed.
@@ -98,8 +125,10 @@
 	}
 	l := &Lane{
 		Target: t.ID,
-		Pool:   &pool.Pool{Address: t.Address, Dial: s.Dial},
-		Slots:  &slot.Limiter{Slots: t.Slots, QueueLimit: queueLimit},
+		Pool: &pool.Pool{Address: t.Address, Dial: s.Dial, Overdue: func(now time.Time) {
+			s.overdue(t.ID, now)
+		}},
+		Slots: &slot.Limiter{Slots: t.Slots, QueueLimit: queueLimit},
 	}
 	s.lanes[t.ID] = l
 	return l
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -11,6 +11,7 @@
 	"basilcross.example/standin/caller"
 	"basilcross.example/standin/deployment"
 	"basilcross.example/standin/judge"
+	"basilcross.example/standin/link"
 	"basilcross.example/standin/scenario"
 )
 
@@ -69,13 +70,40 @@
 	f.load.Run(loadCtx)
 	faults := results()
 	used := f.usage().since(usage)
+	lagging := f.lagging(ctx)
 	for _, t := range f.targets {
 		t.Thaw()
 		t.Flush()
 	}
 	cancel()
 	watch.Wait()
-	return f.report(s, began, faults, used), nil
+	r := f.report(s, began, faults, used)
+	r.Unmet = append(r.Unmet, lagging...)
+	return r, nil
+}
+
+// lagging names the gateways that do not have the newest configuration when all
+// faults are mended.
+func (f *fleet) lagging(ctx context.Context) []string {
+	newest := uint64(0)
+	behind := func() []string {
+		var names []string
+		for _, g := range f.gateways {
+			g.mu.Lock()
+			newest = max(newest, g.version)
+			late := g.process != nil && g.version < newest
+			g.mu.Unlock()
+			if late && !f.network.IsCut(g.Zone.Name, link.PlatformPlace) {
+				names = append(names, g.Name+" lacks the newest configuration at the end")
+			}
+		}
+		return names
+	}
+	behind()
+	if f.await(ctx, "newest configuration everywhere", func() bool { return len(behind()) == 0 }) != nil {
+		return behind()
+	}
+	return nil
 }
 
 // schedule starts every fault at its time; the returned function waits for all.
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -197,7 +197,7 @@
 			r.Requests.Unknown++
 		}
 		if c.Outcome != judge.Answered {
-			r.Causes[c.Cause]++
+			r.Causes[c.Cause+" "+c.Kind]++
 			continue
 		}
 		h, ok := histograms[c.Kind]
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -79,6 +79,12 @@
 	}
 }
 
+// IsCut tells whether two places are separated.
+func (n *Network) IsCut(a, b string) bool {
+	cut, _ := n.blocked(a, b)
+	return cut
+}
+
 func (n *Network) blocked(a, b string) (bool, <-chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
