Tests and benchmarks of the request path; one run for a click made twice

Cause: the request path was proved only by the demo. Change: tests with targets that drop, refuse, cut and never answer; requests of one Idempotency-Key share one run at a gateway; waiting for an owner ends before the deadline, so that the refusal names the owner and not the deadline.

--- a/gateway/entry/call.go
+++ b/gateway/entry/call.go
@@ -52,6 +52,8 @@
 	stream   io.Reader
 	length   int64
 	sent     bool
+	// cancel ends what the call still holds, after its answer was passed on.
+	cancel context.CancelFunc
 }
 
 // accept reads what there is to know of a request before it is sent anywhere.
@@ -65,6 +67,7 @@
 		uri:      r.URL.RequestURI(),
 		host:     r.Host,
 		length:   r.ContentLength,
+		cancel:   func() {},
 	}
 	s := f.View.Load()
 	if s.Config == nil {
@@ -113,7 +116,8 @@
 		}
 		c.deadline = min(c.deadline, time.Duration(ms)*time.Millisecond)
 	}
-	c.ownerUntil = time.Now().Add(min(ownerWait, c.deadline))
+	// Given up with time left, the refusal can name the owner as its cause.
+	c.ownerUntil = time.Now().Add(min(ownerWait, c.deadline*3/4))
 	return nil
 }
 
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -37,11 +37,12 @@
 	mux     *http.ServeMux
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget
+	running map[string]*shared
 }
 
 // New returns a handler.
 func New(o Options) *Front {
-	f := &Front{Options: o, mux: http.NewServeMux(), budgets: map[string]*retry.Budget{}}
+	f := &Front{Options: o, mux: http.NewServeMux(), budgets: map[string]*retry.Budget{}, running: map[string]*shared{}}
 	f.mux.HandleFunc("/{service}/{kind}/{key...}", f.serve)
 	return f
 }
@@ -58,14 +59,13 @@
 		f.refuse(w, c, refused, began)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), c.deadline)
-	defer cancel()
-	switch out := f.run(ctx, c).(type) {
+	switch out := f.once(r, c).(type) {
 	case *answered:
 		f.pass(w, c, out, began)
 	case *failed:
 		f.refuse(w, c, f.final(r, out), began)
 	}
+	c.cancel()
 }
 
 // final turns the last failure into the caller's refusal. A caller that has
