--- a/basilcross/grant/grant.go
+++ b/basilcross/grant/grant.go
@@ -44,7 +44,7 @@
 
 // Order renews a target's lease. A zero Lease asks for the status only.
 type Order struct {
-	Renewer string `json:"renewer"`
+	Renewer string `json:"renewer,omitempty"`
 	// Incarnation and Stamp repeat what the target last said. The lease
 	// counts from the moment at which the target issued the stamp.
 	Incarnation string `json:"incarnation"`
--- a/basilcross/refusal/refusal.go
+++ b/basilcross/refusal/refusal.go
@@ -48,7 +48,6 @@
 	TargetSilent     Cause = 401
 	AnswerCut        Cause = 402
 	CallerGone       Cause = 403
-	ShuttingDown     Cause = 404
 	DuplicateRunning Cause = 405
 )
 
@@ -58,7 +57,7 @@
 	OwnerMoving: "ownerMoving", NotOwner: "notOwner", NoAuthority: "noAuthority",
 	NoTarget: "noTarget", QueueFull: "queueFull", DeadlinePassed: "deadlinePassed",
 	TargetShed: "targetShed", ConnectFailed: "connectFailed", TargetSilent: "targetSilent",
-	AnswerCut: "answerCut", CallerGone: "callerGone", ShuttingDown: "shuttingDown",
+	AnswerCut: "answerCut", CallerGone: "callerGone",
 	DuplicateRunning: "duplicateRunning",
 }
 
--- a/basilcross/zone/zone.go
+++ b/basilcross/zone/zone.go
@@ -69,6 +69,9 @@
 type Renewal struct {
 	Target     string
 	Generation uint64
+	// Standby asks for a renewal now and then only: another instance does
+	// the most of it, and this one is ready to take its place.
+	Standby bool
 }
 
 // Directive is the leader's order to one instance.
@@ -226,7 +229,7 @@
 		}
 		ts.drains[d] = true
 	}
-	ts.note(now, m.Instance, r)
+	l.note(now, ts, m.Instance, r)
 	switch {
 	case ts.suspended && ts.alive && !ts.released && ts.target.State != assignment.Lost:
 		l.resume(ts)
@@ -235,11 +238,15 @@
 	}
 }
 
-func (ts *targetState) note(now time.Time, instance string, r TargetReport) {
+func (l *Leader) note(now time.Time, ts *targetState, instance string, r TargetReport) {
 	if ts.failing == nil {
 		ts.failing = map[string]time.Time{}
 	}
 	if r.Failing {
+		if len(ts.failing) == 0 {
+			// The standby must try too, and at once.
+			l.directive++
+		}
 		ts.failing[instance] = now
 		ts.alive = false
 		return
@@ -282,14 +289,19 @@
 	d := Directive{Version: l.directive}
 	for _, id := range l.targetIDs() {
 		ts := l.targets[id]
-		if !slices.Contains(l.renewers(now, id), instance) {
+		renewers := l.renewers(now, id)
+		if !slices.Contains(renewers, instance) {
 			continue
 		}
 		if ts.suspended {
 			d.Probe = append(d.Probe, id)
 			continue
 		}
-		d.Renew = append(d.Renew, Renewal{Target: id, Generation: ts.target.Generation})
+		d.Renew = append(d.Renew, Renewal{
+			Target:     id,
+			Generation: ts.target.Generation,
+			Standby:    instance != renewers[0] && len(ts.failing) == 0,
+		})
 	}
 	return d
 }
--- a/basilcross/zone/zone_test.go
+++ b/basilcross/zone/zone_test.go
@@ -88,6 +88,8 @@
 	b.leader.Assign(assigned(assignment.Active, 2))
 	d = b.poll("g1")
 	assert.DeepEqual(t, d.Renew, []zone.Renewal{{Target: "t1", Generation: 2}})
+	standby := b.poll("g2").Renew[0].Standby || b.poll("g1").Renew[0].Standby
+	assert.Assert(t, standby, "one of two renewers stands by")
 }
 
 // The leader has just taken a seat that was handed over. Instances still hold
--- a/gateway/admin/admin.go
+++ b/gateway/admin/admin.go
@@ -36,6 +36,8 @@
 	Table    table.Client
 	Leader   *leader.Duty
 	Ready    func() bool
+	// Planning tells whether this instance is the planner.
+	Planning func(now time.Time) bool
 	Registry *prometheus.Registry
 	Log      *slog.Logger
 	Pprof    bool
@@ -93,6 +95,7 @@
 	Zone     string            `json:"zone"`
 	Ready    bool              `json:"ready"`
 	Versions map[string]uint64 `json:"versions"`
+	Planning bool              `json:"planning"`
 	Leader   leader.Status     `json:"leader"`
 }
 
@@ -102,6 +105,7 @@
 		Zone:     h.Zone,
 		Ready:    h.Ready(),
 		Versions: h.View.Load().Versions(),
+		Planning: h.Planning(time.Now()),
 		Leader:   h.Leader.Status(),
 	})
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -97,7 +97,7 @@
 	})
 	d.admin = admin.New(admin.Options{
 		Instance: s.Instance, Zone: s.Zone, View: d.view, Table: d.table, Leader: d.leader,
-		Ready: d.Ready, Registry: registry, Log: log, Pprof: s.Pprof,
+		Ready: d.Ready, Planning: d.planner.Planning, Registry: registry, Log: log, Pprof: s.Pprof,
 	})
 	mux := http.NewServeMux()
 	mux.Handle(control.ZonePathPrefix, control.NewZoneServer(d.leader))
@@ -160,6 +160,7 @@
 		DialContext: dialer.DialContext,
 		// With one idle connection, the try after a silent one is on a new one.
 		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 	}}
 }
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -252,7 +252,9 @@
 func decodeDirective(res *control.PollResponse) zone.Directive {
 	directive := zone.Directive{Version: res.GetDirective(), Probe: res.GetProbe()}
 	for _, r := range res.GetRenew() {
-		directive.Renew = append(directive.Renew, zone.Renewal{Target: r.GetTarget(), Generation: r.GetGeneration()})
+		directive.Renew = append(directive.Renew, zone.Renewal{
+			Target: r.GetTarget(), Generation: r.GetGeneration(), Standby: r.GetStandby(),
+		})
 	}
 	return directive
 }
--- a/gateway/planner/decide.go
+++ b/gateway/planner/decide.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basilcross.example/basilcross/assignment"
+	"basilcross.example/basilcross/audit"
 	"basilcross.example/basilcross/config"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/plan"
@@ -258,7 +259,14 @@
 	d := b.duty
 	callCtx, cancel := context.WithTimeout(ctx, 2*tableTimeout)
 	defer cancel()
+	if err := d.chain.Add(&b.tx, audit.Record{
+		At: time.Now(), Who: d.Instance, What: "assignment", Why: strings.Join(b.causes, "; "),
+	}); err != nil {
+		d.Log.Error("audit", "error", err)
+		return
+	}
 	b.tx.ReadPrefixes = []string{"head/"}
+	b.tx.ReadKeys = []string{audit.HeadKey(audit.System)}
 	res, err := table.Settle(callCtx, d.Table, b.tx)
 	if err != nil {
 		d.Log.Warn("assignment not settled", "error", err)
@@ -269,6 +277,7 @@
 		d.absorb(ctx, res)
 		return
 	}
+	d.chain.Accept(res.Revision)
 	b.divideLoads()
 	for _, service := range b.services {
 		delta := d.log(service).Accept(res.Revision)
--- a/gateway/planner/planner.go
+++ b/gateway/planner/planner.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"basilcross.example/basilcross/audit"
 	"basilcross.example/basilcross/deltalog"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/object"
@@ -82,6 +83,7 @@
 	stopping bool
 
 	// The rest belongs to Serve alone.
+	chain    audit.Chain
 	logs     map[string]*deltalog.Log
 	zones    map[string]*seat.Seat
 	listed   []platform.Instance
@@ -112,6 +114,7 @@
 		reports: map[string]zoneReport{},
 		hints:   map[string]hint{},
 		kick:    make(chan struct{}, 1),
+		chain:   audit.Chain{Stream: audit.System},
 		logs:    map[string]*deltalog.Log{},
 		zones:   map[string]*seat.Seat{},
 		quiet:   map[string]*quietVersion{},
@@ -249,7 +252,7 @@
 	d.readAt = now
 	callCtx, cancel := context.WithTimeout(ctx, tableTimeout)
 	defer cancel()
-	res, err := d.Table.Transact(callCtx, table.Transaction{ReadPrefixes: []string{"head/"}})
+	res, err := d.Table.Transact(callCtx, table.Transaction{ReadPrefixes: []string{"head/"}, ReadKeys: []string{audit.HeadKey(audit.System)}})
 	if err != nil {
 		return
 	}
@@ -274,6 +277,11 @@
 // absorb takes in a reading of all heads.
 func (d *Duty) absorb(ctx context.Context, res table.Result) {
 	now := time.Now()
+	if row, ok := res.Row(audit.HeadKey(audit.System)); ok {
+		if err := d.chain.Observe(&row); err != nil {
+			d.Log.Error("audit head", "error", err)
+		}
+	}
 	for _, row := range res.Rows {
 		if name, ok := seat.NameOf(row.Key); ok {
 			d.absorbSeat(now, name, row)
--- a/gateway/renewer/grants.go
+++ b/gateway/renewer/grants.go
@@ -66,6 +66,8 @@
 	if err != nil {
 		return s, fmt.Errorf("order: %w", err)
 	}
+	// Nothing reads it, and it goes out several times a second.
+	req.Header.Set("User-Agent", "")
 	res, err := c.Client.Do(req)
 	if err != nil {
 		return s, fmt.Errorf("order: %w", err)
--- a/gateway/renewer/renewer.go
+++ b/gateway/renewer/renewer.go
@@ -20,7 +20,10 @@
 
 const (
 	// interval lies between two renewals of a target.
-	interval = 200 * time.Millisecond
+	interval = 250 * time.Millisecond
+	// standbyInterval is that of the instance that only stands by. Should the
+	// other one be lost, the lease may lapse for less than this.
+	standbyInterval = time.Second
 	// retryInterval lies between an unanswered renewal and the next.
 	retryInterval = 80 * time.Millisecond
 	// callTimeout bounds one renewal.
@@ -198,6 +201,9 @@
 	l := d.lanes[id]
 	l.busy = false
 	l.next = time.Now().Add(interval)
+	if d.standsBy(id) {
+		l.next = time.Now().Add(standbyInterval)
+	}
 	if l.failures > 0 {
 		l.next = time.Now().Add(retryInterval)
 	}
@@ -207,6 +213,20 @@
 	}
 }
 
+func (d *Duty) standsBy(id string) bool {
+	r, ok := d.renewal(id)
+	return ok && r.Standby
+}
+
+// renewal returns the directive's entry for a target.
+func (d *Duty) renewal(id string) (r zone.Renewal, ok bool) {
+	i := slices.IndexFunc(d.directive.Renew, func(r zone.Renewal) bool { return r.Target == id })
+	if i < 0 {
+		return zone.Renewal{}, false
+	}
+	return d.directive.Renew[i], true
+}
+
 // prepare works out the order and books its lease before it can be sent.
 func (d *Duty) prepare(id string, now time.Time) (*assignment.Target, grant.Order, bool) {
 	d.mu.Lock()
@@ -217,7 +237,7 @@
 	}
 	l := d.lanes[id]
 	order := grant.Order{
-		Renewer:     d.Instance,
+
 		Incarnation: l.status.Incarnation,
 		Stamp:       l.status.Stamp,
 		Version:     service.Assignment.Version,
@@ -236,7 +256,8 @@
 // instance received it. A lease of what the authority had left at that moment
 // therefore ends within the authority.
 func (d *Duty) length(target *assignment.Target, l *lane, now time.Time) time.Duration {
-	renewed := slices.Contains(d.directive.Renew, zone.Renewal{Target: target.ID, Generation: target.Generation})
+	r, renewed := d.renewal(target.ID)
+	renewed = renewed && r.Generation == target.Generation
 	left := d.Authority.Lease().Left(now)
 	if !renewed || left == 0 || l.stampAt.IsZero() {
 		return 0
@@ -313,8 +334,7 @@
 	if slices.Contains(d.directive.Probe, id) {
 		return true
 	}
-	renewed := slices.ContainsFunc(d.directive.Renew, func(n zone.Renewal) bool { return n.Target == id })
-	if renewed {
+	if _, renewed := d.renewal(id); renewed {
 		return r.Failing || len(r.Drained) > 0
 	}
 	return r.LeaseLeft > 0
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -155,14 +156,21 @@
 const (
 	firstPort = 20_000
 	portCount = 10_000
-	portTries = 100
 )
 
+// nextPort counts on from a random beginning. Drawn one by one, two of a fleet's
+// ports would sooner or later be the same.
+var nextPort = func() *atomic.Uint32 {
+	var n atomic.Uint32
+	n.Store(rand.Uint32N(portCount))
+	return &n
+}()
+
 // freeAddress finds a free loopback address and lets go of it again.
 func freeAddress() (string, error) {
 	var last error
-	for range portTries {
-		port := firstPort + rand.IntN(portCount)
+	for range portCount {
+		port := firstPort + int(nextPort.Add(1)%portCount)
 		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err != nil {
 			last = err
@@ -275,6 +283,7 @@
 // status is the part of a gateway's status that the demo reads.
 type status struct {
 	Versions map[string]uint64 `json:"versions"`
+	Planning bool              `json:"planning"`
 	Leader   struct {
 		Leading bool `json:"leading"`
 	} `json:"leader"`
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -81,7 +81,7 @@
 	u.reads, u.writes = f.store.Table.Counts()
 	for _, g := range f.gateways {
 		g.mu.Lock()
-		one := gatewayUsage{bytes: g.egress.ControlBytes.Load(), calls: g.egress.ControlPieces.Load()}
+		one := gatewayUsage{bytes: g.egress.ControlBytes.Load() + f.network.Received(g.control), calls: g.egress.ControlPieces.Load()}
 		if g.process != nil {
 			one.cpu, one.rss = processUsage(g.process.Process.Pid)
 		}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/grant"
 	"basilcross.example/standin/deployment"
 )
 
@@ -32,6 +34,7 @@
 	cut      map[[2]string]bool
 	changed  chan struct{}
 	nextFree map[string]time.Time
+	received map[string]*atomic.Int64
 	conns    map[*passage]bool
 }
 
@@ -44,6 +47,7 @@
 		cut:        map[[2]string]bool{},
 		changed:    make(chan struct{}),
 		nextFree:   map[string]time.Time{},
+		received:   map[string]*atomic.Int64{},
 		conns:      map[*passage]bool{},
 	}
 }
@@ -57,6 +61,17 @@
 	defer n.mu.Unlock()
 	n.places[address] = zone
 	n.control[address] = control
+	n.received[address] = &atomic.Int64{}
+}
+
+// Received returns the control bytes of connections to an address, both ways.
+func (n *Network) Received(address string) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if count, ok := n.received[address]; ok {
+		return count.Load()
+	}
+	return 0
 }
 
 // Cut separates two places, both ways, or joins them again.
@@ -141,6 +156,7 @@
 	n.mu.Lock()
 	to, known := n.places[req.Host]
 	control := n.control[req.Host]
+	received := n.received[req.Host]
 	n.mu.Unlock()
 	if !known {
 		_, _ = io.WriteString(c, "HTTP/1.1 502 Bad Gateway\r\n\r\n")
@@ -158,16 +174,18 @@
 	}
 	defer func() { _ = target.Close() }()
 	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
-	p := &passage{network: n, egress: e, control: control}
+	p := &passage{network: n, egress: e, received: received}
+	p.control.Store(control)
 	n.carry(p, c, target, to)
 }
 
 // passage is one open connection through the network.
 type passage struct {
-	network *Network
-	egress  *Egress
-	control bool
-	silent  atomic.Bool
+	network  *Network
+	egress   *Egress
+	received *atomic.Int64
+	control  atomic.Bool
+	silent   atomic.Bool
 }
 
 func (n *Network) carry(p *passage, c, target net.Conn, to deployment.Zone) {
@@ -203,7 +221,11 @@
 		buffer := make([]byte, pieceSize)
 		count, err := from.Read(buffer)
 		if count > 0 {
-			if p.control {
+			if bytes.HasPrefix(buffer[:count], []byte("POST "+grant.Path)) {
+				p.control.Store(true)
+			}
+			if p.control.Load() {
+				p.received.Add(int64(count))
 				p.egress.ControlBytes.Add(int64(count))
 				p.egress.ControlPieces.Add(1)
 			}
--- /dev/null
+++ b/standin/scenario/scenario_test.go
@@ -0,0 +1,30 @@
+package scenario_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"basilcross.example/standin/scenario"
+	"gotest.tools/v3/assert"
+)
+
+func TestRecordedScenariosAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../scenarios/*.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		_, err = scenario.Parse(content)
+		assert.NilError(t, err, file)
+	}
+}
+
+func TestFaultsAreNamed(t *testing.T) {
+	_, err := scenario.Parse([]byte(`{"deployment":"tortenprobe","seconds":5,"load":{"requestsPerSecond":10},
+		"faults":[{"atMs":1,"do":"melt"},{"atMs":9000,"do":"killTarget","on":"nobody"}]}`))
+	for _, want := range []string{`faults[0].do = "melt" is not known`, "killTarget", "faults[1].atMs = 9000", `faults[1].on = "nobody"`, "menus-graz-1"} {
+		assert.ErrorContains(t, err, want)
+	}
+}
