Overload: confirmations pass paused pulls, late waits are refused at once

Found: pauses earned by pulls held up confirmations; the limit swung widely; requests were admitted at the end of their time and answered too late. Ruled out: the cut on latency (4, 6 and 10 times usual changed nothing). Change: the first three classes may go one over the limit and skip pauses; the limit moves in smaller steps; a request whose expected wait outlasts its deadline is refused when it arrives.

--- a/basilcross/slot/slot.go
+++ b/basilcross/slot/slot.go
@@ -17,14 +17,21 @@
 	// while both wait. The lowest still gets some, so nothing starves.
 	classRatio = 4.0
 
+	// urgentBelow is the first class that keeps to the limit strictly. Those
+	// before it may go one over it and do not wait for pauses: they are few,
+	// and a pause earned by pulls must not hold up a confirmation.
+	urgentBelow = 3
+
 	floorLimit = 1.0 / 64
-	shedCut    = 0.7
+	shedCut    = 0.8
+	// rise is what an answer adds to the limit while it is used up.
+	rise = 0.02
 	// lateCut is milder than shedCut: a slow answer may be the request's own
 	// nature, a shed one is the target's word.
-	lateCut   = 0.9
-	slowRatio = 2.0
+	lateCut   = 0.95
+	slowRatio = 6.0
 	// smoothing of the latency averages, per answer.
-	fastShare = 0.2
+	fastShare = 0.1
 	slowShare = 0.01
 )
 
@@ -48,6 +55,17 @@
 
 func (e *FullError) Error() string { return "slot: queue is full" }
 
+// LateError says that a request would wait too long to be answered in time.
+// Refused at once, its caller can try elsewhere; admitted at the end of its
+// time, it would only cost the target work that nobody waits for any more.
+type LateError struct {
+	Wait time.Duration
+}
+
+func (e *LateError) Error() string {
+	return "slot: the wait of " + e.Wait.String() + " would outlast the deadline"
+}
+
 // Limiter admits requests to one target. Set Slots and QueueLimit before the
 // first use; the zero value has one slot and no queue.
 //
@@ -69,8 +87,11 @@
 	pass     [Priorities]float64
 	resumeAt time.Time
 	timer    *time.Timer
-	fast     float64
-	slow     float64
+	// gap is the average time between two admissions while others wait.
+	gap     float64
+	admitAt time.Time
+	fast    float64
+	slow    float64
 }
 
 type waiter struct {
@@ -81,9 +102,10 @@
 }
 
 // Acquire waits for a slot. The caller calls the returned function once, when
-// the request has ended. The error is the context's, or a FullError.
+// the request has ended. The error is the context's, a FullError or a LateError.
 func (l *Limiter) Acquire(ctx context.Context, priority int) (release func(Result), err error) {
-	w, err := l.enter(priority)
+	deadline, _ := ctx.Deadline()
+	w, err := l.enter(priority, deadline)
 	if err != nil {
 		return nil, err
 	}
@@ -97,14 +119,17 @@
 }
 
 // enter admits at once (nil waiter), or queues.
-func (l *Limiter) enter(priority int) (*waiter, error) {
+func (l *Limiter) enter(priority int, deadline time.Time) (*waiter, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.init()
-	if l.waiting == 0 && l.room(time.Now()) {
+	if l.room(time.Now(), priority) && (l.waiting == 0 || priority < urgentBelow && !l.waitingBefore(priority)) {
 		l.inFlight++
 		return nil, nil
 	}
+	if wait := l.expect(priority); !deadline.IsZero() && wait > time.Until(deadline) {
+		return nil, &LateError{Wait: wait}
+	}
 	if l.waiting >= l.QueueLimit && !l.dropBelow(priority) {
 		return nil, &FullError{Waiting: l.waiting}
 	}
@@ -118,6 +143,31 @@
 	return w, nil
 }
 
+// expect is how long a new waiter of a class would wait and then run.
+func (l *Limiter) expect(priority int) time.Duration {
+	before := 1
+	for p := range priority + 1 {
+		before += len(l.queues[p])
+	}
+	return time.Duration((float64(before)*l.gap + l.fast) * float64(time.Second))
+}
+
+// noteAdmission keeps the average gap. A pause without waiters says nothing
+// about the target.
+func (l *Limiter) noteAdmission(now time.Time) {
+	if !l.admitAt.IsZero() {
+		gap := now.Sub(l.admitAt).Seconds()
+		if l.gap == 0 {
+			l.gap = gap
+		}
+		l.gap += fastShare * (gap - l.gap)
+	}
+	l.admitAt = time.Time{}
+	if l.waiting > 0 {
+		l.admitAt = now
+	}
+}
+
 func (l *Limiter) init() {
 	if l.limit == 0 {
 		l.limit = float64(max(1, l.Slots))
@@ -175,15 +225,33 @@
 	}
 }
 
-func (l *Limiter) room(now time.Time) bool {
+func (l *Limiter) room(now time.Time, priority int) bool {
 	allowed := int(math.Floor(max(1, l.limit)))
+	if priority < urgentBelow {
+		return l.inFlight <= allowed
+	}
 	return l.inFlight < allowed && !now.Before(l.resumeAt)
 }
 
+// waitingBefore tells whether anybody waits in this class or a higher one.
+func (l *Limiter) waitingBefore(priority int) bool {
+	for p := range priority + 1 {
+		if len(l.queues[p]) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // admit lets in as many waiters as there is room for.
 func (l *Limiter) admit(now time.Time) {
-	for l.waiting > 0 && l.room(now) {
-		w := l.next()
+	for l.waiting > 0 {
+		class := l.nextClass(now)
+		if class < 0 {
+			break
+		}
+		w := l.take(class)
+		l.noteAdmission(now)
 		w.admitted = true
 		l.inFlight++
 		close(w.ready)
@@ -204,18 +272,22 @@
 	})
 }
 
-// next takes the first waiter of the class that has had the least of its
-// share (stride scheduling).
-func (l *Limiter) next() *waiter {
+// nextClass returns, of the waiting classes that have room, the one that has had
+// the least of its share (stride scheduling); -1 if there is none.
+func (l *Limiter) nextClass(now time.Time) int {
 	best := -1
 	for p := range l.queues {
-		if len(l.queues[p]) > 0 && (best < 0 || l.pass[p] < l.pass[best]) {
+		if len(l.queues[p]) > 0 && l.room(now, p) && (best < 0 || l.pass[p] < l.pass[best]) {
 			best = p
 		}
 	}
-	w := l.queues[best][0]
-	l.queues[best] = l.queues[best][1:]
-	l.pass[best] += math.Pow(classRatio, float64(best))
+	return best
+}
+
+func (l *Limiter) take(class int) *waiter {
+	w := l.queues[class][0]
+	l.queues[class] = l.queues[class][1:]
+	l.pass[class] += math.Pow(classRatio, float64(class))
 	l.waiting--
 	return w
 }
@@ -261,7 +333,7 @@
 			return
 		}
 		if used {
-			l.limit = min(float64(max(1, l.Slots)), l.limit+0.05/max(l.limit, 0.05))
+			l.limit = min(float64(max(1, l.Slots)), l.limit+rise)
 		}
 	case Failed:
 	}
--- a/gateway/entry/attempt.go
+++ b/gateway/entry/attempt.go
@@ -58,7 +58,8 @@
 
 func queueFailure(err error) *failed {
 	var full *slot.FullError
-	if errors.As(err, &full) {
+	var late *slot.LateError
+	if errors.As(err, &full) || errors.As(err, &late) {
 		e := refusal.New(refusal.QueueFull, "too many requests wait for the target")
 		e.RetryAfter = time.Second
 		return &failed{refusal: e}
--- a/gateway/renewer/renewer.go
+++ b/gateway/renewer/renewer.go
@@ -237,7 +237,6 @@
 	}
 	l := d.lanes[id]
 	order := grant.Order{
-
 		Incarnation: l.status.Incarnation,
 		Stamp:       l.status.Stamp,
 		Version:     service.Assignment.Version,
