Operators' access by token

Cause: whoever reached the admin address could change the fleet. Change: token files for reading and for changing, compared by hash in constant time and read at each call; the command line sends its token. Measured: tests only; roles, an empty file, a replaced file. Conclusion: TLS is still missing; the admin address stays on loopback by default.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -16,6 +16,8 @@
 // Client calls the gateway at Server, such as "http://127.0.0.1:8082".
 type Client struct {
 	Server string
+	// Token is sent as a bearer token unless it is empty.
+	Token string
 }
 
 // StatusError is an answer other than 200.
@@ -49,6 +51,9 @@
 	if err != nil {
 		return fmt.Errorf("call %s: %w", path, err)
 	}
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+	}
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return fmt.Errorf("call %s: %w", path, err)
--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"basilcross.example/ctl/client"
@@ -87,7 +88,16 @@
 	}
 	root.PersistentFlags().StringVar(&s.client.Server, "server", server, "URL of a gateway's admin address")
 	root.PersistentFlags().StringVar(&s.output, "output", "table", "table, or json for programs")
+	tokenFile := os.Getenv("BASILCROSS_TOKEN_FILE")
+	root.PersistentFlags().StringVar(&tokenFile, "token-file", tokenFile, "file with the bearer token, if the gateway asks for one")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error {
+		if tokenFile != "" {
+			content, err := os.ReadFile(tokenFile) //nolint:gosec // named by the operator
+			if err != nil {
+				return fmt.Errorf("--token-file: %w", err)
+			}
+			s.client.Token = strings.TrimSpace(string(content))
+		}
 		if s.output != "table" && s.output != "json" {
 			return fmt.Errorf("--output = %q: want table or json", s.output)
 		}
--- a/gateway/admin/admin.go
+++ b/gateway/admin/admin.go
@@ -20,6 +20,7 @@
 	"basilcross.example/basilcross/shard"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/gateway/leader"
+	"basilcross.example/gateway/operator"
 	"basilcross.example/gateway/view"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -41,6 +42,7 @@
 	Registry *prometheus.Registry
 	Log      *slog.Logger
 	Pprof    bool
+	Gate     operator.Gate
 }
 
 // Handler serves the admin address.
@@ -57,17 +59,20 @@
 	h.mux.HandleFunc("GET /livez", h.livez)
 	h.mux.HandleFunc("GET /readyz", h.readyz)
 	h.mux.Handle("GET /metrics", promhttp.HandlerFor(o.Registry, promhttp.HandlerOpts{}))
-	h.mux.HandleFunc("GET /v1/status", h.status)
-	h.mux.HandleFunc("GET /v1/owner", h.owner)
-	h.mux.HandleFunc("GET /v1/assignment", h.assignment)
-	h.mux.HandleFunc("GET /v1/config", h.config)
-	h.mux.HandleFunc("GET /v1/config/explain", h.explain)
-	h.mux.HandleFunc("POST /v1/config/check", h.check)
-	h.mux.HandleFunc("POST /v1/config", h.accept)
-	h.mux.HandleFunc("GET /v1/audit", h.audit)
+	guarded := http.NewServeMux()
+	guarded.HandleFunc("GET /v1/status", h.status)
+	guarded.HandleFunc("GET /v1/owner", h.owner)
+	guarded.HandleFunc("GET /v1/assignment", h.assignment)
+	guarded.HandleFunc("GET /v1/config", h.config)
+	guarded.HandleFunc("GET /v1/config/explain", h.explain)
+	guarded.HandleFunc("POST /v1/config/check", h.check)
+	guarded.HandleFunc("POST /v1/config", h.accept)
+	guarded.HandleFunc("GET /v1/audit", h.audit)
+	h.mux.Handle("/v1/", h.Gate.Guard(guarded))
 	if o.Pprof {
-		h.mux.HandleFunc("/debug/pprof/", pprof.Index)
-		h.mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		guarded.HandleFunc("GET /debug/pprof/", pprof.Index)
+		guarded.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		h.mux.Handle("/debug/", h.Gate.Guard(guarded))
 	}
 	return h
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"basilcross.example/gateway/heat"
 	"basilcross.example/gateway/lane"
 	"basilcross.example/gateway/leader"
+	"basilcross.example/gateway/operator"
 	"basilcross.example/gateway/planner"
 	"basilcross.example/gateway/relay"
 	"basilcross.example/gateway/renewer"
@@ -98,6 +99,7 @@
 	d.admin = admin.New(admin.Options{
 		Instance: s.Instance, Zone: s.Zone, View: d.view, Table: d.table, Leader: d.leader,
 		Ready: d.Ready, Planning: d.planner.Planning, Registry: registry, Log: log, Pprof: s.Pprof,
+		Gate: operator.Gate{ReadFile: s.ReadToken, ChangeFile: s.ChangeToken},
 	})
 	mux := http.NewServeMux()
 	mux.Handle(control.ZonePathPrefix, control.NewZoneServer(d.leader))
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -35,6 +35,8 @@
 	LogFormat     string
 	LogLevel      string
 	Pprof         bool
+	ReadToken     string
+	ChangeToken   string
 	DrainWait     time.Duration
 	StopTimeout   time.Duration
 }
@@ -74,6 +76,8 @@
 	f.StringSliceVar(&s.TargetList, "target", s.TargetList, "without a platform: a target as service/id=host:port")
 	f.StringVar(&s.LogFormat, "log-format", s.LogFormat, "json or text")
 	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
+	f.StringVar(&s.ReadToken, "read-token-file", s.ReadToken, "file with the bearer token that may read on the admin address; empty: nothing is asked for")
+	f.StringVar(&s.ChangeToken, "change-token-file", s.ChangeToken, "file with the bearer token that may read and change")
 	f.BoolVar(&s.Pprof, "pprof", s.Pprof, "serve profiles on the admin address")
 	f.DurationVar(&s.DrainWait, "drain-wait", s.DrainWait, "time between failing readiness and closing the listener")
 	f.DurationVar(&s.StopTimeout, "stop-timeout", s.StopTimeout, "longest wait for requests in flight at shutdown")
@@ -133,6 +137,7 @@
 		check(isAddress(p), "peers", p, "host:port")
 	}
 	check(s.Platform == "" || len(s.TargetList) == 0, "target", s.TargetList, "nothing, since the platform lists the targets")
+	check(s.ReadToken == "" || s.ChangeToken != "", "change-token-file", s.ChangeToken, "a file, since reading asks for a token")
 	check(s.LogFormat == "json" || s.LogFormat == "text", "log-format", s.LogFormat, "json or text")
 	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
 	check(s.DrainWait >= 0 && s.DrainWait <= maxDrainWait, "drain-wait", s.DrainWait, "0s to 5m")
