--- a/gateway/leader/report.go
+++ b/gateway/leader/report.go
@@ -49,7 +49,9 @@
 		if !full && now.Sub(beat) < beatInterval && req.GetRenewals() == renewals {
 			continue
 		}
-		if !full {
+		if full {
+			r.Leader.addSums(now, req)
+		} else {
 			req = beatOf(req)
 		}
 		if !r.Leader.send(ctx, req) {
@@ -109,11 +111,20 @@
 		req.Reached = append(req.Reached, &control.Known{Name: name, Version: d.zone.Reached(now, name)})
 	}
 	sortKnown(req.Reached)
+	return req
+}
+
+// addSums adds what is worth telling only now and then.
+func (d *Duty) addSums(now time.Time, req *control.ReportRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.zone == nil {
+		return
+	}
 	req.Loads, req.Hot = d.loads.peek()
 	for _, m := range d.zone.Members() {
 		req.Members = append(req.Members, encodeMember(now, m))
 	}
-	return req
 }
 
 func encodeMember(now time.Time, m zone.Member) *control.MemberState {
