Targets are sent their grants only when those change

Cause: every new version of an assignment made both renewers of every target send all its grants again, since the target's version was no longer the assignment's. Change: the planner marks each target with the version that last changed what it owns; renewers send that version, and the grants when the target has another.

--- a/basilcross/assignment/assignment.go
+++ b/basilcross/assignment/assignment.go
@@ -39,6 +39,10 @@
 	Generation uint64 `json:"generation"`
 	// Since is the assignment version of the last change of State.
 	Since uint64 `json:"since"`
+	// Grants is the version that last changed what the target owns. Renewers
+	// send it instead of the assignment's own, so that a change elsewhere
+	// makes nobody send the same grants again.
+	Grants uint64 `json:"grants,omitempty"`
 }
 
 // Assignment is one version of a service's map. An undivided service has
--- a/basilcross/plan/plan.go
+++ b/basilcross/plan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,6 +13,7 @@
 	"basilcross.example/basilcross/assignment"
 	"basilcross.example/basilcross/shard"
 	"basilcross.example/basilcross/zone"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Listing is a target as the platform's instance list shows it.
@@ -117,10 +119,41 @@
 	if len(p.causes) == 0 {
 		return Decision{}
 	}
+	p.markGrants(a)
 	p.next.Cause = strings.Join(p.causes, "; ")
 	return Decision{Next: p.next, Zones: sortedKeys(p.zones), Splits: p.splits, Merges: p.merges, Causes: p.causes}
 }
 
+// markGrants notes this version at every target whose grants it changes.
+func (p *planner) markGrants(before *assignment.Assignment) {
+	old, now := grantSums(before), grantSums(p.next)
+	for i := range p.next.Targets {
+		t := &p.next.Targets[i]
+		if old[t.ID] != now[t.ID] || t.Grants == 0 {
+			t.Grants = p.next.Version
+		}
+	}
+}
+
+// grantSums returns a hash of what each target is granted.
+func grantSums(a *assignment.Assignment) map[string]uint64 {
+	sums := make(map[string]uint64, len(a.Targets))
+	var field [8]byte
+	for _, s := range a.Shards {
+		moving := uint64(0)
+		if s.MovingTo != "" {
+			moving = 1
+		}
+		sum := sums[s.Owner]
+		for _, n := range [...]uint64{s.First, s.Last, s.Epoch, moving} {
+			binary.LittleEndian.PutUint64(field[:], n^sum)
+			sum = xxhash.Sum64(field[:])
+		}
+		sums[s.Owner] = sum
+	}
+	return sums
+}
+
 func (p *planner) because(format string, args ...any) {
 	p.causes = append(p.causes, fmt.Sprintf(format, args...))
 }
--- a/basilcross/plan/plan_test.go
+++ b/basilcross/plan/plan_test.go
@@ -69,6 +69,7 @@
 	}
 	lost, _ := d.Next.Target("a1")
 	assert.Equal(t, lost.State, assignment.Lost)
+	assert.Equal(t, lost.Grants, d.Next.Version)
 	assert.Assert(t, plan.Next(d.Next, in).Next == nil, "the old report must not count again")
 	in.Released = nil
 	in.Returned = []zone.Release{{Target: "a1", Generation: 2}}
@@ -210,3 +211,16 @@
 	// 8000000000000000 t1
 	// c000000000000000 t2
 }
+
+// A target drains. Only it is sent other grants; the next owners get theirs when
+// the shards arrive, and the rest keep what they have.
+func TestGrantsVersionChangesOnlyWhereGrantsDo(t *testing.T) {
+	in := four()
+	in.Listed[0].Leaving = true
+	before := begin(t)
+	after := next(t, before, in)
+	for _, target := range after.Targets {
+		was, _ := before.Target(target.ID)
+		assert.Equal(t, target.Grants != was.Grants, target.ID == "a1", "%s", target.ID)
+	}
+}
