--- a/basilcross/slot/slot.go
+++ b/basilcross/slot/slot.go
@@ -26,6 +26,11 @@
 	shedCut    = 0.8
 	// rise is what an answer adds to the limit while it is used up.
 	rise = 0.02
+	// startLimit and startRise are for a target that this gateway knows
+	// nothing of: it may have just been started and be cold. The limit rises
+	// fast until the target sheds for the first time.
+	startLimit = 1.0
+	startRise  = 0.25
 	// lateCut is milder than shedCut: a slow answer may be the request's own
 	// nature, a shed one is the target's word.
 	lateCut   = 0.95
@@ -92,6 +97,7 @@
 	admitAt time.Time
 	fast    float64
 	slow    float64
+	shed    bool
 }
 
 type waiter struct {
@@ -170,7 +176,7 @@
 
 func (l *Limiter) init() {
 	if l.limit == 0 {
-		l.limit = float64(max(1, l.Slots))
+		l.limit = startLimit
 	}
 }
 
@@ -325,6 +331,7 @@
 func (l *Limiter) learn(r Result, took float64, used bool) {
 	switch r {
 	case Shed:
+		l.shed = true
 		l.limit = max(floorLimit, l.limit*shedCut)
 	case Answered:
 		l.measure(took)
@@ -333,12 +340,19 @@
 			return
 		}
 		if used {
-			l.limit = min(float64(max(1, l.Slots)), l.limit+rise)
+			l.limit = min(float64(max(1, l.Slots)), l.limit+l.step())
 		}
 	case Failed:
 	}
 }
 
+func (l *Limiter) step() float64 {
+	if l.shed {
+		return rise
+	}
+	return startRise
+}
+
 func (l *Limiter) measure(took float64) {
 	if l.slow == 0 {
 		l.fast, l.slow = took, took
--- a/basilcross/slot/slot_test.go
+++ b/basilcross/slot/slot_test.go
@@ -119,3 +119,21 @@
 	var full *slot.FullError
 	assert.Assert(t, errors.As(err, &full))
 }
+
+// A target has just been started and is cold. It gets one request at a time
+// first, and more with every answer.
+func TestUnknownTargetStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := &slot.Limiter{Slots: 4, QueueLimit: 10}
+		first := acquire(t, l, 5)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := l.Acquire(ctx, 5)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		first(slot.Answered)
+		for range 20 {
+			acquire(t, l, 5)(slot.Answered)
+		}
+		assert.Assert(t, l.State().Limit >= 2, "%v", l.State().Limit)
+	})
+}
