Mutual TLS between instances

Cause: whoever reached a control address could take part in evictions. Tests: strangers at either end, an expired certificate replaced without a restart. Conclusion: control between instances is closed; targets, platform and callers are not yet.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -25,9 +26,11 @@
 	"basilcross.example/gateway/evictor"
 	"basilcross.example/gateway/follower"
 	"basilcross.example/gateway/heat"
+	"basilcross.example/gateway/keys"
 	"basilcross.example/gateway/lane"
 	"basilcross.example/gateway/leader"
 	"basilcross.example/gateway/operator"
+	"basilcross.example/gateway/peer"
 	"basilcross.example/gateway/planner"
 	"basilcross.example/gateway/relay"
 	"basilcross.example/gateway/renewer"
@@ -74,6 +77,7 @@
 	admin    http.Handler
 	control  http.Handler
 	table    table.Client
+	keys     *keys.Files
 	draining atomic.Bool
 }
 
@@ -91,7 +95,12 @@
 	d.lanes = &lane.Set{Dial: dialer.DialContext}
 	cell := &authority.Cell{}
 	sum := &heat.Sum{}
-	d.buildDuties(backend, client, peerClient(dialer), cell, sum)
+	d.keys = &keys.Files{Certificate: s.TLSCert, Key: s.TLSKey, Authority: s.TLSAuthority}
+	if err := d.keys.Check(); err != nil {
+		return nil, err
+	}
+	peers := &peer.Caller{Client: peerClient(dialer, d.keys), TLS: d.keys.Set()}
+	d.buildDuties(backend, client, peers, cell, sum)
 	d.front = entry.New(entry.Options{
 		Zone: s.Zone, Region: s.Region, View: d.view, Authority: cell, Lanes: d.lanes,
 		Heat: sum, Metrics: entry.NewMetrics(registry), Log: log,
@@ -108,7 +117,7 @@
 	return d, nil
 }
 
-func (d *Daemon) buildDuties(b *backend, outside, client *http.Client, cell *authority.Cell, sum *heat.Sum) {
+func (d *Daemon) buildDuties(b *backend, outside *http.Client, peers *peer.Caller, cell *authority.Cell, sum *heat.Sum) {
 	s := d.settings
 	incarnation := rand.Text()
 	d.renewer = renewer.New(renewer.Options{
@@ -117,20 +126,20 @@
 	})
 	d.follower = &follower.Duty{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone, Peers: s.Peers,
-		View: d.view, Authority: cell, Renewer: d.renewer, Loads: sum, Client: client, Log: d.log,
+		View: d.view, Authority: cell, Renewer: d.renewer, Loads: sum, Calls: peers, Log: d.log,
 		Hint: func(now time.Time, term, renewals uint64, left time.Duration) {
 			d.leader.Hint(now, term, renewals, left)
 		},
 	}
 	second := &relay.Client{
-		Direct: b.table, HTTP: client, Log: d.log,
+		Direct: b.table, Calls: peers, Log: d.log,
 		Peers: func() []string { return d.leader.OtherLeaders() },
 	}
-	evictions := &evictor.Evictor{Instance: s.Instance, Table: second, Client: client, Token: rand.Text, Log: d.log}
+	evictions := &evictor.Evictor{Instance: s.Instance, Table: second, Peers: peers, Token: rand.Text, Log: d.log}
 	d.table = second
 	d.planner = planner.New(planner.Options{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(),
-		Table: second, Objects: b.objects, View: d.view, Client: client, Log: d.log, Token: rand.Text,
+		Table: second, Objects: b.objects, View: d.view, Peers: peers, Log: d.log, Token: rand.Text,
 		Evictor:   evictions,
 		Instances: b.instances,
 		Leading:   func(now time.Time) bool { return d.leader.Leading(now) },
@@ -138,19 +147,21 @@
 	d.leader = leader.New(leader.Options{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone,
 		Table: second, Direct: b.table, Evictor: evictions, Objects: b.objects, View: d.view, Follower: d.follower, Authority: cell,
-		Planner: d.planner, Client: client, Log: d.log, Token: rand.Text,
+		Planner: d.planner, Peers: peers, Log: d.log, Token: rand.Text,
 	})
 }
 
-// peerClient reaches other instances over HTTP/2 without TLS, whose header
+// peerClient reaches other instances over HTTP/2, whose header
 // compression makes a poll a third of its size. A connection that goes silent
 // is found out by pings, since its streams' timeouts do not close it.
-func peerClient(dialer *egress.Dialer) *http.Client {
+func peerClient(dialer *egress.Dialer, files *keys.Files) *http.Client {
 	var protocols http.Protocols
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetUnencryptedHTTP2(!files.Set())
+	protocols.SetHTTP2(files.Set())
 	return &http.Client{Transport: &http.Transport{
 		DialContext:     dialer.DialContext,
 		IdleConnTimeout: idleTimeout,
+		TLSClientConfig: files.Client(),
 		Protocols:       &protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}}
@@ -282,19 +293,24 @@
 func (d *Daemon) listen() ([]*server, error) {
 	var servers []*server
 	for _, l := range []struct {
-		address string
-		handler http.Handler
+		address   string
+		handler   http.Handler
+		encrypted bool
 	}{
-		{d.settings.CallersListen, d.front},
-		{d.settings.ControlListen, d.control},
-		{d.settings.AdminListen, d.admin},
+		{d.settings.CallersListen, d.front, false},
+		{d.settings.ControlListen, d.control, d.keys.Set()},
+		{d.settings.AdminListen, d.admin, false},
 	} {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen: %w", err)
 		}
+		if l.encrypted {
+			listener = tls.NewListener(listener, d.keys.Server())
+		}
 		var protocols http.Protocols
 		protocols.SetHTTP1(true)
+		protocols.SetHTTP2(true)
 		protocols.SetUnencryptedHTTP2(true)
 		servers = append(servers, &server{listener: listener, Server: &http.Server{
 			Addr:              l.address,
--- a/gateway/evictor/evictor.go
+++ b/gateway/evictor/evictor.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,6 +13,7 @@
 	"basilcross.example/basilcross/seat"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/peer"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -31,7 +31,7 @@
 type Evictor struct {
 	Instance string
 	Table    table.Client
-	Client   *http.Client
+	Peers    *peer.Caller
 	Token    func() string
 	Log      *slog.Logger
 
@@ -113,7 +113,7 @@
 			continue
 		}
 		group.Go(func() error {
-			c := control.NewZoneProtobufClient("http://"+r.Address, e.Client)
+			c := e.Peers.Zone(r.Address)
 			res, err := c.Refrain(ctx, &control.RefrainRequest{Zone: zone, RowVersion: version})
 			if err != nil || !res.GetConfirmed() || res.GetZone() != r.Zone {
 				return err
--- a/gateway/follower/follower.go
+++ b/gateway/follower/follower.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -21,6 +20,7 @@
 	"basilcross.example/basilcross/zone"
 	"basilcross.example/gateway/authority"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/peer"
 	"basilcross.example/gateway/renewer"
 	"basilcross.example/gateway/view"
 )
@@ -54,9 +54,9 @@
 	Renewer     *renewer.Duty
 	Loads       Loads
 	// Hint is told of the leader's renewals and of what it had left.
-	Hint   func(now time.Time, term, renewals uint64, left time.Duration)
-	Client *http.Client
-	Log    *slog.Logger
+	Hint  func(now time.Time, term, renewals uint64, left time.Duration)
+	Calls *peer.Caller
+	Log   *slog.Logger
 
 	mu       sync.Mutex
 	leader   string
@@ -138,7 +138,7 @@
 	defer stop()
 	req := d.request()
 	sent := time.Now()
-	res, err := control.NewZoneProtobufClient("http://"+address, d.Client).Poll(ctx, req)
+	res, err := d.Calls.Zone(address).Poll(ctx, req)
 	if err != nil {
 		d.forget(address, err)
 		return false
--- /dev/null
+++ b/gateway/keys/keys_test.go
@@ -0,0 +1,116 @@
+package keys_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"basilcross.example/gateway/keys"
+	"gotest.tools/v3/assert"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	der  []byte
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	return &authority{t: t, cert: cert, key: key, der: der}
+}
+
+// issue writes the files of an instance whose certificate ends at a time.
+func (a *authority) issue(dir string, end time.Time) *keys.Files {
+	a.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(a.t, err)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
+		SerialNumber: big.NewInt(2), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-2 * time.Hour), NotAfter: end,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, &key.PublicKey, a.key)
+	assert.NilError(a.t, err)
+	private, err := x509.MarshalECPrivateKey(key)
+	assert.NilError(a.t, err)
+	f := &keys.Files{Certificate: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), Authority: filepath.Join(dir, "ca")}
+	for name, block := range map[string]*pem.Block{
+		f.Certificate: {Type: "CERTIFICATE", Bytes: der},
+		f.Key:         {Type: "EC PRIVATE KEY", Bytes: private},
+		f.Authority:   {Type: "CERTIFICATE", Bytes: a.der},
+	} {
+		assert.NilError(a.t, os.WriteFile(name, pem.EncodeToMemory(block), 0o600))
+	}
+	return f
+}
+
+func serve(t *testing.T, f *keys.Files) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s.TLS = f.Server()
+	s.StartTLS()
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func call(url string, config *tls.Config) error {
+	c := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	res, err := c.Get(url)
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	return err
+}
+
+func TestBothEndsMustBelongToTheFleet(t *testing.T) {
+	fleet, strangers := newAuthority(t), newAuthority(t)
+	later := time.Now().Add(time.Hour)
+	url := serve(t, fleet.issue(t.TempDir(), later))
+	assert.NilError(t, call(url, fleet.issue(t.TempDir(), later).Client()))
+	assert.Assert(t, call(url, strangers.issue(t.TempDir(), later).Client()) != nil, "a stranger got in")
+	foreign := serve(t, strangers.issue(t.TempDir(), later))
+	assert.Assert(t, call(foreign, fleet.issue(t.TempDir(), later).Client()) != nil, "a stranger was trusted")
+	assert.Assert(t, call(url, &tls.Config{InsecureSkipVerify: true}) != nil, "no certificate was asked for")
+}
+
+// A certificate has expired, and calls fail. It is replaced in its files while
+// the process runs, and calls work again.
+func TestExpiredCertificateIsReplacedWithoutRestart(t *testing.T) {
+	fleet := newAuthority(t)
+	dir := t.TempDir()
+	expired := fleet.issue(dir, time.Now().Add(-time.Hour))
+	url := serve(t, fleet.issue(t.TempDir(), time.Now().Add(time.Hour)))
+	assert.Assert(t, call(url, expired.Client()) != nil)
+	fleet.issue(dir, time.Now().Add(time.Hour))
+	next := time.Now().Add(2 * time.Second)
+	assert.NilError(t, os.Chtimes(expired.Certificate, next, next))
+	assert.NilError(t, call(url, expired.Client()))
+}
+
+func TestFaultyFilesAreNamed(t *testing.T) {
+	f := &keys.Files{Certificate: "missing", Key: "missing", Authority: "missing"}
+	assert.ErrorContains(t, f.Check(), "load certificate")
+}
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -21,6 +20,7 @@
 	"basilcross.example/gateway/control"
 	"basilcross.example/gateway/evictor"
 	"basilcross.example/gateway/follower"
+	"basilcross.example/gateway/peer"
 	"basilcross.example/gateway/view"
 )
 
@@ -62,7 +62,7 @@
 	Follower  *follower.Duty
 	Authority *authority.Cell
 	Planner   Planner
-	Client    *http.Client
+	Peers     *peer.Caller
 	Log       *slog.Logger
 	// Token returns a new unique token.
 	Token func() string
--- a/gateway/leader/outage.go
+++ b/gateway/leader/outage.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		group.Go(func() error {
-			res, err := control.NewZoneProtobufClient("http://"+r.Address, d.Client).Extend(ctx, req)
+			res, err := d.Peers.Zone(r.Address).Extend(ctx, req)
 			if err != nil || !res.GetExtended() || res.GetZone() != r.Zone {
 				return err
 			}
--- a/gateway/leader/poll.go
+++ b/gateway/leader/poll.go
@@ -265,7 +265,7 @@
 			continue
 		}
 		group.Go(func() error {
-			_, err := control.NewZoneProtobufClient("http://"+r.Address, d.Client).Nudge(ctx, &control.NudgeRequest{})
+			_, err := d.Peers.Zone(r.Address).Nudge(ctx, &control.NudgeRequest{})
 			return err
 		})
 	}
--- a/gateway/leader/report.go
+++ b/gateway/leader/report.go
@@ -170,5 +170,5 @@
 	if address == d.Address {
 		return d.Planner
 	}
-	return control.NewPlannerProtobufClient("http://"+address, d.Client)
+	return d.Peers.Planner(address)
 }
--- a/gateway/planner/decide.go
+++ b/gateway/planner/decide.go
@@ -320,7 +320,7 @@
 		}
 		group.Go(func() error {
 			// A lost nudge only delays the news until the leader's next turn.
-			_, _ = control.NewZoneProtobufClient("http://"+r.Address, d.Client).Nudge(ctx, &control.NudgeRequest{})
+			_, _ = d.Peers.Zone(r.Address).Nudge(ctx, &control.NudgeRequest{})
 			return nil
 		})
 	}
--- a/gateway/planner/planner.go
+++ b/gateway/planner/planner.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -20,6 +19,7 @@
 	"basilcross.example/basilcross/table"
 	"basilcross.example/gateway/control"
 	"basilcross.example/gateway/evictor"
+	"basilcross.example/gateway/peer"
 	"basilcross.example/gateway/view"
 )
 
@@ -59,7 +59,7 @@
 	Table       table.Client
 	Objects     object.Client
 	View        *view.View
-	Client      *http.Client
+	Peers       *peer.Caller
 	Log         *slog.Logger
 	Token       func() string
 	// Instances reads the platform's list.
--- a/gateway/relay/relay.go
+++ b/gateway/relay/relay.go
@@ -11,13 +11,13 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/table"
 	"basilcross.example/gateway/control"
+	"basilcross.example/gateway/peer"
 )
 
 const (
@@ -33,7 +33,7 @@
 	Direct table.Client
 	// Peers returns the control addresses of other zones' leaders.
 	Peers func() []string
-	HTTP  *http.Client
+	Calls *peer.Caller
 	Log   *slog.Logger
 
 	mu      sync.Mutex
@@ -92,7 +92,7 @@
 	if err != nil {
 		return res, err
 	}
-	answer, err := control.NewZoneProtobufClient("http://"+address, c.HTTP).Transact(ctx, &control.TransactRequest{Transaction: content})
+	answer, err := c.Calls.Zone(address).Transact(ctx, &control.TransactRequest{Transaction: content})
 	if err != nil {
 		return res, err
 	}
--- a/gateway/settings/settings.go
+++ b/gateway/settings/settings.go
@@ -37,6 +37,9 @@
 	Pprof         bool
 	ReadToken     string
 	ChangeToken   string
+	TLSCert       string
+	TLSKey        string
+	TLSAuthority  string
 	DrainWait     time.Duration
 	StopTimeout   time.Duration
 }
@@ -78,6 +81,9 @@
 	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
 	f.StringVar(&s.ReadToken, "read-token-file", s.ReadToken, "file with the bearer token that may read on the admin address; empty: nothing is asked for")
 	f.StringVar(&s.ChangeToken, "change-token-file", s.ChangeToken, "file with the bearer token that may read and change")
+	f.StringVar(&s.TLSCert, "tls-cert", s.TLSCert, "certificate for calls between instances, PEM; empty: no TLS")
+	f.StringVar(&s.TLSKey, "tls-key", s.TLSKey, "key of the certificate, PEM")
+	f.StringVar(&s.TLSAuthority, "tls-authority", s.TLSAuthority, "certificate of the authority that all instances' certificates come from, PEM")
 	f.BoolVar(&s.Pprof, "pprof", s.Pprof, "serve profiles on the admin address")
 	f.DurationVar(&s.DrainWait, "drain-wait", s.DrainWait, "time between failing readiness and closing the listener")
 	f.DurationVar(&s.StopTimeout, "stop-timeout", s.StopTimeout, "longest wait for requests in flight at shutdown")
@@ -138,6 +144,8 @@
 	}
 	check(s.Platform == "" || len(s.TargetList) == 0, "target", s.TargetList, "nothing, since the platform lists the targets")
 	check(s.ReadToken == "" || s.ChangeToken != "", "change-token-file", s.ChangeToken, "a file, since reading asks for a token")
+	tlsWhole := (s.TLSCert == "") == (s.TLSKey == "") && (s.TLSCert == "") == (s.TLSAuthority == "")
+	check(tlsWhole, "tls-cert", s.TLSCert, "set together with --tls-key and --tls-authority, or none of them")
 	check(s.LogFormat == "json" || s.LogFormat == "text", "log-format", s.LogFormat, "json or text")
 	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
 	check(s.DrainWait >= 0 && s.DrainWait <= maxDrainWait, "drain-wait", s.DrainWait, "0s to 5m")
