--- a/basilcross/internal/seatmodel/seatmodel.go
+++ b/basilcross/internal/seatmodel/seatmodel.go
@@ -32,15 +32,24 @@
 
 // The scope. Holding and waiting differ by the drift.
 const (
-	hold        = 2
-	drift       = 1
-	others      = 3
-	toExtend    = 2
-	toEvict     = 2
-	maxRenewals = 1
-	maxRounds   = 2
-	maxChanges  = 1
-	maxAge      = hold + drift
+	hold     = 2
+	drift    = 1
+	others   = 3
+	toExtend = 2
+	toEvict  = 2
+	maxAge   = hold + drift
+)
+
+// scope bounds how often things happen in one history.
+type scope struct {
+	renewals, rounds, changes, attempts uint8
+}
+
+var (
+	// small is searched as a whole.
+	small = scope{renewals: 1, rounds: 2, changes: 1, attempts: 1}
+	// wide is walked at random.
+	wide = scope{renewals: 100, rounds: 100, changes: 100, attempts: 50}
 )
 
 // stage is where a request and its answer are.
@@ -107,12 +116,16 @@
 
 	evictor    phase
 	evictFrom  uint8
+	attempts   uint8
 	tableWait  int8
 	holderSlip bool
 }
 
 // model is the search's rules.
-type model struct{ Rules }
+type model struct {
+	Rules
+	scope
+}
 
 func (m model) length() int8 {
 	if m.IgnoreDrift {
@@ -150,9 +163,9 @@
 
 // Search looks at every reachable state, at most limit.
 func Search(r Rules, limit int) Result {
-	m := model{r}
+	m := model{r, small}
 	first := m.initial()
-	first.canonical()
+	m.canonical(&first)
 	seen := map[state]int32{first: 0}
 	queue := []state{first}
 	names := []string{""}
@@ -185,3 +198,25 @@
 	slices.Reverse(steps)
 	return steps
 }
+
+// Walk takes steps that pick chooses among n possible ones, and returns the way
+// to two holders if it finds them.
+func Walk(r Rules, steps int, pick func(n int) int) []string {
+	m := model{r, wide}
+	at := m.initial()
+	m.canonical(&at)
+	var trace []string
+	for range steps {
+		next := m.successors(at)
+		if len(next) == 0 {
+			return nil
+		}
+		s := next[pick(len(next))]
+		trace = append(trace, s.name)
+		if s.next.broken() {
+			return trace
+		}
+		at = s.next
+	}
+	return nil
+}
--- a/basilcross/internal/seatmodel/steps.go
+++ b/basilcross/internal/seatmodel/steps.go
@@ -15,7 +15,7 @@
 	add := func(name string, change func(*state)) {
 		next := s
 		change(&next)
-		next.canonical()
+		m.canonical(&next)
 		out = append(out, step{name, next})
 	}
 	m.time(s, add)
@@ -29,15 +29,10 @@
 
 // canonical forgets what can no longer matter and orders the leaders, who are
 // alike.
-func (s *state) canonical() {
+func (m model) canonical(s *state) {
 	l := &s.leaders
-	for i := range l {
-		if l[i].clear >= 0 {
-			l[i].promised, l[i].confirmFrom = 0, 0
-		}
-		if s.evictor >= taking {
-			l[i].clear, l[i].promised, l[i].confirmFrom = 0, 0, 0
-		}
+	if m.attempts == 1 {
+		s.forgetPromises()
 	}
 	if s.evictor == took {
 		s.tableWait, s.evictFrom = 0, 0
@@ -49,6 +44,20 @@
 	}
 }
 
+// forgetPromises drops what matters only to a confirmation that was given
+// already. With another attempt to come it would matter again.
+func (s *state) forgetPromises() {
+	l := &s.leaders
+	for i := range l {
+		if l[i].clear >= 0 {
+			l[i].promised, l[i].confirmFrom = 0, 0
+		}
+		if s.evictor >= taking {
+			l[i].clear, l[i].promised, l[i].confirmFrom = 0, 0, 0
+		}
+	}
+}
+
 // rank packs a leader into a number, of which only the order matters.
 func (l leader) rank() uint64 {
 	rank := uint64(0)
@@ -110,7 +119,7 @@
 }
 
 func (m model) holder(s state, add adder) {
-	if s.renewal == idle && s.renewals < maxRenewals {
+	if s.renewal == idle && s.renewals < m.renewals {
 		add("holder sends a renewal", func(s *state) {
 			s.renewal, s.renewalAge, s.renewalFrom = asked, 0, s.known
 			s.renewals++
@@ -184,7 +193,7 @@
 }
 
 func (m model) extensions(s state, add adder) {
-	if s.round < 0 && s.rounds < maxRounds && !s.acted {
+	if s.round < 0 && s.rounds < m.rounds && !s.acted {
 		add("holder asks all leaders for extension", func(s *state) {
 			s.round = 0
 			s.rounds++
@@ -275,6 +284,9 @@
 	case taking:
 		add("taking write reaches the table", func(s *state) {
 			s.evictor = beaten
+			if s.attempts++; s.attempts < m.attempts {
+				s.forgetAttempt()
+			}
 			if s.version == s.evictFrom || m.TakeUnconditionally {
 				s.evictor = took
 				s.newHolder = true
@@ -286,6 +298,14 @@
 	}
 }
 
+// forgetAttempt lets the evictor begin anew.
+func (s *state) forgetAttempt() {
+	s.evictor = watching
+	for i := range s.leaders {
+		s.leaders[i].clear = -1
+	}
+}
+
 func (m model) mayTake(s state) bool {
 	needed := toEvict
 	if m.FewerConfirmations {
@@ -325,7 +345,7 @@
 // all rows in the transaction that gains the seat. Promises made before still
 // count for the holder.
 func (m model) changesOfLeaders(s state, add adder) {
-	if s.changes >= maxChanges {
+	if s.changes >= m.changes {
 		return
 	}
 	for i := range s.leaders {
--- a/gateway/entry/entry_test.go
+++ b/gateway/entry/entry_test.go
@@ -283,7 +283,9 @@
 	group.Go(click)
 	<-arrived
 	group.Go(click)
-	time.Sleep(50 * time.Millisecond)
+	// Long enough for the second request to arrive on any machine, and well
+	// within the first one's deadline.
+	time.Sleep(400 * time.Millisecond)
 	close(goOn)
 	group.Wait()
 	assert.Equal(t, <-answers, "run 1")
