Values of keys are checked for linearizability with real gateways

Cause: ownership was judged by spans and runs, not by what callers read. A planted stale read is found.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -113,6 +113,7 @@
 		Service: kind.Service,
 		Kind:    kind.Name,
 		Hash:    shard.Hash(kind.Service, key),
+		Key:     l.dividedKey(kind.Service, key),
 		Write:   !kind.Idempotent,
 		Due:     due,
 	}
@@ -151,6 +152,16 @@
 	c.Outcome, c.Cause = judge.DidNotRun, "no gateway could be connected to"
 }
 
+// dividedKey is the key for the check of values; only divided services have one.
+func (l *Load) dividedKey(service, key string) string {
+	for _, s := range l.Deployment.Services {
+		if s.Name == service && s.Divided {
+			return key
+		}
+	}
+	return ""
+}
+
 func ready(ways []*Gateway) *Gateway {
 	start := rand.IntN(len(ways))
 	for i := range ways {
@@ -212,6 +223,7 @@
 		err := json.Unmarshal(content, &a)
 		c.Right = err == nil && a.Request == c.Request && a.End
 		c.Ran = res.StatusCode == http.StatusOK
+		c.Value = a.Value
 		return
 	}
 	var b refusal.Body
--- a/standin/demo/demo_test.go
+++ b/standin/demo/demo_test.go
@@ -35,6 +35,7 @@
 	r, err := demo.Run(t.Context(), s, io.Discard)
 	assert.NilError(t, err)
 	assert.Equal(t, r.Violations, judge.Violations{})
+	assert.Equal(t, r.Linearizable, "yes")
 	assert.Assert(t, r.Requests.Answered > 0)
 	assert.Equal(t, len(r.Unmet), 0, "%v", r.Unmet)
 }
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -132,11 +132,12 @@
 
 func (f *fleet) startTargets() error {
 	work, write := map[string]time.Duration{}, map[string]bool{}
+	values := &target.Values{}
 	for _, k := range f.deployment.Kinds {
 		work[k.Name], write[k.Name] = k.Work, !k.Idempotent
 	}
 	for _, i := range f.deployment.TargetInstances() {
-		t := &target.Target{Name: i.Name, Service: i.Service, Fenced: !slices.Contains(f.unfenced, i.Name), Work: work, Write: write, History: f.history}
+		t := &target.Target{Name: i.Name, Service: i.Service, Fenced: !slices.Contains(f.unfenced, i.Name), Work: work, Write: write, History: f.history, Values: values}
 		address, err := t.Listen()
 		if err != nil {
 			return err
--- a/standin/demo/report.go
+++ b/standin/demo/report.go
@@ -30,6 +30,8 @@
 	Control    map[string]*Control `json:"control"`
 	Platform   Platform            `json:"platform"`
 	Unmet      []string            `json:"unmet"`
+	// Linearizable is yes, no, or unknown if the check took too long.
+	Linearizable string `json:"linearizable"`
 }
 
 // Requests counts them by outcome.
@@ -144,10 +146,26 @@
 			BytesPerSecond: float64(g.bytes) / seconds, MessagesPerSecond: float64(g.calls) / seconds,
 		}
 	}
+	r.Linearizable = linearizable(f.history)
+	if r.Linearizable == "no" && len(s.Unfenced) == 0 {
+		r.Unmet = append(r.Unmet, "reads and writes of a key are not linearizable")
+	}
 	r.compare(s.Expect)
 	return r
 }
 
+func linearizable(h *judge.History) string {
+	yes, complete := h.Linearizable()
+	switch {
+	case !yes:
+		return "no"
+	case !complete:
+		return "unknown"
+	default:
+		return "yes"
+	}
+}
+
 // refusedWindow is how long after a fault refusals are put down to it.
 const refusedWindow = 3 * time.Second
 
@@ -251,6 +269,7 @@
 	fmt.Fprintf(w, "\nrequests: %d sent, %d answered, %d refused and did not run, %d unknown\n",
 		r.Requests.Sent, r.Requests.Answered, r.Requests.RefusedDidNotRun, r.Requests.Unknown)
 	fmt.Fprintf(w, "violations: %+v\n", r.Violations)
+	fmt.Fprintf(w, "values linearizable: %s\n", r.Linearizable)
 	for _, kind := range sortedKeys(r.LatencyMs) {
 		l := r.LatencyMs[kind]
 		fmt.Fprintf(w, "  %-14s p50 %7.1f ms   p99 %7.1f ms   p99.9 %7.1f ms\n", kind, l.P50, l.P99, l.P999)
--- a/standin/judge/judge.go
+++ b/standin/judge/judge.go
@@ -58,6 +58,9 @@
 	Done    time.Time
 	Outcome Outcome
 	Cause   string
+	// Key and Value are those of a divided service: what was read, or empty.
+	Key   string
+	Value string
 	// Right tells whether an answer belongs to the request and is whole.
 	Right bool
 	// Probe marks requests that only look whether a key is served.
--- a/standin/judge/judge_test.go
+++ b/standin/judge/judge_test.go
@@ -73,3 +73,21 @@
 		})
 	}
 }
+
+// A key is written and read in turn; then one read returns what was overwritten
+// before it began, as from the memory of a former owner.
+func TestStaleReadIsNotLinearizable(t *testing.T) {
+	h := &judge.History{}
+	call := func(request string, from, until int, write bool, value string, outcome judge.Outcome) {
+		h.AddCall(judge.Call{Request: request, Service: "menus", Key: "k", Write: write, Value: value, Due: at(from), Done: at(until), Outcome: outcome})
+	}
+	call("w1", 0, 10, true, "", judge.Answered)
+	call("r1", 20, 30, false, "w1", judge.Answered)
+	call("w2", 25, 90, true, "", judge.Unknown)
+	call("r2", 40, 50, false, "w2", judge.Answered)
+	yes, complete := h.Linearizable()
+	assert.Assert(t, yes && complete)
+	call("r3", 60, 70, false, "w1", judge.Answered)
+	yes, _ = h.Linearizable()
+	assert.Assert(t, !yes)
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -38,6 +38,8 @@
 	Request string `json:"request"`
 	Target  string `json:"target"`
 	Filler  string `json:"filler"`
+	// Value is the key's value, the name of the last write.
+	Value string `json:"value"`
 	// End shows that the answer is whole.
 	End bool `json:"end"`
 }
@@ -52,6 +54,8 @@
 	Work    map[string]time.Duration
 	Write   map[string]bool
 	History *judge.History
+	// Values outlive the targets, as the users' own storage does.
+	Values *Values
 
 	address string
 	mu      sync.Mutex
@@ -61,7 +65,9 @@
 	frozen  chan struct{}
 	slots   chan struct{}
 	waiting atomic.Int32
-	orders  atomic.Int64
+	// cache keeps values while the key is owned under one epoch.
+	cache  map[string]cached
+	orders atomic.Int64
 }
 
 // Listen takes an address for the target's whole life.
@@ -89,6 +95,7 @@
 		})
 	}
 	t.guard = guard
+	t.cache = map[string]cached{}
 	t.started = time.Now()
 	t.server = &http.Server{Handler: t.handler(guard), ReadHeaderTimeout: time.Minute}
 	server := t.server
@@ -192,13 +199,15 @@
 // work is one request on its way through the target.
 type work struct {
 	run       judge.Run
+	key       string
+	value     string
 	admission *grant.Admission
 }
 
 func (t *Target) request(w http.ResponseWriter, r *http.Request, guard *grant.Guard) {
 	t.pause()
 	kind := r.PathValue("kind")
-	j := &work{run: judge.Run{
+	j := &work{key: r.PathValue("key"), run: judge.Run{
 		Request: r.Header.Get(RequestHeader),
 		Target:  t.Name,
 		Service: t.Service.Name,
@@ -278,6 +287,7 @@
 	effect := func(now time.Time) {
 		j.run.At = now
 		t.History.AddRun(j.run)
+		t.touch(j)
 	}
 	if j.admission != nil {
 		return j.admission.Commit(effect)
@@ -286,11 +296,32 @@
 	return nil
 }
 
+// touch reads or writes the key's value. The target trusts its memory as long
+// as it owns the key, which is what sole ownership is for.
+func (t *Target) touch(j *work) {
+	if !t.Service.Divided {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.cache[j.key]
+	if !ok || known.epoch != j.run.Epoch || !t.Fenced {
+		known = cached{epoch: j.run.Epoch, value: t.Values.get(j.key)}
+	}
+	if j.run.Write {
+		known.value = j.run.Request
+		t.Values.set(j.key, known.value)
+	}
+	t.cache[j.key] = known
+	j.value = known.value
+}
+
 func (t *Target) reply(w http.ResponseWriter, j *work) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Answer{
 		Request: j.run.Request,
 		Target:  t.Name,
+		Value:   j.value,
 		Filler:  strings.Repeat("x", int(j.run.Hash%900)),
 		End:     true,
 	})
