--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -143,6 +143,7 @@
 		Evictor:   evictions,
 		Instances: b.instances,
 		Leading:   func(now time.Time) bool { return d.leader.Leading(now) },
+		Unheard:   func() bool { return d.leader.PlannerSilent() },
 	})
 	d.leader = leader.New(leader.Options{
 		Instance: s.Instance, Incarnation: incarnation, Address: s.Address(), Zone: s.Zone,
@@ -250,6 +251,7 @@
 	root.Add(d.leader)
 	root.Add(&leader.Extender{Leader: d.leader})
 	root.Add(&leader.Reporter{Leader: d.leader})
+	root.Add(&leader.Beater{Leader: d.leader})
 	root.Add(d.planner)
 	root.Add(d.follower)
 	root.Add(d.renewer)
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -40,6 +40,10 @@
 	rankDelay = 80 * time.Millisecond
 	// maxRank bounds the wait of instances far down the order.
 	maxRank = 5
+	// alarmInterval lies between two turns while the planner is silent, and
+	// plannerSilence is the time without a report taken after which it is.
+	alarmInterval  = 150 * time.Millisecond
+	plannerSilence = 600 * time.Millisecond
 	// retryInterval lies between a renewal that failed and the next.
 	retryInterval = 50 * time.Millisecond
 	// tableTimeout bounds one transaction; a later answer would bring less
@@ -73,6 +77,8 @@
 	control.Planner
 	// Observe takes in the planner seat's row; nil if there is none.
 	Observe(now time.Time, row *table.Row)
+	// Hear takes in a sign of life of a zone's leader.
+	Hear(now time.Time, beat *control.BeatRequest)
 	// Address returns where the present planner is; empty if unknown.
 	Address() string
 }
@@ -94,7 +100,9 @@
 	news    chan struct{}
 	nudges  chan struct{}
 	// unread counts renewals since the heads were read; Serve's own.
-	unread   int
+	unread int
+	// told is when the planner last took a report.
+	told     time.Time
 	loads    loadSum
 	tableBad bool
 	stopping bool
@@ -131,10 +139,17 @@
 // turn does what is due and returns the pause until the next turn.
 func (d *Duty) turn(ctx context.Context) time.Duration {
 	if d.Holding() {
-		if d.renew(ctx) {
-			return turnInterval
+		if d.PlannerSilent() {
+			// Its seat has to be watched closely.
+			d.unread = readEvery
+		}
+		if !d.renew(ctx) {
+			return retryInterval
 		}
-		return retryInterval
+		if d.PlannerSilent() {
+			return alarmInterval
+		}
+		return turnInterval
 	}
 	if d.leaderSilent() {
 		d.stand(ctx)
@@ -142,6 +157,13 @@
 	return candidateInterval
 }
 
+// PlannerSilent tells whether the planner has taken no report lately.
+func (d *Duty) PlannerSilent() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Since(d.told) > plannerSilence
+}
+
 // Holding tells whether this instance holds the seat as far as it knows.
 func (d *Duty) Holding() bool {
 	d.mu.Lock()
--- a/gateway/leader/report.go
+++ b/gateway/leader/report.go
@@ -16,7 +16,7 @@
 	// beatInterval is the longest time between two signs of life, which are
 	// reports without the parts that are sums.
 	beatInterval  = 400 * time.Millisecond
-	reportTimeout = 500 * time.Millisecond
+	reportTimeout = 300 * time.Millisecond
 )
 
 // Reporter is the duty of telling the planner what the zone's leader knows.
@@ -28,7 +28,6 @@
 func (r *Reporter) Serve(ctx context.Context) error {
 	var sent, beat time.Time
 	var last string
-	var renewals uint64
 	tick := time.NewTicker(reportCheck)
 	defer tick.Stop()
 	for {
@@ -44,9 +43,7 @@
 		}
 		news := newsOf(req)
 		full := news != last || now.Sub(sent) >= reportInterval
-		// A renewal is told at once: the planner then knows how long the
-		// seat is held, should this be the last it hears.
-		if !full && now.Sub(beat) < beatInterval && req.GetRenewals() == renewals {
+		if !full && now.Sub(beat) < beatInterval {
 			continue
 		}
 		if full {
@@ -57,7 +54,7 @@
 		if !r.Leader.send(ctx, req) {
 			continue
 		}
-		beat, renewals = now, req.GetRenewals()
+		beat = now
 		if full {
 			sent, last = now, news
 		}
@@ -68,7 +65,6 @@
 func beatOf(req *control.ReportRequest) *control.ReportRequest {
 	return &control.ReportRequest{
 		Zone: req.GetZone(), Instance: req.GetInstance(), Term: req.GetTerm(), Beat: true,
-		Renewals: req.GetRenewals(), TableLeftUs: req.GetTableLeftUs(),
 	}
 }
 
@@ -97,8 +93,6 @@
 		Instance:    d.Instance,
 		Term:        record.Term,
 		TermVersion: d.seat.TermVersion(),
-		Renewals:    record.Renewals,
-		TableLeftUs: d.tableLeft(now),
 		Released:    encodeReleases(d.zone.Released(now)),
 		Returned:    encodeReleases(d.zone.Returned()),
 	}
@@ -162,6 +156,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.told = time.Now()
 	d.loads.clear(req.GetLoads(), req.GetHot())
 	return true
 }
--- a/gateway/planner/decide.go
+++ b/gateway/planner/decide.go
@@ -81,7 +81,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if h, ok := d.hints[zone]; ok {
-		z.Hint(h.at, h.req.GetTerm(), h.req.GetRenewals(), time.Duration(h.req.GetTableLeftUs())*time.Microsecond)
+		z.Hint(h.at, h.beat.GetTerm(), h.beat.GetRenewals(), time.Duration(h.beat.GetTableLeftUs())*time.Microsecond)
 	}
 }
 
@@ -89,7 +89,7 @@
 func (d *Duty) beats(zone string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return time.Since(d.reports[zone].at) <= beatAge
+	return time.Since(d.hints[zone].at) <= beatAge
 }
 
 func (d *Duty) otherSeats(zone string) []seat.Record {
--- a/gateway/planner/planner.go
+++ b/gateway/planner/planner.go
@@ -30,6 +30,9 @@
 	interval = 100 * time.Millisecond
 	// renewInterval lies between two renewals of the planner's seat.
 	renewInterval = 400 * time.Millisecond
+	// plannerSilence is how long the planner's row stands still before another
+	// leader takes the seat.
+	plannerSilence = 700 * time.Millisecond
 	// readInterval lies between two readings of the heads while every zone's
 	// leader gives signs of life, alarmInterval while one does not.
 	readInterval  = 2 * time.Second
@@ -66,6 +69,8 @@
 	Instances func(ctx context.Context) ([]platform.Instance, error)
 	// Leading tells whether this instance leads a zone; only those plan.
 	Leading func(now time.Time) bool
+	// Unheard tells whether the present planner has taken no report lately.
+	Unheard func() bool
 	Evictor *evictor.Evictor
 }
 
@@ -102,7 +107,10 @@
 }
 
 // hint is the last that a zone's leader said of its seat.
-type hint zoneReport
+type hint struct {
+	at   time.Time
+	beat *control.BeatRequest
+}
 
 // New returns a duty without the seat.
 func New(o Options) *Duty {
@@ -145,6 +153,14 @@
 	return d.seat.Holding() && d.seat.Authority().Valid(now)
 }
 
+// Hear takes in a zone's leader's sign of life, whether this instance plans or
+// not: it may have to, should the planner be lost together with its zone.
+func (d *Duty) Hear(now time.Time, beat *control.BeatRequest) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hints[beat.GetZone()] = hint{at: now, beat: beat}
+}
+
 // Report takes in what a zone's leader knows.
 func (d *Duty) Report(_ context.Context, req *control.ReportRequest) (*control.ReportResponse, error) {
 	now := time.Now()
@@ -153,7 +169,6 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.hints[req.GetZone()] = hint{at: now, req: req}
 	if last, ok := d.reports[req.GetZone()]; ok && req.GetBeat() && last.req.GetTerm() == req.GetTerm() {
 		last.at = now
 		d.reports[req.GetZone()] = last
@@ -194,7 +209,7 @@
 		d.held = time.Time{}
 		return
 	}
-	if now.Sub(d.renewed) >= renewInterval {
+	if now.Sub(d.renewed) >= renewInterval || d.vacant(now) {
 		d.renewed = now
 		d.keepSeat(ctx, now)
 	}
@@ -221,8 +236,9 @@
 	case d.stopping:
 	case d.seat.Holding():
 		tx, err = d.seat.Renew(now, d.Token())
-	case d.seat.Free() || d.seat.Lapsed(now):
-		// The planner's seat is never extended without the table.
+	case d.seat.Free() || d.seat.Lapsed(now) || d.gone(now):
+		// Two planners for a moment do no harm, since every decision is one
+		// conditional write; so nobody waits for the old one's authority.
 		tx, err = d.seat.Claim(now, d.Token())
 	}
 	d.mu.Unlock()
@@ -259,6 +275,19 @@
 	d.absorb(ctx, res)
 }
 
+// vacant tells whether the planner's seat should be taken now.
+func (d *Duty) vacant(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.seat.Holding() && d.gone(now)
+}
+
+// gone tells whether the planner takes no reports and its row stands still. One
+// of the two alone may only mean that the table is slow, or a way is cut.
+func (d *Duty) gone(now time.Time) bool {
+	return d.Unheard() && d.seat.Known() && d.seat.Silence(now) > plannerSilence
+}
+
 func (d *Duty) alarmed(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -267,7 +296,7 @@
 	}
 	for name, z := range d.zones {
 		r, _ := z.Record()
-		if r.Holder != "" && now.Sub(d.reports[name].at) > beatAge {
+		if r.Holder != "" && now.Sub(d.hints[name].at) > beatAge {
 			return true
 		}
 	}
