Leaders that cannot renew give signs of life, and read back a renewal in doubt

Signs of life had come to be sent with renewals only, so leaders that went on by extension were taken for silent and evicted; and a renewal whose answer was lost was never read back alone. Change: signs of life go out at least every 400 ms; after a renewal without an answer the leader reads before it renews again.

--- a/gateway/leader/beat.go
+++ b/gateway/leader/beat.go
@@ -27,17 +27,21 @@
 	tick := time.NewTicker(beatCheck)
 	defer tick.Stop()
 	told := &control.BeatRequest{}
+	var at time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
 		}
-		beat := b.Leader.beat(time.Now())
-		if beat == nil || beat.GetTerm() == told.GetTerm() && beat.GetRenewals() == told.GetRenewals() {
+		now := time.Now()
+		beat := b.Leader.beat(now)
+		same := beat.GetTerm() == told.GetTerm() && beat.GetRenewals() == told.GetRenewals()
+		// Also without renewals, since a leader that cannot renew is alive.
+		if beat == nil || same && now.Sub(at) < beatInterval {
 			continue
 		}
-		told = beat
+		told, at = beat, now
 		b.Leader.tellAll(ctx, beat)
 	}
 }
--- a/gateway/leader/leader.go
+++ b/gateway/leader/leader.go
@@ -101,6 +101,8 @@
 	nudges  chan struct{}
 	// unread counts renewals since the heads were read; Serve's own.
 	unread int
+	// doubt is set after a renewal without an answer; Serve's own.
+	doubt bool
 	// told is when the planner last took a report.
 	told     time.Time
 	loads    loadSum
@@ -194,6 +196,12 @@
 // renew keeps the seat and reads what is new in one round trip. It tells
 // whether the renewal took effect.
 func (d *Duty) renew(ctx context.Context) bool {
+	if d.doubt {
+		// The renewal may have taken effect and only its answer be lost. A
+		// reading shows its token, and the next one needs its row version.
+		d.transact(ctx, table.Transaction{})
+		d.doubt = false
+	}
 	d.mu.Lock()
 	if d.stopping {
 		d.mu.Unlock()
@@ -222,6 +230,7 @@
 	d.noteTable(err)
 	if err != nil || !res.Committed {
 		d.unread = readEvery
+		d.doubt = true
 		return false
 	}
 	d.mu.Lock()
@@ -241,6 +250,7 @@
 	res, err := d.Table.Transact(callCtx, tx)
 	d.noteTable(err)
 	if err != nil {
+		d.doubt = len(tx.Puts) > 0
 		return false
 	}
 	d.absorb(ctx, res)
