--- a/basilcross/egress/egress.go
+++ b/basilcross/egress/egress.go
@@ -25,8 +25,20 @@
 	// UserTimeout is how long sent bytes may stay unacknowledged by the other
 	// end's kernel before the connection is broken off; 0 leaves the default.
 	UserTimeout time.Duration
+	// Timeout bounds the opening; 0 is two seconds.
+	Timeout time.Duration
+	// Probe is the idle time after which the other end is probed, and the time
+	// between probes; 0 is five seconds. It finds connections that went silent
+	// without a reset.
+	Probe time.Duration
+	// Reset makes every close a reset. Bytes that a partition holds back are
+	// lost then; otherwise they would arrive when it heals.
+	Reset bool
 }
 
+// probes is how many unanswered probes end a connection.
+const probes = 2
+
 // ProxyError is a proxy's refusal to open a connection.
 type ProxyError struct {
 	Address string
@@ -39,13 +51,20 @@
 
 // DialContext opens a connection, with the signature that net/http expects.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	timeout, probe := d.Timeout, d.Probe
+	if timeout == 0 {
+		timeout = dialTimeout
+	}
+	if probe == 0 {
+		probe = keepAlive
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	first := address
 	if d.Proxy != "" {
 		first = d.Proxy
 	}
-	plain := net.Dialer{KeepAlive: keepAlive}
+	plain := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probes}}
 	c, err := plain.DialContext(ctx, network, first)
 	if err != nil {
 		return nil, err
@@ -54,6 +73,12 @@
 		_ = c.Close()
 		return nil, err
 	}
+	if tcp, ok := c.(*net.TCPConn); ok && d.Reset {
+		if err := tcp.SetLinger(0); err != nil {
+			_ = c.Close()
+			return nil, err
+		}
+	}
 	if d.Proxy == "" {
 		return c, nil
 	}
--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -47,18 +47,45 @@
 	ConfigStale       = Event{502, "configStale", slog.LevelWarn, "Somebody offered an older configuration than the one in force; it was ignored.", ""}
 	PlatformDown      = Event{600, "platformDown", slog.LevelWarn, "The table service does not answer. Authority is extended among zone leaders; nothing new is agreed.", "Look at the platform. Keys go on being served."}
 	PlatformBack      = Event{601, "platformBack", slog.LevelInfo, "The table service answers again.", ""}
+	HistoryLost       = Event{603, "historyLost", slog.LevelInfo, "The store no longer has the changes that this instance lacks; the table is read whole.", ""}
+	TableLost         = Event{604, "tableLost", slog.LevelWarn, "A table of the store cannot be followed. The copy stays in force, and other instances' newer ones are taken.", "Look at the platform's store and this instance's way to it."}
+	TableBack         = Event{605, "tableBack", slog.LevelInfo, "A table of the store is followed again.", ""}
+	DatagramFailed    = Event{606, "datagramFailed", slog.LevelWarn, "A datagram between instances could not be sent or read.", ""}
+	StoreCallFailed   = Event{607, "storeCallFailed", slog.LevelInfo, "A call to the store failed or got no answer.", ""}
+	RowUnusable       = Event{608, "rowUnusable", slog.LevelWarn, "A row of the store cannot be used; it changes nothing.", "See who writes it."}
+	PeerStateTaken    = Event{609, "peerStateTaken", slog.LevelInfo, "A newer copy of a table came from another instance.", ""}
+	LeadGained        = Event{206, "leadGained", slog.LevelInfo, "This instance coordinates: it alone grants keys.", ""}
+	LeadLost          = Event{207, "leadLost", slog.LevelWarn, "This instance no longer coordinates.", "Look for a pause of this instance, or a loss of its way to the store."}
+	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance gave up coordinating while shutting down.", ""}
+	TargetCame        = Event{306, "targetCame", slog.LevelInfo, "A target's lifetime appeared.", ""}
+	TargetLeft        = Event{307, "targetLeft", slog.LevelInfo, "A target is leaving or gone.", ""}
+	GrantFailed       = Event{308, "grantFailed", slog.LevelInfo, "A target did not take a grant, or gave no answer.", ""}
+	KeysReleased      = Event{309, "keysReleased", slog.LevelInfo, "A target was asked for keys back.", ""}
+	KeysRecorded      = Event{310, "keysRecorded", slog.LevelInfo, "An assignment of keys was written to the store, or could not be.", ""}
+	OrderDropped      = Event{311, "orderDropped", slog.LevelWarn, "An order to a target was not sent, since the authority to send it had ended.", ""}
+	TargetGone        = Event{312, "targetGone", slog.LevelInfo, "A target is proved to have ended; its keys are free.", ""}
+	StoreInDoubt      = Event{313, "storeInDoubt", slog.LevelWarn, "The store does not answer the coordinator; keys are granted for longer.", "Look at the platform's store."}
+	RequestAnswered   = Event{403, "requestAnswered", slog.LevelInfo, "A request got its target's answer.", ""}
+	RequestRefused    = Event{404, "requestRefused", slog.LevelInfo, "A request was refused or failed; the line says at what and by which figures.", ""}
+	AttemptFailed     = Event{405, "attemptFailed", slog.LevelInfo, "A request's attempt at a target failed.", ""}
+	LinesLeftOut      = Event{106, "linesLeftOut", slog.LevelWarn, "More log lines came than are written; the number left out.", ""}
+	Reloaded          = Event{105, "reloaded", slog.LevelInfo, "The settings were read anew.", ""}
+	NotReady          = Event{107, "notReady", slog.LevelInfo, "Whether this instance takes connections has changed.", ""}
 	RelayInUse        = Event{602, "relayInUse", slog.LevelWarn, "The table service is reached through another zone's leader only.", "Look at the zone's way to the platform."}
 )
 
 // Catalogue returns all events by number.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, DutyFailed, SingleInstance,
+		Started, Stopping, Stopped, DutyFailed, SingleInstance, Reloaded, LinesLeftOut, NotReady,
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
+		LeadGained, LeadLost, LeadResigned,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
-		TargetSilent, AnswerCut, TargetEjected,
+		TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed,
 		ConfigInForce, ConfigAccepted, ConfigStale,
 		PlatformDown, PlatformBack, RelayInUse,
+		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, RowUnusable, PeerStateTaken,
 	}
 }
 
--- /dev/null
+++ b/basilcross/ownership/assignment.go
@@ -0,0 +1,71 @@
+// Package ownership decides which target holds which keys of a sharded service,
+// and when keys may go to the next one. It calls nobody: it takes events and
+// returns orders, so that every order of events can be tested.
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+
+	"basilcross.example/basilcross/roster"
+)
+
+// Keys is the number of keys; they are 0 to Keys-1.
+const Keys = 1 << 16
+
+// Piece is a contiguous range of keys with one owner. Both ends belong to it.
+type Piece struct {
+	First   int    `json:"first"`
+	Last    int    `json:"last"`
+	Owner   string `json:"owner,omitempty"`
+	Born    int64  `json:"born,omitempty"`
+	Address string `json:"address,omitempty"`
+}
+
+// Life names the owner's lifetime.
+func (p *Piece) Life() roster.Life { return roster.Life{ID: p.Owner, Born: p.Born} }
+
+// Assignment is what is recorded of a service: sorted pieces that cover all
+// keys. It is written before a key is granted, so that whoever coordinates
+// next knows every target that may hold it.
+type Assignment struct {
+	Service string  `json:"service"`
+	Term    int64   `json:"term"`
+	Pieces  []Piece `json:"pieces"`
+}
+
+// GapError says that an assignment does not cover the keys.
+type GapError struct {
+	Key int
+}
+
+func (e *GapError) Error() string { return fmt.Sprintf("assignment: key %d is in no piece or in two", e.Key) }
+
+// Parse decodes an assignment and checks that it covers all keys once.
+func Parse(text []byte) (*Assignment, error) {
+	a := &Assignment{}
+	if err := json.Unmarshal(text, a); err != nil {
+		return nil, fmt.Errorf("parse assignment: %w", err)
+	}
+	next := 0
+	for _, p := range a.Pieces {
+		if p.First != next || p.Last < p.First {
+			return nil, fmt.Errorf("parse assignment: %w", &GapError{Key: next})
+		}
+		next = p.Last + 1
+	}
+	if next != Keys {
+		return nil, fmt.Errorf("parse assignment: %w", &GapError{Key: next})
+	}
+	return a, nil
+}
+
+// Find returns the piece that has the key, or nil if the key is none.
+func (a *Assignment) Find(key int) *Piece {
+	i := sort.Search(len(a.Pieces), func(i int) bool { return a.Pieces[i].Last >= key })
+	if i == len(a.Pieces) || key < a.Pieces[i].First {
+		return nil
+	}
+	return &a.Pieces[i]
+}
--- /dev/null
+++ b/basilcross/ownership/keeper.go
@@ -0,0 +1,261 @@
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"basilcross.example/basilcross/roster"
+)
+
+const (
+	// clockDrift is how much slower a target's clock may run.
+	clockDrift = 1.02
+	// boundMargin covers the time between an answer's arrival and our noting
+	// it, on an instance that is slowed down several times.
+	boundMargin = 50 * time.Millisecond
+	// retryAfter is the pause after a grant that was not carried out.
+	retryAfter = 100 * time.Millisecond
+	// silentAfter is how long a target may leave renewals unanswered before
+	// its keys are given to others. It is less than the hold, since the wait
+	// for its end begins only then.
+	silentAfter = 1200 * time.Millisecond
+	// releaseTries is how often a release without an answer is sent again
+	// before the hold's end is waited for.
+	releaseTries = 2
+)
+
+// Holds are the times for which keys are granted.
+type Holds struct {
+	// Usual rides out the loss of the coordinator; long after the loss of a
+	// target it costs service.
+	Usual time.Duration
+	// Long is for when the store does not answer: nobody might be allowed to
+	// renew for as long as that lasts.
+	Long time.Duration
+	// Every is the time between two renewals.
+	Every time.Duration
+}
+
+// Keeper keeps the holders of one service's keys, for as long as its instance
+// coordinates. All calls come from one goroutine.
+type Keeper struct {
+	Service string
+	Term    int64
+	Holds   Holds
+	Load    Load
+
+	pieces []*piece
+	epoch  int64
+	// dirty is set while pieces differ from what is recorded.
+	dirty   bool
+	writing bool
+	// balanceAt is when balance is looked at next.
+	balanceAt time.Time
+	holders   map[roster.Life]*holder
+	// long is set while the store is in doubt.
+	long bool
+	// Moved counts keys given to another owner, by cause.
+	Moved Moved
+}
+
+// Moved counts pieces that were given to another owner.
+type Moved struct {
+	Leaving int
+	Lost    int
+	Balance int
+}
+
+type phase int
+
+const (
+	// held: the owner is granted the piece, and the grant is renewed.
+	held phase = iota
+	// leaving: the piece is to be released as soon as no grant is under way.
+	leaving
+	// releasing: a release is under way.
+	releasing
+	// waiting: the end of the hold is waited for.
+	waiting
+	// free: nobody holds the piece; it has no owner yet.
+	free
+	// recording: the next owner is being written to the store.
+	recording
+)
+
+// piece is a range in the keeper's care.
+type piece struct {
+	Piece
+	phase phase
+	epoch int64
+	// until is the latest time at which the owner may still hold the piece.
+	until time.Time
+	// doubt is the latest time at which a grant without an answer may hold.
+	doubt time.Time
+	// usable is when the owner stops using it, counted from the sending.
+	usable time.Time
+	// confirmed is the epoch of the last answered grant.
+	confirmed int64
+	// calling is set while a call about the piece is under way.
+	calling  bool
+	renewAt  time.Time
+	tries    int
+	handover string
+	cause    Cause
+	// wanted is the target that balance wants the piece to go to.
+	wanted string
+}
+
+// Cause is why a piece changes its owner.
+type Cause int
+
+// The causes.
+const (
+	OwnerLeaving Cause = iota
+	OwnerLost
+	ForBalance
+)
+
+func (c Cause) String() string {
+	return [...]string{"ownerLeaving", "ownerLost", "balance"}[c]
+}
+
+// holder is what is known of a lifetime that has pieces.
+type holder struct {
+	// answered is when the last order was answered.
+	answered time.Time
+	// silent is when the first order of those since was given up.
+	silent time.Time
+	// gone is set when the lifetime is proved to have ended.
+	gone bool
+}
+
+// Take begins a term with what is recorded; recorded may be nil. Every piece
+// may be held under grants of a former coordinator for the longest hold.
+func (k *Keeper) Take(now time.Time, recorded *Assignment, longest time.Duration) {
+	k.epoch = k.Term * epochsPerTerm
+	k.holders = map[roster.Life]*holder{}
+	until := now.Add(bound(longest))
+	if recorded == nil {
+		k.pieces = []*piece{{Piece: Piece{First: 0, Last: Keys - 1}, phase: free}}
+		return
+	}
+	for _, p := range recorded.Pieces {
+		kept := &piece{Piece: p, phase: held, epoch: k.nextEpoch(), until: until, doubt: until}
+		if p.Owner == "" {
+			kept.phase = free
+		}
+		k.pieces = append(k.pieces, kept)
+	}
+}
+
+// epochsPerTerm is how many epochs a term has. Terms are numbered in the store
+// by a conditional write, so an epoch is never used twice, and every epoch of
+// a term is above all of the terms before, also after the loss of everything.
+const epochsPerTerm = 1 << 20
+
+func (k *Keeper) nextEpoch() int64 {
+	k.epoch++
+	return k.epoch
+}
+
+// bound is the longest time that a hold may last, measured by our clock from
+// the moment at which the call was answered or reset.
+func bound(hold time.Duration) time.Duration {
+	return time.Duration(float64(hold)*clockDrift) + boundMargin
+}
+
+func (k *Keeper) holder(l roster.Life) *holder {
+	h := k.holders[l]
+	if h == nil {
+		h = &holder{}
+		k.holders[l] = h
+	}
+	return h
+}
+
+// Assignment returns what is to be recorded.
+func (k *Keeper) Assignment() *Assignment {
+	a := &Assignment{Service: k.Service, Term: k.Term}
+	for _, p := range k.pieces {
+		n := len(a.Pieces)
+		if n > 0 && a.Pieces[n-1].Life() == p.Life() && a.Pieces[n-1].Address == p.Address {
+			a.Pieces[n-1].Last = p.Last
+			continue
+		}
+		a.Pieces = append(a.Pieces, p.Piece)
+	}
+	return a
+}
+
+// Settled tells whether every piece is held and confirmed.
+func (k *Keeper) Settled(now time.Time) bool {
+	for _, p := range k.pieces {
+		if p.phase != held || !now.Before(p.usable) {
+			return false
+		}
+	}
+	return true
+}
+
+// sorted keeps the pieces in order after a cut.
+func (k *Keeper) sorted() {
+	sort.Slice(k.pieces, func(i, j int) bool { return k.pieces[i].First < k.pieces[j].First })
+}
+
+// cut splits a piece so that one of the results is exactly first to last, and
+// returns that one. All results keep epoch and bounds.
+func (k *Keeper) cut(p *piece, first, last int) *piece {
+	if first > p.First {
+		rest := *p
+		rest.Last = first - 1
+		p.First = first
+		k.pieces = append(k.pieces, &rest)
+	}
+	if last < p.Last {
+		rest := *p
+		rest.First = last + 1
+		p.Last = last
+		k.pieces = append(k.pieces, &rest)
+	}
+	k.sorted()
+	return p
+}
+
+// join merges neighbouring pieces of one owner, under a new epoch.
+func (k *Keeper) join() {
+	joined := k.pieces[:0]
+	for _, p := range k.pieces {
+		n := len(joined)
+		if n == 0 || !joinable(joined[n-1], p) {
+			joined = append(joined, p)
+			continue
+		}
+		q := joined[n-1]
+		q.Last = p.Last
+		q.epoch = k.nextEpoch()
+		q.until = later(q.until, p.until)
+		q.doubt = later(q.doubt, p.doubt)
+		q.usable = earlier(q.usable, p.usable)
+		q.renewAt = time.Time{}
+	}
+	k.pieces = joined
+}
+
+func joinable(a, b *piece) bool {
+	return a.phase == held && b.phase == held && !a.calling && !b.calling &&
+		a.Life() == b.Life() && a.Address == b.Address && a.handover == "" && b.handover == ""
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/basilcross/ownership/load.go
@@ -0,0 +1,57 @@
+package ownership
+
+import (
+	"math"
+	"time"
+)
+
+// loadHalfLife is how fast old load is forgotten. Busy keys change within a
+// few seconds, and a move costs little, so it is short.
+const loadHalfLife = 3 * time.Second
+
+// Load is the work on each key, forgetting the past. The zero value is empty.
+type Load struct {
+	work  []float32
+	scale float64
+	at    time.Time
+}
+
+// Add notes work, in seconds of a target's slot.
+func (l *Load) Add(now time.Time, key int, seconds float64) {
+	if key < 0 || key >= Keys {
+		return
+	}
+	if l.work == nil {
+		l.work = make([]float32, Keys)
+		l.scale, l.at = 1, now
+	}
+	// Newer work is scaled up instead of scaling all older work down.
+	l.scale *= math.Exp2(now.Sub(l.at).Seconds() / loadHalfLife.Seconds())
+	l.at = now
+	if l.scale > 1e12 {
+		l.rescale()
+	}
+	l.work[key] += float32(seconds * l.scale)
+}
+
+func (l *Load) rescale() {
+	for i, w := range l.work {
+		l.work[i] = float32(float64(w) / l.scale)
+	}
+	l.scale = 1
+}
+
+// sums returns the work per second on all keys below each index.
+func (l *Load) sums(now time.Time) []float64 {
+	sums := make([]float64, Keys+1)
+	if l.work == nil {
+		return sums
+	}
+	scale := l.scale * math.Exp2(now.Sub(l.at).Seconds()/loadHalfLife.Seconds())
+	// A steady rate r adds up to r * halfLife / ln 2.
+	rate := math.Ln2 / loadHalfLife.Seconds() / scale
+	for i, w := range l.work {
+		sums[i+1] = sums[i] + float64(w)*rate
+	}
+	return sums
+}
--- /dev/null
+++ b/basilcross/ownership/order.go
@@ -0,0 +1,156 @@
+package ownership
+
+import (
+	"time"
+
+	"basilcross.example/basilcross/roster"
+)
+
+// Order is what a keeper asks its driver to do. The driver carries orders out
+// at once, each on its own, and reports each one's end.
+type Order interface{ order() }
+
+// Grant asks for a grant or its renewal. End it with Granted.
+type Grant struct {
+	First, Last int
+	Epoch       int64
+	Hold        time.Duration
+	Owner       roster.Life
+	Address     string
+	Handover    string
+}
+
+// Release asks for keys back. End it with Released.
+type Release struct {
+	First, Last int
+	Epoch       int64
+	Owner       roster.Life
+	Address     string
+	// Until is when the answer is of no more use.
+	Until time.Time
+}
+
+// Record asks to write the assignment. End it with Recorded.
+type Record struct {
+	Assignment *Assignment
+}
+
+func (*Grant) order()   {}
+func (*Release) order() {}
+func (*Record) order()  {}
+
+// Outcome is how an order to a target ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Done: the target carried it out.
+	Done Outcome = iota
+	// Refused: the target answered and did not; nothing of it is in doubt.
+	Refused
+	// Stale: the target has seen a higher epoch.
+	Stale
+	// Unsent: nothing was sent.
+	Unsent
+	// Unknown: it may have been carried out, or may still be.
+	Unknown
+)
+
+// Granted reports the end of a grant. Sent is taken before the call, now after
+// its answer or after its connection was reset.
+func (k *Keeper) Granted(now, sent time.Time, o *Grant, out Outcome) {
+	p := k.find(o.First, o.Last, o.Owner)
+	if p == nil {
+		return
+	}
+	p.calling = false
+	h := k.holder(o.Owner)
+	switch out {
+	case Done:
+		p.until = later(p.until, now.Add(bound(o.Hold)))
+		p.usable = sent.Add(time.Duration(float64(o.Hold) / clockDrift))
+		if o.Epoch == p.epoch {
+			// The target now refuses every lower epoch, so that nothing sent
+			// before under one can still take effect.
+			p.handover = ""
+			if p.confirmed != o.Epoch {
+				p.confirmed = o.Epoch
+				p.doubt = time.Time{}
+			}
+		}
+		h.answered, h.silent = now, time.Time{}
+		return
+	case Stale:
+		p.epoch = k.nextEpoch()
+	case Unknown:
+		p.until = later(p.until, now.Add(bound(o.Hold)))
+		p.doubt = later(p.doubt, now.Add(bound(o.Hold)))
+		h.fail(now)
+	case Refused, Unsent:
+		h.fail(now)
+	}
+	p.tries++
+	p.renewAt = now.Add(retryAfter)
+}
+
+func (h *holder) fail(now time.Time) {
+	if h.silent.IsZero() {
+		h.silent = now
+	}
+}
+
+// Released reports the end of a release.
+func (k *Keeper) Released(now time.Time, o *Release, handover string, out Outcome) {
+	p := k.find(o.First, o.Last, o.Owner)
+	if p == nil || p.phase != releasing {
+		return
+	}
+	p.calling = false
+	if out == Done {
+		k.holder(o.Owner).answered = now
+		p.handover = handover
+		p.until = p.doubt
+		p.phase = waiting
+		return
+	}
+	p.tries++
+	p.phase = leaving
+	if p.tries >= releaseTries || !now.Before(p.until) {
+		p.phase = waiting
+	}
+}
+
+// Recorded reports the end of a write: whether it is in the store.
+func (k *Keeper) Recorded(now time.Time, ok bool) {
+	k.writing = false
+	if !ok {
+		k.dirty = true
+	}
+	for _, p := range k.pieces {
+		if p.phase != recording {
+			continue
+		}
+		if !ok {
+			p.phase = free
+			p.Owner, p.Born, p.Address = "", 0, ""
+			continue
+		}
+		p.phase = held
+		p.epoch = k.nextEpoch()
+		p.until, p.doubt, p.usable = time.Time{}, time.Time{}, time.Time{}
+		p.renewAt = now
+		p.tries = 0
+	}
+}
+
+// Gone reports that a lifetime is proved to have ended: it holds nothing.
+func (k *Keeper) Gone(l roster.Life) { k.holder(l).gone = true }
+
+func (k *Keeper) find(first, last int, owner roster.Life) *piece {
+	for _, p := range k.pieces {
+		if p.First == first && p.Last == last && p.Life() == owner {
+			return p
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/basilcross/ownership/plan.go
@@ -0,0 +1,297 @@
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"basilcross.example/basilcross/roster"
+)
+
+const (
+	// priorWork is the work, in slots, that is taken to lie evenly on all
+	// keys, so that keys without known load are shared out by number.
+	priorWork = 0.5
+	// busyAt is the share of a target's slots in use from which moving keys
+	// away is worth their pause.
+	busyAt = 0.5
+	// uneven is the difference between the fullest and the emptiest target, in
+	// shares of their slots, that is left alone.
+	uneven = 0.25
+	// movesAtOnce bounds the pieces that balance moves at a time.
+	movesAtOnce = 6
+	// coldShare is what a target that still warms up can do of its usual.
+	coldShare = 0.5
+	// forgiveAfter is how long a target that left orders unanswered, but is
+	// still named by the platform, is given no keys.
+	forgiveAfter = 5 * time.Second
+	// spreadOver is how many targets a lost one's keys are spread over at least.
+	spreadOver = 3
+)
+
+// room is what a target can take.
+type room struct {
+	target *roster.Target
+	slots  float64
+	load   float64
+	// still is set while none of its pieces is on the move.
+	still bool
+	holds bool
+}
+
+func (r *room) use() float64 { return r.load / r.slots }
+
+// rooms returns the targets that may be given keys.
+func (k *Keeper) rooms(now time.Time, targets []*roster.Target, sums []float64) map[string]*room {
+	rooms := map[string]*room{}
+	for _, t := range targets {
+		h := k.holder(t.Life())
+		if !h.silent.IsZero() && now.Sub(h.silent) > forgiveAfter {
+			h.silent = time.Time{}
+		}
+		if t.Draining || h.gone || !h.silent.IsZero() {
+			continue
+		}
+		slots := float64(t.Slots)
+		if now.Sub(t.Seen) < t.Warming {
+			slots *= coldShare
+		}
+		rooms[t.ID] = &room{target: t, slots: slots, still: true}
+	}
+	for _, p := range k.pieces {
+		to := p.Owner
+		if p.phase == leaving || p.phase == releasing || p.phase == waiting {
+			if r := rooms[p.Owner]; r != nil {
+				r.still = false
+			}
+			to = p.wanted
+		}
+		if r := rooms[to]; r != nil {
+			r.holds = true
+			r.load += work(sums, p.First, p.Last)
+			r.still = r.still && p.phase == held && p.confirmed == p.epoch
+		}
+	}
+	return rooms
+}
+
+// work is the load of a range, with the prior.
+func work(sums []float64, first, last int) float64 {
+	return sums[last+1] - sums[first] + priorWork*float64(last-first+1)/Keys
+}
+
+// assign gives every free piece an owner, to be recorded.
+func (k *Keeper) assign(now time.Time, targets []*roster.Target) {
+	var open []*piece
+	total := 0.0
+	sums := k.Load.sums(now)
+	for _, p := range k.pieces {
+		if p.phase == free {
+			open = append(open, p)
+			total += work(sums, p.First, p.Last)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	rooms := k.rooms(now, targets, sums)
+	if len(rooms) == 0 {
+		return
+	}
+	grain := k.grain(sums, total, len(rooms))
+	for _, p := range open {
+		for _, part := range k.split(p, sums, grain) {
+			k.give(part, emptiest(rooms, part.wanted, work(sums, part.First, part.Last)), work(sums, part.First, part.Last))
+		}
+	}
+}
+
+// grain is the load of the parts into which free pieces are cut: a target's
+// share if nearly everything is free, and less if it is one target's keys,
+// which are to be spread over several.
+func (k *Keeper) grain(sums []float64, open float64, n int) float64 {
+	all := work(sums, 0, Keys-1)
+	if open > all/2 {
+		return all / float64(n)
+	}
+	return all / float64(spreadOver*n)
+}
+
+// split cuts a free piece into parts of about the given load.
+func (k *Keeper) split(p *piece, sums []float64, grain float64) []*piece {
+	if p.wanted != "" {
+		return []*piece{p}
+	}
+	var parts []*piece
+	rest := p
+	for {
+		left := work(sums, rest.First, rest.Last)
+		if left < 1.5*grain || rest.First == rest.Last {
+			return append(parts, rest)
+		}
+		last := rest.First + sort.Search(rest.Last-rest.First, func(i int) bool {
+			return work(sums, rest.First, rest.First+i) >= grain
+		})
+		if last >= rest.Last {
+			return append(parts, rest)
+		}
+		end := rest.Last
+		part := k.cut(rest, rest.First, last)
+		parts = append(parts, part)
+		rest = k.at(last+1, end)
+	}
+}
+
+func (k *Keeper) at(first, last int) *piece {
+	for _, p := range k.pieces {
+		if p.First == first && p.Last == last {
+			return p
+		}
+	}
+	return nil
+}
+
+// emptiest returns the target that is least used with the work added; the
+// wanted one goes first if it can take keys.
+func emptiest(rooms map[string]*room, wanted string, work float64) *room {
+	if r := rooms[wanted]; r != nil {
+		return r
+	}
+	var best *room
+	for _, r := range rooms {
+		if best == nil || less(r, best, work) {
+			best = r
+		}
+	}
+	return best
+}
+
+func less(a, b *room, work float64) bool {
+	x, y := (a.load+work)/a.slots, (b.load+work)/b.slots
+	if x != y {
+		return x < y
+	}
+	return a.target.ID < b.target.ID
+}
+
+func (k *Keeper) give(p *piece, to *room, work float64) {
+	to.load += work
+	p.Owner, p.Born, p.Address = to.target.ID, to.target.Born, to.target.Address
+	p.phase, p.wanted = recording, ""
+	k.dirty = true
+	switch p.cause {
+	case OwnerLeaving:
+		k.Moved.Leaving++
+	case OwnerLost:
+		k.Moved.Lost++
+	case ForBalance:
+		k.Moved.Balance++
+	}
+}
+
+// balance begins moves from the fullest targets to the emptiest.
+func (k *Keeper) balance(now time.Time, targets []*roster.Target) {
+	sums := k.Load.sums(now)
+	rooms := k.rooms(now, targets, sums)
+	if len(rooms) < 2 {
+		return
+	}
+	all, slots := 0.0, 0.0
+	for _, r := range rooms {
+		all += r.load
+		slots += r.slots
+	}
+	mean := all / slots
+	for range movesAtOnce {
+		if !k.move(sums, rooms, mean) {
+			return
+		}
+	}
+}
+
+// move begins one move, and tells whether there was one to make.
+func (k *Keeper) move(sums []float64, rooms map[string]*room, mean float64) bool {
+	from, to := extremes(rooms)
+	if from == nil || to == nil || from == to {
+		return false
+	}
+	worth := from.use() > busyAt && from.use()-to.use() > uneven || !to.holds
+	if !worth {
+		return false
+	}
+	amount := min(from.load-mean*from.slots, mean*to.slots-to.load)
+	p, first, last := k.pick(sums, from.target.ID, amount)
+	if p == nil {
+		from.still = false
+		return true
+	}
+	p = k.cut(p, first, last)
+	p.phase, p.cause, p.wanted, p.tries = leaving, ForBalance, to.target.ID, 0
+	moved := work(sums, first, last)
+	from.load -= moved
+	to.load += moved
+	to.holds = true
+	return true
+}
+
+// extremes returns the fullest target whose pieces all lie still, and the
+// emptiest. A target that has nothing goes before one that has little.
+func extremes(rooms map[string]*room) (from, to *room) {
+	for _, r := range rooms {
+		if r.still && r.holds && (from == nil || r.use() > from.use() || r.use() == from.use() && r.target.ID < from.target.ID) {
+			from = r
+		}
+		if to == nil || emptier(r, to) {
+			to = r
+		}
+	}
+	return from, to
+}
+
+func emptier(a, b *room) bool {
+	if a.holds != b.holds {
+		return !a.holds
+	}
+	if a.use() != b.use() {
+		return a.use() < b.use()
+	}
+	return a.target.ID < b.target.ID
+}
+
+// pick returns the range at one end of one of the owner's pieces whose load
+// comes nearest to the amount. A single key busier than that stays where it
+// is, and its neighbours go.
+func (k *Keeper) pick(sums []float64, owner string, amount float64) (best *piece, first, last int) {
+	if amount <= 0 {
+		return nil, 0, 0
+	}
+	found := 0.0
+	for _, p := range k.pieces {
+		if p.Owner != owner || p.phase != held || p.calling {
+			continue
+		}
+		size := p.Last - p.First + 1
+		fits := func(n int, head bool) float64 {
+			if head {
+				return work(sums, p.First, p.First+n-1)
+			}
+			return work(sums, p.Last-n+1, p.Last)
+		}
+		for _, head := range []bool{true, false} {
+			n := sort.Search(size, func(i int) bool { return fits(i+1, head) > 1.2*amount })
+			if n == 0 || n == size && len(k.pieces) > 1 && fits(size, head) <= found {
+				continue
+			}
+			if got := fits(n, head); got > found {
+				found, best = got, p
+				first, last = p.First, p.First+n-1
+				if !head {
+					first, last = p.Last-n+1, p.Last
+				}
+			}
+		}
+	}
+	if found < amount/10 {
+		return nil, 0, 0
+	}
+	return best, first, last
+}
--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -13,8 +13,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -71,6 +75,12 @@
 	// Before is called when a connection is at hand, immediately before the
 	// first byte is written. Its error stops the request.
 	Before func(now time.Time) error
+	// Mine, if set, tells whether an answer belongs to this request. Others
+	// are late second answers to earlier requests: they are read and dropped,
+	// and the connection is not used again.
+	Mine func(h http.Header) bool
+	// Head, if set, fills in what depends on the moment of sending.
+	Head func(now time.Time, h http.Header)
 }
 
 // Stage is how far a request got.
@@ -114,6 +124,11 @@
 	dies       time.Time
 	reused     bool
 	wrote      bool
+	// keep is how long the target says that it keeps an idle connection;
+	// 0 if it does not say.
+	keep time.Duration
+	// spoilt connections are not used again.
+	spoilt bool
 }
 
 // Write notes that bytes left for the network.
@@ -146,7 +161,8 @@
 		}
 		return nil, failed
 	}
-	res.Body = &body{ReadCloser: res.Body, pool: p, conn: c, stop: stop, reusable: !res.Close}
+	c.keep = keepAlive(res.Header)
+	res.Body = &body{ReadCloser: res.Body, pool: p, conn: c, stop: stop, reusable: !res.Close && !c.spoilt}
 	return res, nil
 }
 
@@ -173,16 +189,75 @@
 			return nil, &Error{Stage: Checking, Reused: c.reused, Cause: err}
 		}
 	}
+	if r.Head != nil {
+		r.Head(time.Now(), r.Header)
+	}
+	sent := make(chan error, 1)
+	if r.Length < 0 || r.Length > sendAhead {
+		return c.exchangeLong(r, sent)
+	}
 	if err := c.send(r); err != nil {
 		return nil, &Error{Stage: Writing, Wrote: c.wrote, Reused: c.reused, Cause: err}
 	}
-	res, err := c.receive(r.Method)
+	res, err := c.receive(r)
 	if err != nil {
 		return nil, &Error{Stage: Waiting, Wrote: true, Reused: c.reused, Cause: err}
 	}
 	return res, nil
 }
 
+// sendAhead is the body that fits into the socket's buffers, so that its
+// writer cannot block while the target answers early and reads no further.
+const sendAhead = 16 << 10
+
+// exchangeLong reads the answer while the body is still being written: a
+// target may answer before it has read a long body. What is then left of the
+// body belongs to nobody, so the connection is not used again.
+func (c *conn) exchangeLong(r *Request, sent chan error) (*http.Response, *Error) {
+	var group errgroup.Group
+	group.Go(func() error {
+		err := c.send(r)
+		if err != nil {
+			// The reader would wait for an answer to half a request.
+			_ = c.SetReadDeadline(time.Now().Add(earlyAnswer))
+		}
+		sent <- err
+		return nil
+	})
+	res, err := c.receive(r)
+	if err == nil {
+		select {
+		case werr := <-sent:
+			c.spoilt = c.spoilt || werr != nil
+		default:
+			c.spoilt = true
+		}
+		return res, nil
+	}
+	_ = c.SetDeadline(time.Unix(1, 0))
+	werr := <-sent
+	if werr != nil && !c.wrote {
+		return nil, &Error{Stage: Writing, Reused: c.reused, Cause: werr}
+	}
+	return nil, &Error{Stage: Waiting, Wrote: true, Reused: c.reused, Cause: err}
+}
+
+// earlyAnswer is how long an answer that was sent before the connection broke
+// may take to be read: it lies in the socket's buffer already.
+const earlyAnswer = 100 * time.Millisecond
+
+// keepAlive reads the seconds in a Keep-Alive header.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		seconds, err := strconv.Atoi(value)
+		if name == "timeout" && err == nil && seconds >= 0 {
+			return time.Duration(seconds) * time.Second
+		}
+	}
+	return 0
+}
+
 func (c *conn) send(r *Request) error {
 	w := c.writer
 	w.Reset(c)
@@ -208,8 +283,8 @@
 }
 
 // receive reads the answer's head, past any interim answers.
-func (c *conn) receive(method string) (*http.Response, error) {
-	request := &http.Request{Method: method}
+func (c *conn) receive(r *Request) (*http.Response, error) {
+	request := &http.Request{Method: r.Method}
 	for {
 		res, err := http.ReadResponse(c.reader, request)
 		if err != nil {
@@ -218,9 +293,19 @@
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("target switched protocols")
 		}
-		if res.StatusCode >= http.StatusOK {
+		if res.StatusCode < http.StatusOK {
+			continue
+		}
+		if r.Mine == nil || r.Mine(res.Header) {
 			return res, nil
 		}
+		c.spoilt = true
+		if res.Close {
+			return nil, fmt.Errorf("target answered another request and closed")
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -261,7 +346,13 @@
 	p.mu.Lock()
 	suspect := c.lastAnswer.Before(p.suspectBefore)
 	p.mu.Unlock()
-	fresh := now.Before(c.dies) && now.Sub(c.lastAnswer) < maxIdle
+	limit := maxIdle
+	if c.keep > 0 {
+		// Half of it: the target's timer started earlier than ours, and a
+		// request that crosses its close may have run.
+		limit = min(limit, c.keep/2)
+	}
+	fresh := now.Before(c.dies) && now.Sub(c.lastAnswer) < limit
 	return !suspect && fresh && c.reader.Buffered() == 0 && quiet(c.Conn)
 }
 
--- a/basilcross/retry/retry.go
+++ b/basilcross/retry/retry.go
@@ -4,24 +4,40 @@
 import "sync"
 
 const (
-	// share is what each success adds to the budget, in requests.
-	share = 0.1
-	// reserve is the largest balance: what may be repeated in a burst.
-	reserve = 10.0
+	// defaultShare is what each success or request adds to the budget where
+	// Share is zero.
+	defaultShare = 0.1
+	// defaultReserve is the largest balance where Reserve is zero: what may be
+	// repeated in a burst.
+	defaultReserve = 10.0
 )
 
-// Budget lets through at most one repetition per ten successes, after a small
-// reserve. Without it every gateway would multiply its load on targets at the
-// moment when they fail. The zero value starts with a full reserve.
+// Budget lets through a share of repetitions, after a small reserve. Without
+// it every gateway would multiply its load on targets at the moment when they
+// fail. The zero value starts with a full reserve, and lets through at most
+// one repetition per ten earned.
 type Budget struct {
-	mu    sync.Mutex
-	spent float64
+	mu      sync.Mutex
+	share   float64
+	reserve float64
+	spent   float64
 }
 
-// Success pays into the budget.
-func (b *Budget) Success() {
+// Set changes share and reserve; zero is the default.
+func (b *Budget) Set(share, reserve float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.share, b.reserve = share, reserve
+}
+
+// Earn pays into the budget.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	share := b.share
+	if share == 0 {
+		share = defaultShare
+	}
 	b.spent = max(0, b.spent-share)
 }
 
@@ -29,6 +45,10 @@
 func (b *Budget) Take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	reserve := b.reserve
+	if reserve == 0 {
+		reserve = defaultReserve
+	}
 	if b.spent+1 > reserve {
 		return false
 	}
--- a/basilcross/retry/retry_test.go
+++ b/basilcross/retry/retry_test.go
@@ -29,7 +29,7 @@
 	for i := range requests {
 		sent++
 		if i%2 == 0 {
-			b.Success()
+			b.Earn()
 			continue
 		}
 		if b.Take() {
--- /dev/null
+++ b/basilcross/roster/roster.go
@@ -0,0 +1,149 @@
+// Package roster keeps the list of targets that the platform names.
+package roster
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Target is one lifetime of a server that runs requests.
+type Target struct {
+	ID string
+	// Born is the start of this lifetime, in Unix milliseconds; a higher one
+	// under the same ID is another lifetime, which knows nothing of before.
+	Born    int64
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Seq grows with each of the target's own reports.
+	Seq      int64
+	Draining bool
+	// Warming is how much longer the target is slow, at its report.
+	Warming time.Duration
+	// Seen is when this instance first saw this lifetime.
+	Seen time.Time
+	// Left is when this instance first saw it leaving; zero if it does not.
+	Left time.Time
+}
+
+// Life names one lifetime.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life returns the lifetime's name.
+func (t *Target) Life() Life { return Life{t.ID, t.Born} }
+
+// View is the list at one moment. It does not change.
+type View struct {
+	Targets  map[string]*Target
+	Services map[string][]*Target
+	// Revision is the store's revision up to which the view is complete.
+	Revision uint64
+}
+
+// Roster is the list as it changes. The zero value is empty.
+type Roster struct {
+	mu      sync.Mutex
+	targets map[string]*Target
+	view    atomic.Pointer[View]
+}
+
+// Change is one row's news; a nil Target says that the row is gone.
+type Change struct {
+	ID     string
+	Target *Target
+}
+
+// Load returns the present view.
+func (r *Roster) Load() *View {
+	if v := r.view.Load(); v != nil {
+		return v
+	}
+	return &View{}
+}
+
+// Apply takes in changes up to a revision. It returns the lifetimes that
+// appeared and those that left or began to leave.
+func (r *Roster) Apply(now time.Time, changes []Change, revision uint64) (came, left []*Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.targets == nil {
+		r.targets = map[string]*Target{}
+	}
+	for _, c := range changes {
+		in, out := r.apply(now, c)
+		if in != nil {
+			came = append(came, in)
+		}
+		if out != nil {
+			left = append(left, out)
+		}
+	}
+	r.publish(revision)
+	return came, left
+}
+
+// Replace takes in a whole list.
+func (r *Roster) Replace(now time.Time, list []*Target, revision uint64) (came, left []*Target) {
+	named := map[string]bool{}
+	changes := make([]Change, 0, len(list))
+	for _, t := range list {
+		named[t.ID] = true
+		changes = append(changes, Change{ID: t.ID, Target: t})
+	}
+	r.mu.Lock()
+	for id := range r.targets {
+		if !named[id] {
+			changes = append(changes, Change{ID: id})
+		}
+	}
+	r.mu.Unlock()
+	return r.Apply(now, changes, revision)
+}
+
+func (r *Roster) apply(now time.Time, c Change) (came, left *Target) {
+	old := r.targets[c.ID]
+	if c.Target == nil {
+		delete(r.targets, c.ID)
+		return nil, old
+	}
+	if old != nil && isOlder(c.Target, old) {
+		return nil, nil
+	}
+	t := *c.Target
+	fresh := old == nil || old.Born != t.Born
+	t.Seen = now
+	if !fresh {
+		t.Seen, t.Left = old.Seen, old.Left
+	}
+	if t.Draining && t.Left.IsZero() {
+		t.Left = now
+		left = &t
+	}
+	r.targets[c.ID] = &t
+	if fresh {
+		came = &t
+	}
+	return came, left
+}
+
+// isOlder tells of a report that was overtaken by a newer one.
+func isOlder(t, than *Target) bool {
+	if t.Born != than.Born {
+		return t.Born < than.Born
+	}
+	return t.Seq < than.Seq
+}
+
+func (r *Roster) publish(revision uint64) {
+	v := &View{Targets: make(map[string]*Target, len(r.targets)), Services: map[string][]*Target{}, Revision: revision}
+	for id, t := range r.targets {
+		v.Targets[id] = t
+		v.Services[t.Service] = append(v.Services[t.Service], t)
+	}
+	r.view.Store(v)
+}
--- /dev/null
+++ b/gateway/coordinator/coordinator.go
@@ -0,0 +1,321 @@
+// Package coordinator is the duty of the one instance that grants keys. It
+// holds a lease in the store, keeps each sharded service's holders, and sends
+// grants and releases to targets. Every instance runs it; one leads.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// stepEvery is how often due orders are looked for.
+	stepEvery = 40 * time.Millisecond
+	// beatEvery is the time between two signs of life.
+	beatEvery = 250 * time.Millisecond
+	// silence is when a coordinator that was heard before counts as silent,
+	// and its row is looked at.
+	silence = 900 * time.Millisecond
+	// lookEvery is the time between two looks at the row.
+	lookEvery = 400 * time.Millisecond
+	// spread is the random wait per member before trying to take over, so that
+	// most see the first one's success instead of writing too.
+	spread = 10 * time.Millisecond
+	// memberFor is how long an instance counts after its last report.
+	memberFor = 2 * time.Second
+	// doubtAfter is when a write without an answer makes holds long: early
+	// enough that all targets get them within the lease that is left.
+	doubtAfter = 800 * time.Millisecond
+	// calmWithin is the duration of a write that shows the store to be well.
+	calmWithin = 400 * time.Millisecond
+	// eventRoom bounds what waits for the duty's goroutine.
+	eventRoom = 1024
+)
+
+// Options are what a Coordinator needs; all must be set.
+type Options struct {
+	Self   peers.Instance
+	Store  *platform.Store
+	Grants *platform.Grants
+	Peers  *peers.Peers
+	Roster *roster.Roster
+	// Table returns the routes in force, or nil.
+	Table func() *routing.Table
+	// Revisions returns how far this instance's copies go.
+	Revisions func() map[string]uint64
+	Holds     ownership.Holds
+	Log       *slog.Logger
+}
+
+// Coordinator is the duty. Create it with New.
+type Coordinator struct {
+	Options
+
+	events chan func()
+	group  errgroup.Group
+
+	// The rest belongs to the duty's goroutine.
+	seen      seenLease
+	heard     time.Time
+	heardFrom string
+	lookAt    time.Time
+	looking   bool
+	leading   *leading
+	members   map[string]time.Time
+}
+
+// leading is the state of a term. Another term has another one, so answers to
+// orders of a former term are known by it.
+type leading struct {
+	lease    lease
+	revision uint64
+	// goodUntil is the end of the authority, by the boot-time clock.
+	goodUntil atomic.Int64
+	keepers map[string]*ownership.Keeper
+	// recorded is what the store had when the term began; nil until read.
+	recorded  map[string]*ownership.Assignment
+	reading   bool
+	writing   bool
+	wroteAt   time.Time
+	pending   map[string]*ownership.Record
+	beatAt    time.Time
+	inDoubt   bool
+	resigning bool
+	cancel    context.CancelFunc
+	ctx       context.Context
+}
+
+// New returns a duty.
+func New(o Options) *Coordinator {
+	return &Coordinator{Options: o, events: make(chan func(), eventRoom), members: map[string]time.Time{}}
+}
+
+// Serve runs the duty until the context ends.
+func (c *Coordinator) Serve(ctx context.Context) error {
+	tick := time.NewTicker(stepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			c.stepDown("stopped")
+			return ctx.Err()
+		case <-tick.C:
+			c.step(ctx)
+		case f := <-c.events:
+			f()
+		}
+	}
+}
+
+// post brings something to the duty's goroutine. Losing it could leave a call
+// open for ever, so it waits; the duty never waits for its callers.
+func (c *Coordinator) post(ctx context.Context, f func()) {
+	select {
+	case c.events <- f:
+	case <-ctx.Done():
+	}
+}
+
+// offer is like post for what may be lost.
+func (c *Coordinator) offer(f func()) {
+	select {
+	case c.events <- f:
+	default:
+	}
+}
+
+// Hear takes in another instance's message.
+func (c *Coordinator) Hear(m *peers.Message) {
+	c.offer(func() {
+		now := time.Now()
+		c.members[m.From] = now
+		if m.Beat != nil {
+			c.hearBeat(now, m)
+		}
+		if m.Report != nil && c.leading != nil {
+			c.takeLoads(now, m.Report)
+		}
+	})
+}
+
+func (c *Coordinator) hearBeat(now time.Time, m *peers.Message) {
+	if m.Beat.Resigned {
+		c.heard, c.lookAt = time.Time{}, now
+		return
+	}
+	if m.Beat.Term < c.seen.lease.Term {
+		return
+	}
+	c.heard, c.heardFrom = now, m.From
+	c.observe(m.Beat.Lease, lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life, LeaseMs: m.Beat.LeaseMs})
+}
+
+// observe notes a row of the lease.
+func (c *Coordinator) observe(revision uint64, l lease) {
+	if c.seen.known && revision <= c.seen.revision && revision != 0 {
+		return
+	}
+	c.seen = seenLease{revision: revision, lease: l, since: boottime(), known: true}
+}
+
+// TakeLoads takes in this instance's own loads.
+func (c *Coordinator) TakeLoads(r *peers.Report) {
+	c.offer(func() {
+		if c.leading != nil {
+			c.takeLoads(time.Now(), r)
+		}
+	})
+}
+
+func (c *Coordinator) takeLoads(now time.Time, r *peers.Report) {
+	for _, l := range r.Loads {
+		if k := c.leading.keepers[l.Service]; k != nil {
+			k.Load.Add(now, l.Key, float64(l.Ms)/1000)
+		}
+	}
+}
+
+func (c *Coordinator) step(ctx context.Context) {
+	if c.leading != nil {
+		c.lead(ctx)
+		return
+	}
+	now := time.Now()
+	if now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) {
+		return
+	}
+	c.look(ctx)
+}
+
+// look reads the lease's row and takes over if its holder's time has passed.
+func (c *Coordinator) look(ctx context.Context) {
+	c.looking = true
+	c.group.Go(func() error {
+		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		defer cancel()
+		row, err := c.Store.Key(callCtx, LeaseTable, leaseKey)
+		c.post(ctx, func() { c.looked(ctx, row, err) })
+		return nil
+	})
+}
+
+func (c *Coordinator) looked(ctx context.Context, row platform.Row, err error) {
+	c.looking = false
+	c.lookAt = time.Now().Add(lookEvery/2 + rand.N(lookEvery))
+	if err != nil {
+		c.storeFailed("read lease", err)
+		return
+	}
+	l := lease{}
+	if row.Revision != 0 {
+		if l, err = decodeLease(row.Value); err != nil {
+			c.storeFailed("parse lease", err)
+			return
+		}
+	}
+	c.observe(row.Revision, l)
+	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
+		return
+	}
+	delay := rand.N(spread * time.Duration(max(1, len(c.Peers.All()))))
+	if c.seen.lease.Holder == c.Self.Name {
+		delay = 0
+	}
+	c.looking = true
+	c.group.Go(func() error {
+		timer := time.NewTimer(delay)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		c.post(ctx, func() { c.acquire(ctx) })
+		return nil
+	})
+}
+
+// acquire writes the lease's row for the next term.
+func (c *Coordinator) acquire(ctx context.Context) {
+	c.looking = false
+	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
+		return
+	}
+	c.looking = true
+	sent := boottime()
+	mine := lease{Term: c.seen.lease.Term + 1, Holder: c.Self.Name, Life: c.Self.Life, LeaseMs: leaseFor.Milliseconds(), Seq: 1}
+	on := c.seen.revision
+	c.group.Go(func() error {
+		callCtx, cancel := context.WithTimeout(ctx, leaseFor)
+		defer cancel()
+		s := c.write(callCtx, &mine, on, nil)
+		c.post(ctx, func() { c.acquired(ctx, mine, sent, s) })
+		return nil
+	})
+}
+
+func (c *Coordinator) acquired(ctx context.Context, mine lease, sent time.Duration, s settled) {
+	c.looking = false
+	if !s.ok {
+		if s.revision != 0 {
+			c.observe(s.revision, s.present)
+		}
+		return
+	}
+	termCtx, cancel := context.WithCancel(ctx)
+	c.observe(s.revision, mine)
+	c.leading = &leading{
+		lease: mine, revision: s.revision,
+		keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
+		ctx: termCtx, cancel: cancel, wroteAt: time.Now(),
+	}
+	c.leading.goodUntil.Store(int64(sent + leaseFor - orderMargin))
+	event.LeadGained.Log(c.Log, "term", mine.Term, "revision", s.revision)
+	c.lead(ctx)
+}
+
+func (c *Coordinator) stepDown(why string) {
+	if c.leading == nil {
+		return
+	}
+	event.LeadLost.Log(c.Log, "term", c.leading.lease.Term, "reason", why)
+	c.leading.cancel()
+	c.leading = nil
+	c.heard = time.Time{}
+}
+
+func (c *Coordinator) storeFailed(call string, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	event.StoreCallFailed.Log(c.Log, "call", call, "error", err)
+}
+
+// Leading tells this instance's term, or 0.
+func (c *Coordinator) Leading(ctx context.Context) int64 {
+	got := make(chan int64, 1)
+	c.post(ctx, func() {
+		if c.leading == nil {
+			got <- 0
+			return
+		}
+		got <- c.leading.lease.Term
+	})
+	select {
+	case term := <-got:
+		return term
+	case <-ctx.Done():
+		return 0
+	}
+}
--- /dev/null
+++ b/gateway/coordinator/lead.go
@@ -0,0 +1,268 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+)
+
+func decodeLease(text []byte) (lease, error) {
+	l := lease{}
+	if err := json.Unmarshal(text, &l); err != nil {
+		return l, fmt.Errorf("parse lease: %w", err)
+	}
+	return l, nil
+}
+
+// lead does what is due in a term.
+func (c *Coordinator) lead(ctx context.Context) {
+	l := c.leading
+	if boottime() >= time.Duration(l.goodUntil.Load()) {
+		c.stepDown("the lease ran out")
+		return
+	}
+	now := time.Now()
+	c.beat(now)
+	if l.resigning {
+		return
+	}
+	if l.recorded == nil {
+		c.readRecorded(ctx)
+	} else {
+		c.keep(now)
+	}
+	c.noteDoubt(now)
+	if !l.writing && (len(l.pending) > 0 || now.Sub(l.wroteAt) >= renewEvery) {
+		c.renew(ctx, now)
+	}
+}
+
+func (c *Coordinator) beat(now time.Time) {
+	l := c.leading
+	if now.Before(l.beatAt) {
+		return
+	}
+	l.beatAt = now.Add(beatEvery)
+	c.Peers.Broadcast(&peers.Message{Revisions: c.Revisions(), Beat: &peers.Beat{
+		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: c.countMembers(now),
+	}})
+}
+
+func (c *Coordinator) countMembers(now time.Time) int {
+	n := 1
+	for name, at := range c.members {
+		if now.Sub(at) > memberFor {
+			delete(c.members, name)
+			continue
+		}
+		n++
+	}
+	return n
+}
+
+// readRecorded reads what former coordinators recorded. It is read after the
+// lease was written, so no former one can write after it.
+func (c *Coordinator) readRecorded(ctx context.Context) {
+	l := c.leading
+	if l.reading {
+		return
+	}
+	l.reading = true
+	c.group.Go(func() error {
+		callCtx, cancel := context.WithTimeout(l.ctx, attemptTimeout)
+		defer cancel()
+		recorded, err := c.allRecorded(callCtx)
+		c.post(ctx, func() {
+			l.reading = false
+			if err != nil {
+				c.storeFailed("read assignments", err)
+				return
+			}
+			l.recorded = recorded
+		})
+		return nil
+	})
+}
+
+func (c *Coordinator) allRecorded(ctx context.Context) (map[string]*ownership.Assignment, error) {
+	recorded := map[string]*ownership.Assignment{}
+	after := ""
+	for {
+		rows, err := c.Store.Range(ctx, AssignmentTable, "", after)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range rows.Rows {
+			a, err := ownership.Parse(r.Value)
+			if err != nil {
+				return nil, fmt.Errorf("service %s: %w", r.Key, err)
+			}
+			recorded[r.Key] = a
+			after = r.Key
+		}
+		if !rows.More {
+			return recorded, nil
+		}
+	}
+}
+
+// keep looks after the holders of every sharded service.
+func (c *Coordinator) keep(now time.Time) {
+	table := c.Table()
+	if table == nil {
+		return
+	}
+	l := c.leading
+	view := c.Roster.Load()
+	for i := range table.Config.Services {
+		s := &table.Config.Services[i]
+		if !s.Sharded {
+			continue
+		}
+		k := l.keepers[s.Name]
+		if k == nil {
+			k = &ownership.Keeper{Service: s.Name, Term: l.lease.Term, Holds: c.Holds}
+			k.Take(now, l.recorded[s.Name], c.Holds.Long+orderTimeout)
+			k.StoreInDoubt(now, l.inDoubt)
+			l.keepers[s.Name] = k
+		}
+		for _, o := range k.Step(now, view.Services[s.Name]) {
+			c.carryOut(k, o)
+		}
+	}
+}
+
+// noteDoubt makes holds long while a write is without an answer.
+func (c *Coordinator) noteDoubt(now time.Time) {
+	l := c.leading
+	if !l.writing || l.inDoubt || now.Sub(l.wroteAt) < doubtAfter {
+		return
+	}
+	l.inDoubt = true
+	event.StoreInDoubt.Log(c.Log, "term", l.lease.Term, "waitedMs", now.Sub(l.wroteAt).Milliseconds())
+	for _, k := range l.keepers {
+		k.StoreInDoubt(now, true)
+	}
+}
+
+// renew writes the lease, together with the assignments to be recorded.
+func (c *Coordinator) renew(ctx context.Context, now time.Time) {
+	l := c.leading
+	next := l.lease
+	next.Seq++
+	var writes []platform.Write
+	records := l.pending
+	l.pending = map[string]*ownership.Record{}
+	for name, r := range records {
+		text, err := json.Marshal(r.Assignment)
+		if err != nil {
+			panic("coordinator: assignment does not encode: " + err.Error())
+		}
+		writes = append(writes, platform.Write{Table: AssignmentTable, Key: name, Value: text})
+	}
+	l.writing, l.wroteAt = true, now
+	sent := boottime()
+	on := l.revision
+	c.group.Go(func() error {
+		s := c.write(l.ctx, &next, on, writes)
+		c.post(ctx, func() { c.renewed(l, next, sent, s, records) })
+		return nil
+	})
+}
+
+func (c *Coordinator) renewed(l *leading, next lease, sent time.Duration, s settled, records map[string]*ownership.Record) {
+	if c.leading != l {
+		return
+	}
+	l.writing = false
+	now := time.Now()
+	if !s.ok {
+		c.observe(s.revision, s.present)
+		c.stepDown("the lease's row was changed by " + s.present.Holder)
+		return
+	}
+	l.lease, l.revision = next, s.revision
+	l.goodUntil.Store(int64(sent + time.Duration(next.LeaseMs)*time.Millisecond - orderMargin))
+	c.observe(s.revision, next)
+	if l.inDoubt && s.took < calmWithin {
+		l.inDoubt = false
+		for _, k := range l.keepers {
+			k.StoreInDoubt(now, false)
+		}
+	}
+	for name, r := range records {
+		event.KeysRecorded.Log(c.Log, "service", name, "term", next.Term, "revision", s.revision,
+			"pieces", len(r.Assignment.Pieces), "tookMs", s.took.Milliseconds())
+		if k := l.keepers[name]; k != nil {
+			k.Recorded(now, true)
+		}
+	}
+}
+
+// Resign gives the lease up, so that another instance takes over at once.
+func (c *Coordinator) Resign(ctx context.Context) {
+	done := make(chan struct{})
+	c.post(ctx, func() {
+		l := c.leading
+		if l == nil || l.recorded == nil {
+			close(done)
+			return
+		}
+		l.resigning = true
+		c.group.Go(func() error {
+			defer close(done)
+			c.giveUp(ctx, l)
+			return nil
+		})
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// resignPause lets orders and writes under way end; new ones are not sent.
+const resignPause = 150 * time.Millisecond
+
+func (c *Coordinator) giveUp(ctx context.Context, l *leading) {
+	timer := time.NewTimer(resignPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	free := make(chan uint64, 1)
+	c.post(ctx, func() {
+		if c.leading == l && !l.writing {
+			free <- l.revision
+			return
+		}
+		close(free)
+	})
+	select {
+	case on, ok := <-free:
+		if !ok {
+			return
+		}
+		given := lease{Term: l.lease.Term, Holder: c.Self.Name, Life: c.Self.Life, Seq: l.lease.Seq + 1}
+		s := c.write(ctx, &given, on, nil)
+		if s.ok {
+			event.LeadResigned.Log(c.Log, "term", given.Term)
+			c.Peers.Broadcast(&peers.Message{Beat: &peers.Beat{Term: given.Term, Lease: s.revision, Resigned: true}})
+		}
+		c.post(ctx, func() {
+			if c.leading == l {
+				c.stepDown("resigned")
+				c.heard = time.Now().Add(time.Hour)
+			}
+		})
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/coordinator/lease.go
@@ -0,0 +1,169 @@
+package coordinator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"basilcross.example/platform"
+	"golang.org/x/sync/errgroup"
+)
+
+// Tables of ours in the store.
+const (
+	// LeaseTable has one row, which the coordinator renews.
+	LeaseTable = "coordinator"
+	// AssignmentTable has a row for each sharded service.
+	AssignmentTable = "assignment"
+	// InstanceTable has a row for each instance.
+	InstanceTable = "instance"
+
+	leaseKey = "lease"
+)
+
+const (
+	// leaseFor is how long a lease is good, from the sending of its write. An
+	// instance that falls silent is replaced after that; the grants of targets
+	// outlast it.
+	leaseFor = 2 * time.Second
+	// renewEvery is the time between two writes of the lease.
+	renewEvery = 500 * time.Millisecond
+	// leaseDrift is how much faster another instance's clock may run.
+	leaseDrift = 1.03
+	// orderMargin ends the authority to send orders before the lease's end.
+	orderMargin = 100 * time.Millisecond
+	// hedgeAfter is when a write without an answer is sent again on another
+	// connection. Its condition makes the second one harmless.
+	hedgeAfter = 500 * time.Millisecond
+	// rejectPause is the wait after the store did not take a write.
+	rejectPause = 150 * time.Millisecond
+	// attemptTimeout bounds one try of a write.
+	attemptTimeout = 3 * time.Second
+)
+
+// lease is the row of the coordinator. LeaseMs 0 means that it was given up.
+type lease struct {
+	Term    int64  `json:"term"`
+	Holder  string `json:"holder"`
+	Life    string `json:"life"`
+	LeaseMs int64  `json:"leaseMs"`
+	// Seq tells the holder's writes apart, for settling those without answer.
+	Seq int64 `json:"seq"`
+}
+
+func (l *lease) encode() []byte {
+	text, err := json.Marshal(l)
+	if err != nil {
+		panic("coordinator: lease does not encode: " + err.Error())
+	}
+	return text
+}
+
+// seenLease is the newest row that this instance knows of.
+type seenLease struct {
+	revision uint64
+	lease    lease
+	// since is when it was first seen, by the boot-time clock.
+	since time.Duration
+	known bool
+}
+
+// over tells whether the row's holder has no authority any more: it gave up,
+// its process has ended since another one runs in its place, or its time has
+// passed since the row was first seen. A renewal would have changed the row.
+func (s *seenLease) over(now time.Duration, name, life string) bool {
+	if !s.known {
+		return false
+	}
+	if s.revision == 0 || s.lease.LeaseMs == 0 {
+		return true
+	}
+	if s.lease.Holder == name && s.lease.Life != life {
+		return true
+	}
+	good := time.Duration(float64(s.lease.LeaseMs)*leaseDrift) * time.Millisecond
+	return now >= s.since+good+orderMargin
+}
+
+// settled is how a conditional write ended.
+type settled struct {
+	ok bool
+	// revision of the write, or of the row that stood in its way.
+	revision uint64
+	present  lease
+	took     time.Duration
+}
+
+// write carries out a transaction that sets the lease row, and finds out for
+// certain whether it took effect. It gives up only when the context ends.
+func (c *Coordinator) write(ctx context.Context, mine *lease, on uint64, more []platform.Write) settled {
+	began := time.Now()
+	tx := platform.Transaction{
+		If:  []platform.Condition{{Table: LeaseTable, Key: leaseKey, Revision: on}},
+		Set: append([]platform.Write{{Table: LeaseTable, Key: leaseKey, Value: mine.encode()}}, more...),
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan answer, 1)
+	var group errgroup.Group
+	send := func() {
+		group.Go(func() error {
+			tryCtx, done := context.WithTimeout(ctx, attemptTimeout)
+			defer done()
+			revision, err := c.Store.Transact(tryCtx, tx)
+			select {
+			case answers <- answer{revision, err}:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+	send()
+	timer := time.NewTimer(hedgeAfter)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return settled{took: time.Since(began)}
+		case <-timer.C:
+			send()
+			timer.Reset(hedgeAfter)
+		case a := <-answers:
+			if s, final := c.judge(mine, a); final {
+				s.took = time.Since(began)
+				return s
+			}
+			timer.Reset(rejectPause)
+		}
+	}
+}
+
+type answer struct {
+	revision uint64
+	err      error
+}
+
+// judge tells what an answer proves. A row with this write's own number shows
+// that an earlier try took effect though its answer was lost.
+func (c *Coordinator) judge(mine *lease, a answer) (s settled, final bool) {
+	if a.err == nil {
+		return settled{ok: true, revision: a.revision}, true
+	}
+	var conflict *platform.ConflictError
+	if !errors.As(a.err, &conflict) {
+		c.storeFailed("write lease", a.err)
+		return settled{}, false
+	}
+	for _, r := range conflict.Rows {
+		if r.Table != LeaseTable || r.Key != leaseKey {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &s.present); err != nil {
+			c.storeFailed("parse lease", err)
+		}
+		s.revision = r.Revision
+	}
+	s.ok = s.present == *mine
+	return s, true
+}
--- a/gateway/entry/attempt.go
+++ b/gateway/entry/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"basilcross.example/basilcross/assignment"
@@ -282,11 +281,3 @@
 	}
 	return time.Duration(seconds) * time.Second
 }
-
-func splitList(list string) []string {
-	names := strings.Split(list, ",")
-	for i := range names {
-		names[i] = strings.TrimSpace(names[i])
-	}
-	return names
-}
--- a/gateway/entry/call.go
+++ b/gateway/entry/call.go
@@ -14,6 +14,7 @@
 	"basilcross.example/basilcross/grant"
 	"basilcross.example/basilcross/refusal"
 	"basilcross.example/basilcross/shard"
+	"basilcross.example/gateway/hop"
 	"basilcross.example/gateway/view"
 )
 
@@ -176,17 +177,11 @@
 	}
 }
 
-// hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // forwarded returns the headers to pass on. Headers by which targets know what
 // a gateway says are never taken from callers.
 func forwarded(r *http.Request) http.Header {
 	h := r.Header.Clone()
-	removeHopByHop(h)
+	hop.Remove(h)
 	for _, name := range []string{"Expect", "Content-Length", grant.EpochHeader, grant.HashHeader, grant.DeadlineHeader} {
 		h.Del(name)
 	}
@@ -198,14 +193,3 @@
 	}
 	return h
 }
-
-func removeHopByHop(h http.Header) {
-	for _, list := range h.Values("Connection") {
-		for _, name := range splitList(list) {
-			h.Del(name)
-		}
-	}
-	for _, name := range hopByHop {
-		h.Del(name)
-	}
-}
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -104,7 +104,7 @@
 		out := f.attempt(ctx, c)
 		last, isFailed := out.(*failed)
 		if !isFailed {
-			f.budget(c.service).Success()
+			f.budget(c.service).Earn()
 			return out
 		}
 		doubt = doubt || last.refusal.Outcome == refusal.Unknown
--- a/gateway/entry/pass.go
+++ b/gateway/entry/pass.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/hop"
 )
 
 // streamBuffer is the size of the pieces in which long answers are passed on.
@@ -20,7 +21,7 @@
 	for name, values := range res.Header {
 		h[name] = values
 	}
-	removeHopByHop(h)
+	hop.Remove(h)
 	if out.buffered {
 		h.Set("Content-Length", strconv.Itoa(len(out.body)))
 		w.WriteHeader(res.StatusCode)
--- /dev/null
+++ b/gateway/front/attempt.go
@@ -0,0 +1,244 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/pool"
+)
+
+const (
+	// drainUse is how long the owner of keys is used after it said that it is
+	// leaving, while its keys go to others. The users allow 2 s.
+	drainUse = 700 * time.Millisecond
+	// bufferLimit is the answer held in memory, so that one cut short is found
+	// out before the caller has seen a byte of it.
+	bufferLimit = 256 << 10
+)
+
+// answer is a target's own.
+type answer struct {
+	response *http.Response
+	body     []byte
+	// rest is what comes after body, for long answers.
+	rest   io.Reader
+	finish func(whole bool)
+}
+
+// attempt sends the request once.
+func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
+	ask := dispatch.Ask{Service: c.service, Avoid: c.avoid, Priority: c.route.Priority}
+	ask.Latest = c.deadline.Add(-f.Dispatcher.Latency(c.service) / 2)
+	if c.sharded {
+		owner, failed := f.owner(c)
+		if failed != nil {
+			return nil, failed
+		}
+		ask.Target = owner
+	}
+	began := time.Now()
+	place, err := f.Dispatcher.Acquire(ctx, ask)
+	c.queued += time.Since(began)
+	if err != nil {
+		return nil, f.noPlace(ctx, c, err)
+	}
+	c.sends++
+	c.target = place.Target.ID
+	return f.send(ctx, c, place)
+}
+
+// owner returns the target that has the request's key.
+func (f *Front) owner(c *call) (string, *refusal) {
+	a, newer := f.Owners(c.service)
+	c.newer = newer
+	if a == nil {
+		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryOwner, forOwner: true}
+	}
+	p := a.Find(c.key)
+	t := f.Dispatcher.Roster.Load().Targets[p.Owner]
+	if p.Owner == "" || t == nil || t.Draining && time.Since(t.Left) > drainUse {
+		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryOwner, forOwner: true}
+	}
+	return p.Owner, nil
+}
+
+func (f *Front) noPlace(ctx context.Context, c *call, err error) *refusal {
+	var busy *dispatch.BusyError
+	var none *dispatch.NoTargetError
+	switch {
+	case errors.As(err, &busy):
+		r := notRun("busy", busy.Wait)
+		r.final = true
+		r.queued = busy.Queued
+		return r
+	case errors.As(err, &none):
+		r := notRun("noTarget", retryOwner)
+		r.forOwner = c.sharded
+		r.final = !c.sharded
+		return r
+	default:
+		r := notRun("deadlinePassed", retryOwner)
+		r.final = true
+		return r
+	}
+}
+
+// send writes the request to the target and reads the answer.
+func (f *Front) send(ctx context.Context, c *call, place *dispatch.Place) (*answer, *refusal) {
+	t := place.Target
+	lane := f.Lanes.To(t)
+	req := &pool.Request{
+		Method: c.method, Target: c.uri, Host: c.host, Header: c.header,
+		Proved: !c.route.Idempotent,
+		Mine: func(h http.Header) bool {
+			id := h.Get(f.Wire.RequestID)
+			return id == c.id || id == ""
+		},
+		Head: func(now time.Time, h http.Header) {
+			h.Set(f.Wire.TimeLeft, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
+			h.Set(f.Wire.ExpectedTarget, t.ID)
+		},
+	}
+	if len(c.body) > 0 {
+		req.Body, req.Length = bytes.NewReader(c.body), int64(len(c.body))
+	} else if c.method == http.MethodPost || c.method == http.MethodPut {
+		req.Body = bytes.NewReader(nil)
+	}
+	res, err := lane.Do(ctx, req)
+	if err != nil {
+		return nil, f.sendFailed(ctx, c, place, err)
+	}
+	return f.read(ctx, c, place, res)
+}
+
+// sendFailed says what a request without an answer proves.
+func (f *Front) sendFailed(ctx context.Context, c *call, place *dispatch.Place, err error) *refusal {
+	var pe *pool.Error
+	wrote := !errors.As(err, &pe) || pe.Wrote
+	r := notRun("connectFailed", retryTarget)
+	if wrote {
+		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true, arrived: true}
+		c.runs++
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		r.cause = "deadlinePassed"
+		if wrote {
+			r.status = http.StatusGatewayTimeout
+		}
+		place.Release(dispatch.Abandoned)
+	case ctx.Err() != nil:
+		place.Release(dispatch.Abandoned)
+	default:
+		place.Release(dispatch.Failed)
+	}
+	r.forOwner = c.sharded && !wrote
+	f.avoid(c, place.Target.ID)
+	f.logAttempt(c, r, err)
+	return r
+}
+
+func (f *Front) avoid(c *call, id string) {
+	if c.avoid == nil {
+		c.avoid = map[string]bool{}
+	}
+	c.avoid[id] = true
+}
+
+// read takes the answer's body and tells whether it is one to pass on.
+func (f *Front) read(ctx context.Context, c *call, place *dispatch.Place, res *http.Response) (*answer, *refusal) {
+	if res.Header.Get(f.Wire.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
+		return nil, f.notExecuted(c, place, res)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, bufferLimit))
+	if err == nil && int64(len(body)) == bufferLimit {
+		return &answer{response: res, body: body, rest: res.Body, finish: func(whole bool) {
+			_ = res.Body.Close()
+			place.Release(resultOf(whole))
+		}}, nil
+	}
+	_ = res.Body.Close()
+	c.runs++
+	if err != nil {
+		r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true, arrived: true}
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.status = http.StatusGatewayTimeout
+		}
+		place.Release(dispatch.Failed)
+		f.avoid(c, place.Target.ID)
+		f.logAttempt(c, r, err)
+		return nil, r
+	}
+	if refused := f.unusable(c, res); refused != nil {
+		place.Release(dispatch.Failed)
+		f.avoid(c, place.Target.ID)
+		f.logAttempt(c, refused, nil)
+		return nil, refused
+	}
+	place.Release(dispatch.Answered)
+	return &answer{response: res, body: body}, nil
+}
+
+func resultOf(whole bool) dispatch.Result {
+	if whole {
+		return dispatch.Answered
+	}
+	return dispatch.Failed
+}
+
+// unusable tells of answers that are not passed on: those without the target's
+// signature, and failures of repeatable requests that another target may
+// answer better.
+func (f *Front) unusable(c *call, res *http.Response) *refusal {
+	signed := res.Header.Get(f.Wire.Signature) != ""
+	switch {
+	case !signed && res.StatusCode < http.StatusMultipleChoices:
+		return &refusal{status: http.StatusBadGateway, cause: "unsigned", mayHaveRun: true, arrived: true}
+	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests ||
+		res.StatusCode == http.StatusRequestTimeout:
+		// Only the target's explicit word says that it did not run; without it
+		// this status would promise more than is known.
+		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
+	case res.StatusCode >= http.StatusInternalServerError && c.route.Idempotent && c.runs < c.route.MaxAttempts &&
+		time.Until(c.deadline) > f.Dispatcher.Latency(c.service):
+		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
+	}
+	return nil
+}
+
+// notExecuted handles a target's own word that the request did not run.
+func (f *Front) notExecuted(c *call, place *dispatch.Place, res *http.Response) *refusal {
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
+	_ = res.Body.Close()
+	r := notRun("shed", f.Dispatcher.Latency(c.service))
+	r.arrived = true
+	r.targetStatus = res.StatusCode
+	if res.StatusCode == http.StatusMisdirectedRequest {
+		r.cause = "notOwner"
+		r.forOwner = c.sharded
+		place.Release(dispatch.Abandoned)
+		if id := res.Header.Get(f.Wire.AnsweringTarget); id != "" && id != place.Target.ID {
+			r.cause = "otherTarget"
+			f.Lanes.Drop(place.Target)
+		}
+	} else {
+		place.Release(dispatch.Shed)
+		r.forOwner = c.sharded
+	}
+	f.avoid(c, place.Target.ID)
+	f.logAttempt(c, r, nil)
+	return r
+}
+
+func (f *Front) logAttempt(c *call, r *refusal, err error) {
+	event.AttemptFailed.Log(f.Log, "request", c.id, "route", c.route.Name, "target", c.target, "cause", r.cause,
+		"status", r.targetStatus, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "ageMs", time.Since(c.arrived).Milliseconds(),
+		"leftMs", time.Until(c.deadline).Milliseconds(), "error", err)
+}
--- /dev/null
+++ b/gateway/front/front.go
@@ -0,0 +1,175 @@
+// Package front serves callers in the platform's dialect: it finds the route
+// and the target of each request, sends it there, and passes on the target's
+// whole answer or an honest refusal.
+package front
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/retry"
+	"basilcross.example/basilcross/routing"
+)
+
+// Options are what a Front needs; all must be set.
+type Options struct {
+	Wire       routing.Wire
+	Dispatcher *dispatch.Dispatcher
+	Lanes      *Lanes
+	// Table returns the routes in force, or nil.
+	Table func() *routing.Table
+	// Owners returns a service's assignment, or nil, and a channel that is
+	// closed when there is a newer one.
+	Owners func(service string) (*ownership.Assignment, <-chan struct{})
+	// Loads is told of each key's work.
+	Loads *Loads
+	// Retries limits repetitions over all instances.
+	Retries Retries
+	Metrics *Metrics
+	Log     *slog.Logger
+}
+
+// Retries is how many repetitions all instances may send together.
+type Retries struct {
+	// Ratio of the requests, and Slack on top of it in each window.
+	Ratio float64
+	Slack float64
+	// Members returns how many instances share the slack.
+	Members func() int
+}
+
+// Front is the handler of callers' requests. Create it with New.
+type Front struct {
+	Options
+
+	splitter routing.Splitter
+	closing  atomic.Bool
+	mu       sync.Mutex
+	budgets  map[string]*retry.Budget
+}
+
+// New returns a handler.
+func New(o Options) *Front {
+	return &Front{Options: o, budgets: map[string]*retry.Budget{}}
+}
+
+// Close makes every answer the last one of its connection.
+func (f *Front) Close() { f.closing.Store(true) }
+
+// ServeHTTP serves a caller's request.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, refused := f.accept(w, r)
+	if refused == nil {
+		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+		defer cancel()
+		var a *answer
+		a, refused = f.run(ctx, c)
+		if a != nil {
+			f.pass(w, c, a)
+			return
+		}
+	}
+	if r.Context().Err() != nil {
+		f.Metrics.gone(c)
+		f.logRefused(c, refused, "callerGone")
+		panic(http.ErrAbortHandler)
+	}
+	f.refuse(w, c, refused)
+}
+
+// budget returns the retry budget of a service, with this instance's share.
+func (f *Front) budget(service string) *retry.Budget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.budgets[service]
+	if b == nil {
+		b = &retry.Budget{}
+		f.budgets[service] = b
+	}
+	n := float64(max(1, f.Retries.Members()))
+	b.Set(f.Retries.Ratio*safeShare, max(1, f.Retries.Slack*safeShare/n))
+	return b
+}
+
+// safeShare is the part of the fleet's limit that is spent: members come and
+// go, and two windows of requests are not alike.
+const safeShare = 0.75
+
+// run sends the request until it is answered or given up.
+func (f *Front) run(ctx context.Context, c *call) (*answer, *refusal) {
+	budget := f.budget(c.service)
+	budget.Earn()
+	if c.sharded {
+		f.Loads.Add(c.service, c.key, f.Dispatcher.Latency(c.service))
+	}
+	for {
+		a, failed := f.attempt(ctx, c)
+		if a != nil {
+			return a, nil
+		}
+		c.doubt = c.doubt || failed.mayHaveRun
+		if c.doubt {
+			failed.mayHaveRun = true
+		}
+		if ctx.Err() != nil || !f.again(ctx, c, failed, budget) {
+			return nil, failed
+		}
+	}
+}
+
+// again decides whether a failed request is sent once more, and waits until
+// that is worth while.
+func (f *Front) again(ctx context.Context, c *call, failed *refusal, budget *retry.Budget) bool {
+	if failed.final || failed.mayHaveRun && !c.route.Idempotent {
+		return false
+	}
+	if c.runs >= c.route.MaxAttempts || c.sends >= maxSends {
+		return false
+	}
+	if failed.forOwner {
+		if !f.awaitOwner(ctx, c) {
+			return false
+		}
+		c.avoid = nil
+	}
+	// A request that never left costs the targets nothing.
+	return !failed.arrived || budget.Take()
+}
+
+const (
+	// maxSends bounds the tries that did not run, such as refused connections.
+	maxSends = 8
+	// ownerShare of the objective is how long a request waits for its key's
+	// next owner, at most ownerWait: then its caller is told to come back.
+	ownerShare = 0.7
+	ownerWait  = 1200 * time.Millisecond
+	// ownerPause is the first wait before the same owner is asked again; it
+	// doubles each time.
+	ownerPause = 30 * time.Millisecond
+)
+
+// awaitOwner waits for a newer assignment, or a little for the present owner.
+func (f *Front) awaitOwner(ctx context.Context, c *call) bool {
+	until := c.arrived.Add(min(ownerWait, time.Duration(float64(c.route.Objective)*ownerShare)))
+	pause := min(ownerPause<<min(c.ownerTries, 6), time.Until(until))
+	c.ownerTries++
+	if pause <= 0 {
+		return false
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-c.newer:
+		return true
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/gateway/front/lanes.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"sync"
+
+	"basilcross.example/basilcross/pool"
+	"basilcross.example/basilcross/roster"
+)
+
+// idlePerTarget is how many idle connections to a target are kept: a few more
+// than its slots.
+const idlePerTarget = 6
+
+// Lanes holds the connections to all targets, by lifetime: another lifetime at
+// the same address is another target.
+type Lanes struct {
+	Dial pool.DialFunc
+
+	mu    sync.Mutex
+	pools map[roster.Life]*pool.Pool
+}
+
+// To returns the connections to a target.
+func (l *Lanes) To(t *roster.Target) *pool.Pool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pools == nil {
+		l.pools = map[roster.Life]*pool.Pool{}
+	}
+	p := l.pools[t.Life()]
+	if p == nil {
+		p = &pool.Pool{Address: t.Address, Dial: l.Dial, IdleLimit: idlePerTarget}
+		l.pools[t.Life()] = p
+	}
+	return p
+}
+
+// Drop closes the idle connections to a target.
+func (l *Lanes) Drop(t *roster.Target) {
+	l.mu.Lock()
+	p := l.pools[t.Life()]
+	delete(l.pools, t.Life())
+	l.mu.Unlock()
+	if p != nil {
+		p.Close()
+	}
+}
+
+// Keep closes the connections to targets that are not in the view.
+func (l *Lanes) Keep(v *roster.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for life, p := range l.pools {
+		if t := v.Targets[life.ID]; t == nil || t.Born != life.Born {
+			p.Close()
+			delete(l.pools, life)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/front/metrics.go
@@ -0,0 +1,42 @@
+package front
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Metrics counts requests.
+type Metrics struct {
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+// NewMetrics registers the metrics.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basilcross_requests_total", Help: "Requests of callers by service, status and cause.",
+		}, []string{"service", "status", "cause"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "basilcross_request_seconds", Help: "Time from a request's arrival to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
+		}, []string{"service"}),
+	}
+	r.MustRegister(m.requests, m.seconds)
+	return m
+}
+
+func (m *Metrics) answered(c *call, status int) {
+	m.requests.WithLabelValues(c.service, strconv.Itoa(status), "").Inc()
+	m.seconds.WithLabelValues(c.service).Observe(time.Since(c.arrived).Seconds())
+}
+
+func (m *Metrics) refused(c *call, r *refusal, status int) {
+	m.requests.WithLabelValues(c.service, strconv.Itoa(status), r.cause).Inc()
+}
+
+func (m *Metrics) gone(c *call) {
+	m.requests.WithLabelValues(c.service, "", "callerGone").Inc()
+}
--- /dev/null
+++ b/gateway/front/reply.go
@@ -0,0 +1,136 @@
+package front
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/hop"
+)
+
+// The times after which callers are told to come back.
+const (
+	retryConfig = 500 * time.Millisecond
+	retryOwner  = 400 * time.Millisecond
+	retryTarget = 200 * time.Millisecond
+)
+
+// refusal is why a request, or an attempt, was not answered.
+type refusal struct {
+	status int
+	cause  string
+	// mayHaveRun is set unless it is certain that no target ran it or will.
+	mayHaveRun bool
+	// arrived is set if a target got it.
+	arrived bool
+	// forOwner waits for the key's owner before the next attempt.
+	forOwner   bool
+	final      bool
+	close      bool
+	retryAfter time.Duration
+	// targetStatus and queued are what the decision was made from.
+	targetStatus int
+	queued       int
+}
+
+// notRun is a refusal that promises that the request did not run.
+func notRun(cause string, retryAfter time.Duration) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, cause: cause, retryAfter: retryAfter}
+}
+
+// honest returns the status to answer with: none that promises too much.
+func (r *refusal) honest() int {
+	if !r.mayHaveRun {
+		return r.status
+	}
+	switch r.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusMisdirectedRequest, http.StatusRequestTimeout:
+		return http.StatusBadGateway
+	}
+	return r.status
+}
+
+// refuse answers with a status of our own.
+func (f *Front) refuse(w http.ResponseWriter, c *call, r *refusal) {
+	status := r.honest()
+	h := w.Header()
+	if f.closing.Load() || r.close {
+		h.Set("Connection", "close")
+	}
+	if c.id != "" {
+		h.Set(f.Wire.RequestID, c.id)
+	}
+	if status == http.StatusServiceUnavailable {
+		h.Set("Retry-After", strconv.FormatFloat(max(0.05, r.retryAfter.Seconds()), 'f', 2, 64))
+	}
+	body := `{"cause":"` + r.cause + `"}`
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// A failed write means that the caller has gone; nobody to tell.
+	_, _ = io.WriteString(w, body)
+	f.Metrics.refused(c, r, status)
+	f.logRefused(c, r, strconv.Itoa(status))
+}
+
+func (f *Front) logRefused(c *call, r *refusal, outcome string) {
+	route, left := "", int64(0)
+	if c.route != nil {
+		route = c.route.Name
+		left = time.Until(c.deadline).Milliseconds()
+	}
+	event.RequestRefused.Log(f.Log, "request", c.id, "route", route, "service", c.service, "key", c.key, "outcome", outcome,
+		"cause", r.cause, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "target", c.target, "queued", r.queued,
+		"waitedMs", c.queued.Milliseconds(), "ageMs", time.Since(c.arrived).Milliseconds(), "leftMs", left,
+		"retryAfterMs", r.retryAfter.Milliseconds())
+}
+
+// pass gives the target's answer to the caller.
+func (f *Front) pass(w http.ResponseWriter, c *call, a *answer) {
+	h := w.Header()
+	for name, values := range a.response.Header {
+		h[name] = values
+	}
+	hop.Remove(h)
+	if f.closing.Load() {
+		h.Set("Connection", "close")
+	}
+	if len(h["Content-Type"]) == 0 {
+		// Without this the library would guess one.
+		h["Content-Type"] = nil
+	}
+	if a.rest == nil {
+		if c.method != http.MethodHead && a.response.StatusCode != http.StatusNoContent && a.response.StatusCode != http.StatusNotModified {
+			h.Set("Content-Length", strconv.Itoa(len(a.body)))
+		}
+		w.WriteHeader(a.response.StatusCode)
+		_, _ = w.Write(a.body)
+	} else {
+		f.stream(w, c, a)
+	}
+	f.Metrics.answered(c, a.response.StatusCode)
+	event.RequestAnswered.Log(f.Log, "request", c.id, "route", c.route.Name, "target", c.target,
+		"status", a.response.StatusCode, "sends", c.sends, "waitedMs", c.queued.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())
+}
+
+// stream passes on a long answer. If it is cut short, the caller's connection
+// is broken off: ended properly, the part would look whole.
+func (f *Front) stream(w http.ResponseWriter, c *call, a *answer) {
+	if n := a.response.ContentLength; n >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	w.WriteHeader(a.response.StatusCode)
+	_, err := w.Write(a.body)
+	if err == nil {
+		_, err = io.Copy(w, a.rest)
+	}
+	a.finish(err == nil)
+	if err == nil || errors.Is(err, io.EOF) {
+		return
+	}
+	event.AnswerCut.Log(f.Log, "request", c.id, "target", c.target, "error", err)
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/gateway/instance/duties.go
@@ -0,0 +1,280 @@
+package instance
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/coordinator"
+	"basilcross.example/gateway/fleet"
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	// reportEvery is the time between two reports to the coordinator.
+	reportEvery = 500 * time.Millisecond
+	// housekeepEvery is the time between two clearings of what is over.
+	housekeepEvery = 2 * time.Second
+	// catchUpEvery is how often copies are compared with what others told.
+	catchUpEvery = 250 * time.Millisecond
+	// behindFor is how long a copy may be behind others before something is
+	// done: usually the feed brings the news a moment later.
+	behindFor = 500 * time.Millisecond
+	// askTimeout bounds a call to another instance.
+	askTimeout = 800 * time.Millisecond
+	// introduceRetry is the pause after a row could not be written.
+	introduceRetry = 500 * time.Millisecond
+)
+
+// introducer writes this instance's row, by which others find it.
+type introducer struct{ *Instance }
+
+// Serve writes the row once, and then has nothing to do.
+func (i *introducer) Serve(ctx context.Context) error {
+	text, err := json.Marshal(i.peers.Self)
+	if err != nil {
+		return err
+	}
+	tx := platform.Transaction{Set: []platform.Write{{
+		Table: coordinator.InstanceTable, Key: i.peers.Self.Name, Value: text,
+	}}}
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, 4*askTimeout)
+		_, err := i.store.Transact(callCtx, tx)
+		cancel()
+		if err == nil {
+			break
+		}
+		event.StoreCallFailed.Log(i.log, "call", "introduce", "error", err)
+		sleep(ctx, introduceRetry/2+rand.N(introduceRetry))
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// reporter tells the coordinator of this instance and its loads.
+type reporter struct{ *Instance }
+
+// Serve reports until the context ends.
+func (r *reporter) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, reportEvery)
+		reports := r.loads.Take()
+		if len(reports) == 0 {
+			reports = []*peers.Report{{}}
+		}
+		lead := r.lead.Load()
+		for _, report := range reports {
+			if lead == nil || *lead == r.settings.Instance {
+				r.coordinator.TakeLoads(report)
+				continue
+			}
+			r.peers.Send(*lead, &peers.Message{Report: report})
+		}
+	}
+	return ctx.Err()
+}
+
+// receive takes in a datagram.
+func (i *Instance) receive(m *peers.Message) {
+	if m.Beat != nil && !m.Beat.Resigned {
+		from := m.From
+		i.lead.Store(&from)
+		i.members.Store(int64(m.Beat.Members))
+	}
+	i.state.noteRevisions(m.From, m.Revisions)
+	i.coordinator.Hear(m)
+}
+
+// told is what another instance said about how far its copies go.
+type told struct {
+	from      string
+	revisions map[string]uint64
+}
+
+func (s *state) noteRevisions(from string, revisions map[string]uint64) {
+	if revisions == nil {
+		return
+	}
+	s.told.Store(&told{from, revisions})
+}
+
+// catchUp looks after copies that are behind others, or that the store does
+// not serve.
+type catchUp struct{ *Instance }
+
+// Serve compares until the context ends.
+func (c *catchUp) Serve(ctx context.Context) error {
+	behind := map[string]time.Time{}
+	for ctx.Err() == nil {
+		sleep(ctx, catchUpEvery)
+		now := time.Now()
+		var wanted []*mirror.Mirror
+		for _, m := range c.mirrors {
+			if !c.isBehind(m) {
+				delete(behind, m.Table)
+				continue
+			}
+			since, ok := behind[m.Table]
+			if !ok {
+				behind[m.Table] = now
+				continue
+			}
+			if now.Sub(since) < behindFor {
+				continue
+			}
+			behind[m.Table] = now
+			wanted = append(wanted, m)
+		}
+		if len(wanted) > 0 {
+			c.fetch(ctx, wanted)
+		}
+	}
+	return ctx.Err()
+}
+
+// isBehind tells of a copy that was never read, or that another instance has
+// newer news of.
+func (c *catchUp) isBehind(m *mirror.Mirror) bool {
+	if m.Failing() && m.Newest() == 0 {
+		return true
+	}
+	t := c.state.told.Load()
+	return t != nil && t.revisions[m.Table] > m.Newest()
+}
+
+// fetch begins the feeds of copies anew and asks another instance for its own.
+func (c *catchUp) fetch(ctx context.Context, wanted []*mirror.Mirror) {
+	request := &fleet.StateRequest{}
+	for _, m := range wanted {
+		if !m.Failing() {
+			m.Again()
+		}
+		request.Tables = append(request.Tables, m.Table)
+	}
+	address := c.askWhom()
+	if address == "" {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := fleet.NewFleetProtobufClient("http://"+address, c.calls).State(callCtx, request)
+	if err != nil {
+		event.StoreCallFailed.Log(c.log, "call", "state of "+address, "error", err)
+		return
+	}
+	for _, t := range answer.Tables {
+		c.take(t, address)
+	}
+}
+
+// askWhom names an instance: the one that told of newer copies, or any, the
+// seeds included.
+func (c *catchUp) askWhom() string {
+	all := c.peers.All()
+	if t := c.state.told.Load(); t != nil && all[t.from].Control != "" {
+		return all[t.from].Control
+	}
+	var addresses []string
+	for _, s := range c.settings.Seeds {
+		if s != c.settings.ControlListen {
+			addresses = append(addresses, s)
+		}
+	}
+	for name, p := range all {
+		if name != c.settings.Instance {
+			addresses = append(addresses, p.Control)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.N(len(addresses))]
+}
+
+func (c *catchUp) take(t *fleet.Table, from string) {
+	for _, m := range c.mirrors {
+		if m.Table != t.Name {
+			continue
+		}
+		s := mirror.State{Table: t.Name, Revision: t.Revision}
+		for _, r := range t.Rows {
+			s.Rows = append(s.Rows, platform.Row{Table: t.Name, Key: r.Key, Value: r.Value, Revision: r.Revision})
+		}
+		if m.Offer(s) {
+			event.PeerStateTaken.Log(c.log, "table", t.Name, "revision", t.Revision, "rows", len(t.Rows), "from", from)
+		}
+	}
+}
+
+// State gives this instance's copies to another one.
+func (i *Instance) State(_ context.Context, r *fleet.StateRequest) (*fleet.StateResponse, error) {
+	answer := &fleet.StateResponse{}
+	for _, name := range r.Tables {
+		for _, m := range i.mirrors {
+			if m.Table != name {
+				continue
+			}
+			s, loaded := m.State()
+			if !loaded {
+				continue
+			}
+			t := &fleet.Table{Name: name, Revision: s.Revision}
+			for _, row := range s.Rows {
+				t.Rows = append(t.Rows, &fleet.Row{Key: row.Key, Value: row.Value, Revision: row.Revision})
+			}
+			answer.Tables = append(answer.Tables, t)
+		}
+	}
+	return answer, nil
+}
+
+// housekeeper forgets targets that are gone.
+type housekeeper struct{ *Instance }
+
+// Serve looks after it until the context ends.
+func (h *housekeeper) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		sleep(ctx, housekeepEvery)
+		h.lanes.Keep(h.state.roster.Load())
+		h.dispatcher.Forget()
+	}
+	return ctx.Err()
+}
+
+// readiness answers the platform's question.
+func (i *Instance) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		status := http.StatusServiceUnavailable
+		switch {
+		case r.URL.Path != platform.ReadyPath:
+			status = http.StatusNotFound
+		case i.Ready():
+			status = http.StatusOK
+		}
+		w.Header().Set("Content-Length", "0")
+		w.WriteHeader(status)
+	})
+}
+
+// metrics serves what monitoring asks for.
+func (i *Instance) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/gateway/instance/instance.go
@@ -0,0 +1,310 @@
+// Package instance runs a gateway on the users' platform: one supervisor tree
+// of duties, and listeners for callers, readiness, instances and metrics.
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/egress"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/gateway/coordinator"
+	"basilcross.example/gateway/fleet"
+	"basilcross.example/gateway/front"
+	"basilcross.example/gateway/logsink"
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// targetDial bounds the opening of a connection to a target: the way there
+	// and back between regions, and one lost packet's repetition.
+	targetDial = 400 * time.Millisecond
+	// targetUnacked is how long sent bytes may stay unacknowledged by a
+	// target: longer than the repetitions of two lost packets.
+	targetUnacked = 1200 * time.Millisecond
+	// storeDial and storeUnacked are the same for the store.
+	storeDial    = time.Second
+	storeUnacked = 2 * time.Second
+	// probeEvery finds connections that went silent; the users count on three
+	// seconds for it.
+	probeEvery = time.Second
+	// usualHold is the time for which keys are granted. It outlasts the
+	// coordinator's lease and one missed renewal; a target that falls silent
+	// keeps its keys that long.
+	usualHold = 3200 * time.Millisecond
+	// renewHolds is the time between two renewals of a grant.
+	renewHolds = 800 * time.Millisecond
+	// idleTimeout closes callers' connections: longer than the operators'
+	// limits, so that no caller's request crosses the close.
+	idleTimeout = 2 * time.Minute
+	// headerTimeout is how long a caller may take for a request's head.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds what is read of a head; the configuration's own limit
+	// is below.
+	maxHeader = 64 << 10
+)
+
+// Instance is one gateway. Create it with New.
+type Instance struct {
+	settings Settings
+	log      *slog.Logger
+	sink     *logsink.Sink
+	registry *prometheus.Registry
+
+	state       state
+	mirrors     []*mirror.Mirror
+	peers       *peers.Peers
+	coordinator *coordinator.Coordinator
+	dispatcher  *dispatch.Dispatcher
+	lanes       *front.Lanes
+	loads       *front.Loads
+	front       *front.Front
+	store       *platform.Store
+	calls       *http.Client
+
+	members  atomic.Int64
+	lead     atomic.Pointer[string]
+	closing  atomic.Bool
+	wasReady atomic.Bool
+}
+
+// New puts an instance together.
+func New(s Settings, log *slog.Logger, sink *logsink.Sink) *Instance {
+	i := &Instance{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), loads: &front.Loads{}}
+	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.state.log = log
+	i.state.roster = &roster.Roster{}
+	i.state.zone = s.Zone
+	storeDialer := &egress.Dialer{Timeout: storeDial, UserTimeout: storeUnacked, Probe: probeEvery}
+	i.store = &platform.Store{Address: s.Store, HTTP: newClient(storeDialer)}
+	i.calls = newClient(&egress.Dialer{Timeout: storeDial, UserTimeout: storeUnacked, Probe: probeEvery})
+	targetDialer := &egress.Dialer{Timeout: targetDial, UserTimeout: targetUnacked, Probe: probeEvery, Reset: true}
+	i.peers = &peers.Peers{Log: log, Receive: i.receive, Self: peers.Instance{
+		Name: s.Instance, Life: rand.Text()[:lifeLength], Zone: s.Zone, Datagram: s.DatagramListen, Control: s.ControlListen,
+	}}
+	i.buildMirrors()
+	i.coordinator = coordinator.New(coordinator.Options{
+		Self: i.peers.Self, Store: i.store, Grants: &platform.Grants{HTTP: newClient(targetDialer)},
+		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
+		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: s.LongestHold - longMargin, Every: renewHolds},
+	})
+	i.dispatcher = &dispatch.Dispatcher{Zone: s.Zone, Region: s.Region, Regions: s.Regions, Roster: i.state.roster}
+	i.lanes = &front.Lanes{Dial: targetDialer.DialContext}
+	i.front = front.New(front.Options{
+		Wire: platform.Wire(), Dispatcher: i.dispatcher, Lanes: i.lanes, Table: i.state.table.Load,
+		Owners: i.state.owners, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
+		Retries: front.Retries{Ratio: s.RetryRatio, Slack: s.RetrySlack, Members: i.countMembers},
+	})
+	return i
+}
+
+// lifeLength is enough to tell lifetimes of one name apart.
+const lifeLength = 12
+
+// longMargin keeps the longest hold under the platform's limit.
+const longMargin = 200 * time.Millisecond
+
+// newClient reaches servers whose answers are short. Feeds stay open, so there
+// are several connections to one server.
+func newClient(d *egress.Dialer) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         d.DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 3,
+		IdleConnTimeout:     idleClient,
+	}}
+}
+
+// idleClient is below the idle timeout that targets tell.
+const idleClient = 5 * time.Second
+
+func (i *Instance) buildMirrors() {
+	add := func(table string, changed func(mirror.Change)) {
+		i.mirrors = append(i.mirrors, &mirror.Mirror{Table: table, Store: i.store, Log: i.log, Changed: changed})
+	}
+	add(platform.OperatorTable, i.state.takeConfig)
+	add(platform.TargetTable, i.state.takeTargets)
+	add(coordinator.AssignmentTable, i.state.takeAssignments)
+	add(coordinator.InstanceTable, func(c mirror.Change) { i.peers.Know(i.state.takeInstances(c)) })
+}
+
+func (i *Instance) revisions() map[string]uint64 {
+	r := make(map[string]uint64, len(i.mirrors))
+	for _, m := range i.mirrors {
+		r[m.Table] = m.Newest()
+	}
+	return r
+}
+
+func (i *Instance) countMembers() int {
+	if n := int(i.members.Load()); n > 0 {
+		return n
+	}
+	return max(1, len(i.peers.All()))
+}
+
+// Ready tells whether callers should be sent here: it knows the configuration
+// and the targets, and does not end.
+func (i *Instance) Ready() bool {
+	ready := !i.closing.Load() && i.state.table.Load() != nil && len(i.state.roster.Load().Targets) > 0
+	if i.wasReady.Swap(ready) != ready {
+		event.NotReady.Log(i.log, "ready", ready, "closing", i.closing.Load(),
+			"config", i.state.table.Load() != nil, "targets", len(i.state.roster.Load().Targets))
+	}
+	return ready
+}
+
+// Run serves until the context ends, then shuts down without cutting off any
+// request in flight.
+func (i *Instance) Run(ctx context.Context) error {
+	if err := i.peers.Listen(); err != nil {
+		return fmt.Errorf("listen for datagrams: %w", err)
+	}
+	servers, err := i.listen()
+	if err != nil {
+		return err
+	}
+	dutyCtx, stopDuties := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopDuties()
+	var group errgroup.Group
+	tree := i.tree()
+	group.Go(func() error {
+		if err := tree.Serve(dutyCtx); !errors.Is(err, context.Canceled) {
+			return err
+		}
+		return nil
+	})
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
+		group.Go(func() error {
+			err := s.serve()
+			failed <- err
+			return err
+		})
+	}
+	event.Started.Log(i.log, "life", i.peers.Self.Life, "callers", i.settings.CallersListen, "zone", i.settings.Zone,
+		"store", i.settings.Store, "seeds", i.settings.Seeds)
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	i.shutDown(context.WithoutCancel(ctx), servers)
+	stopDuties()
+	return errors.Join(err, group.Wait())
+}
+
+// tree is the supervisor tree: every background duty.
+func (i *Instance) tree() *suture.Supervisor {
+	root := suture.New("gateway", suture.Spec{EventHook: func(e suture.Event) {
+		event.DutyFailed.Log(i.log, "detail", e.String())
+	}})
+	root.Add(i.sink)
+	for _, m := range i.mirrors {
+		root.Add(m)
+	}
+	root.Add(i.peers)
+	root.Add(i.coordinator)
+	root.Add(&introducer{i})
+	root.Add(&reporter{i})
+	root.Add(&catchUp{i})
+	root.Add(&housekeeper{i})
+	return root
+}
+
+const (
+	// outOfRotation is when the platform, which asks once a second and takes
+	// an instance out after two misses, sends no new connections any more.
+	outOfRotation = 2600 * time.Millisecond
+	// endMargin is left of the stop timeout for the process's own end.
+	endMargin = 250 * time.Millisecond
+	// resignTimeout bounds the write by which a coordinator gives up.
+	resignTimeout = time.Second
+)
+
+// shutDown fails readiness, hands the coordination over, waits until no new
+// connections come, and lets every request in flight finish.
+func (i *Instance) shutDown(ctx context.Context, servers []*server) {
+	event.Stopping.Log(i.log)
+	ctx, cancel := context.WithTimeout(ctx, i.settings.StopTimeout-endMargin)
+	defer cancel()
+	i.closing.Store(true)
+	i.front.Close()
+	resignCtx, done := context.WithTimeout(ctx, resignTimeout)
+	began := time.Now()
+	i.coordinator.Resign(resignCtx)
+	done()
+	timer := time.NewTimer(outOfRotation - time.Since(began))
+	defer timer.Stop()
+	<-timer.C
+	var group errgroup.Group
+	for _, s := range servers {
+		group.Go(func() error { return s.Shutdown(ctx) })
+	}
+	if err := group.Wait(); err != nil {
+		event.Stopped.Log(i.log, "error", err)
+		return
+	}
+	event.Stopped.Log(i.log)
+}
+
+type server struct {
+	*http.Server
+	listener net.Listener
+}
+
+func (s *server) serve() error {
+	err := s.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.Addr, err)
+}
+
+func (i *Instance) listen() ([]*server, error) {
+	control := http.NewServeMux()
+	control.Handle(fleet.FleetPathPrefix, fleet.NewFleetServer(i))
+	handlers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{i.settings.CallersListen, i.front},
+		{i.settings.ReadyListen, i.readiness()},
+		{i.settings.ControlListen, control},
+		{i.settings.MetricsListen, i.metrics()},
+	}
+	var servers []*server
+	for _, h := range handlers {
+		if h.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", h.address)
+		if err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		servers = append(servers, &server{listener: listener, Server: &http.Server{
+			Addr:              h.address,
+			Handler:           h.handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeader,
+			ErrorLog:          slog.NewLogLogger(i.log.Handler(), slog.LevelDebug),
+		}})
+	}
+	return servers, nil
+}
--- /dev/null
+++ b/gateway/instance/settings.go
@@ -0,0 +1,174 @@
+package instance
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+)
+
+// EnvPrefix begins the environment variable of every flag: --callers-listen
+// is BASILCROSS_CALLERS_LISTEN.
+const EnvPrefix = "BASILCROSS_"
+
+// Settings are what an instance on the platform must know before it can ask
+// anybody.
+type Settings struct {
+	Instance       string
+	Zone           string
+	Region         string
+	Regions        map[string]string
+	CallersListen  string
+	ReadyListen    string
+	ControlListen  string
+	DatagramListen string
+	MetricsListen  string
+	Store          string
+	Seeds          []string
+	LongestHold    time.Duration
+	StopTimeout    time.Duration
+	RetryRatio     float64
+	RetrySlack     float64
+	LogLevel       string
+	Pprof          bool
+}
+
+// Defaults returns settings that lack only the addresses.
+func Defaults() Settings {
+	return Settings{
+		Instance:       "gateway",
+		Zone:           "local",
+		Region:         "local",
+		CallersListen:  "127.0.0.1:8080",
+		ReadyListen:    "127.0.0.1:8083",
+		ControlListen:  "127.0.0.1:8081",
+		DatagramListen: "127.0.0.1:8084",
+		Store:          "127.0.0.1:7000",
+		LongestHold:    10 * time.Second,
+		StopTimeout:    6 * time.Second,
+		RetryRatio:     0.2,
+		RetrySlack:     60,
+		LogLevel:       "info",
+	}
+}
+
+// Bind adds a flag for each setting, with the present values as defaults.
+func (s *Settings) Bind(f *pflag.FlagSet) {
+	f.StringVar(&s.Instance, "instance", s.Instance, "name of this instance, unique in the fleet")
+	f.StringVar(&s.Zone, "zone", s.Zone, "availability zone of this instance")
+	f.StringVar(&s.Region, "region", s.Region, "region of the availability zone")
+	f.StringToStringVar(&s.Regions, "regions", s.Regions, "region of each availability zone, as zone=region")
+	f.StringVar(&s.CallersListen, "callers-listen", s.CallersListen, "address for callers")
+	f.StringVar(&s.ReadyListen, "ready-listen", s.ReadyListen, "address where the platform asks for readiness")
+	f.StringVar(&s.ControlListen, "control-listen", s.ControlListen, "address for other instances' calls")
+	f.StringVar(&s.DatagramListen, "datagram-listen", s.DatagramListen, "address for other instances' datagrams")
+	f.StringVar(&s.MetricsListen, "metrics-listen", s.MetricsListen, "address for metrics; empty: none")
+	f.StringVar(&s.Store, "store", s.Store, "address of the platform's store")
+	f.StringSliceVar(&s.Seeds, "seeds", s.Seeds, "control addresses to ask while the store is out of reach")
+	f.DurationVar(&s.LongestHold, "longest-hold", s.LongestHold, "longest time for which targets take keys")
+	f.DurationVar(&s.StopTimeout, "stop-timeout", s.StopTimeout, "time between the termination signal and the kill")
+	f.Float64Var(&s.RetryRatio, "retry-ratio", s.RetryRatio, "repetitions allowed over all instances, per request")
+	f.Float64Var(&s.RetrySlack, "retry-slack", s.RetrySlack, "repetitions allowed over all instances on top of the ratio")
+	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
+	f.BoolVar(&s.Pprof, "pprof", s.Pprof, "serve profiles on the metrics address")
+}
+
+// FieldError is one fault in the settings.
+type FieldError struct {
+	Field string
+	Value any
+	Want  string
+}
+
+func (e *FieldError) Error() string {
+	return fmt.Sprintf("--%s = %q: want %s", e.Field, fmt.Sprint(e.Value), e.Want)
+}
+
+// Validate reports every fault, joined.
+func (s *Settings) Validate() error {
+	var faults []error
+	check := func(ok bool, field string, value any, want string) {
+		if !ok {
+			faults = append(faults, &FieldError{Field: field, Value: value, Want: want})
+		}
+	}
+	for _, n := range []struct{ field, value string }{{"instance", s.Instance}, {"zone", s.Zone}, {"region", s.Region}} {
+		check(n.value != "" && !strings.ContainsAny(n.value, " \t\n"), n.field, n.value, "a name without spaces")
+	}
+	for _, a := range []struct{ field, value string }{
+		{"callers-listen", s.CallersListen}, {"ready-listen", s.ReadyListen}, {"control-listen", s.ControlListen},
+		{"datagram-listen", s.DatagramListen}, {"store", s.Store},
+	} {
+		check(isAddress(a.value), a.field, a.value, "host:port")
+	}
+	for _, seed := range s.Seeds {
+		check(isAddress(seed), "seeds", seed, "host:port")
+	}
+	check(s.MetricsListen == "" || isAddress(s.MetricsListen), "metrics-listen", s.MetricsListen, "host:port or nothing")
+	check(s.LongestHold >= minLongestHold, "longest-hold", s.LongestHold, minLongestHold.String()+" or more")
+	check(s.StopTimeout >= time.Second, "stop-timeout", s.StopTimeout, "1s or more")
+	check(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", s.RetryRatio, "0 to 1")
+	check(s.RetrySlack >= 0, "retry-slack", s.RetrySlack, "0 or more")
+	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
+	return errors.Join(faults...)
+}
+
+// minLongestHold is what the coordinator's lease and one renewal need.
+const minLongestHold = 3 * time.Second
+
+func isAddress(s string) bool {
+	_, port, err := net.SplitHostPort(s)
+	return err == nil && port != ""
+}
+
+// Load sets each flag that was not given, first from its environment variable,
+// then from the lines NAME=value of the settings file. Unknown names in the
+// file are ignored: newer platforms may add some.
+func Load(f *pflag.FlagSet, file string, lookup func(string) (string, bool)) error {
+	lines := map[string]string{}
+	if file != "" {
+		var err error
+		if lines, err = readLines(file); err != nil {
+			return fmt.Errorf("read settings: %w", err)
+		}
+	}
+	var faults []error
+	f.VisitAll(func(flag *pflag.Flag) {
+		name := EnvPrefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
+		value, ok := lookup(name)
+		if !ok {
+			value, ok = lines[name]
+		}
+		if !ok || flag.Changed || value == "" {
+			return
+		}
+		if err := flag.Value.Set(value); err != nil {
+			faults = append(faults, &FieldError{Field: flag.Name, Value: value, Want: err.Error()})
+		}
+	})
+	return errors.Join(faults...)
+}
+
+func readLines(file string) (map[string]string, error) {
+	f, err := os.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	lines := map[string]string{}
+	scanner := bufio.NewScanner(f)
+	for scanner.Scan() {
+		text := strings.TrimSpace(scanner.Text())
+		name, value, ok := strings.Cut(text, "=")
+		if ok && !strings.HasPrefix(text, "#") {
+			lines[strings.TrimSpace(name)] = strings.TrimSpace(value)
+		}
+	}
+	return lines, scanner.Err()
+}
--- /dev/null
+++ b/gateway/instance/state.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+)
+
+// state is what an instance believes, decoded from its copies of the tables.
+type state struct {
+	log    *slog.Logger
+	zone   string
+	table  atomic.Pointer[routing.Table]
+	roster *roster.Roster
+	told   atomic.Pointer[told]
+
+	mu          sync.Mutex
+	assignments map[string]*assigned
+	instances   map[string]peers.Instance
+}
+
+// assigned is a service's assignment, and who waits for the next one.
+type assigned struct {
+	assignment *ownership.Assignment
+	revision   uint64
+	newer      chan struct{}
+}
+
+// takeConfig puts a newer configuration in force. An older one never follows.
+func (s *state) takeConfig(c mirror.Change) {
+	for _, r := range c.Rows {
+		if r.Key != platform.ConfigKey || r.Removed {
+			continue
+		}
+		config, err := platform.ParseConfig(r.Value)
+		if err != nil {
+			event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
+			continue
+		}
+		now := s.table.Load()
+		if now != nil && now.Config.Version >= config.Version {
+			event.ConfigStale.Log(s.log, "offered", config.Version, "inForce", now.Config.Version)
+			continue
+		}
+		s.table.Store(routing.New(config))
+		event.ConfigInForce.Log(s.log, "version", config.Version, "revision", r.Revision, "routes", len(config.Routes))
+	}
+}
+
+func (s *state) takeTargets(c mirror.Change) {
+	now := time.Now()
+	var came, left []*roster.Target
+	if c.Whole {
+		list := make([]*roster.Target, 0, len(c.Rows))
+		for _, r := range c.Rows {
+			if t := s.parseTarget(r); t != nil {
+				list = append(list, t)
+			}
+		}
+		came, left = s.roster.Replace(now, list, c.Revision)
+	} else {
+		changes := make([]roster.Change, 0, len(c.Rows))
+		for _, r := range c.Rows {
+			if r.Removed {
+				changes = append(changes, roster.Change{ID: r.Key})
+			} else if t := s.parseTarget(r); t != nil {
+				changes = append(changes, roster.Change{ID: r.Key, Target: t})
+			}
+		}
+		came, left = s.roster.Apply(now, changes, c.Revision)
+	}
+	for _, t := range came {
+		event.TargetCame.Log(s.log, "target", t.ID, "born", t.Born, "service", t.Service, "zone", t.Zone, "address", t.Address,
+			"slots", t.Slots, "warmingMs", t.Warming.Milliseconds(), "revision", c.Revision)
+	}
+	for _, t := range left {
+		event.TargetLeft.Log(s.log, "target", t.ID, "born", t.Born, "service", t.Service, "draining", t.Draining, "revision", c.Revision)
+	}
+}
+
+func (s *state) parseTarget(r platform.Row) *roster.Target {
+	t, err := platform.ParseTarget(r.Key, r.Value)
+	if err != nil {
+		event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
+		return nil
+	}
+	return t
+}
+
+func (s *state) takeAssignments(c mirror.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignments == nil {
+		s.assignments = map[string]*assigned{}
+	}
+	for _, r := range c.Rows {
+		if r.Removed {
+			continue
+		}
+		old := s.assignments[r.Key]
+		if old != nil && old.revision >= r.Revision {
+			continue
+		}
+		a, err := ownership.Parse(r.Value)
+		if err != nil {
+			event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
+			continue
+		}
+		s.assignments[r.Key] = &assigned{assignment: a, revision: r.Revision, newer: make(chan struct{})}
+		if old != nil {
+			close(old.newer)
+		}
+		event.AssignmentLoaded.Log(s.log, "service", r.Key, "term", a.Term, "revision", r.Revision, "pieces", len(a.Pieces))
+	}
+}
+
+// owners returns a service's assignment and a channel that is closed when
+// there is a newer one; both are nil while none is known.
+func (s *state) owners(service string) (*ownership.Assignment, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.assignments[service]
+	if a == nil {
+		return nil, nil
+	}
+	return a.assignment, a.newer
+}
+
+// takeInstances returns all instances known.
+func (s *state) takeInstances(c mirror.Change) map[string]peers.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := map[string]peers.Instance{}
+	if !c.Whole {
+		for name, i := range s.instances {
+			all[name] = i
+		}
+	}
+	for _, r := range c.Rows {
+		if r.Removed {
+			delete(all, r.Key)
+			continue
+		}
+		var i peers.Instance
+		if err := json.Unmarshal(r.Value, &i); err != nil {
+			event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
+			continue
+		}
+		all[r.Key] = i
+	}
+	s.instances = all
+	return all
+}
--- /dev/null
+++ b/gateway/mirror/mirror.go
@@ -0,0 +1,260 @@
+// Package mirror keeps a copy of a table of the store, by its change feed, and
+// by other instances' copies while the store is out of reach.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/platform"
+)
+
+const (
+	// feedWait is how long the store holds a feed open without news. Each call
+	// is paid, and a dead connection is found by keep-alive probes, so it is
+	// long.
+	feedWait = 25 * time.Second
+	// feedGrace is how much later than feedWait an answer may come.
+	feedGrace = 3 * time.Second
+	// readTimeout bounds the reading of a whole table.
+	readTimeout = 4 * time.Second
+	// pace is the pause after an answer with news, so that a series of changes
+	// costs one call instead of one each. It adds to the age of news.
+	pace = 60 * time.Millisecond
+	// firstRetry and lastRetry bound the pause after a call that failed.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = 800 * time.Millisecond
+)
+
+// Change is news of a table.
+type Change struct {
+	// Rows are the rows that changed; all that there are, if Whole is set.
+	Rows     []platform.Row
+	Whole    bool
+	Revision uint64
+}
+
+// Mirror is the copy of a table. Table, Store, Log and Changed must be set.
+type Mirror struct {
+	Table string
+	Store *platform.Store
+	Log   *slog.Logger
+	// Changed is told of news, one call at a time.
+	Changed func(c Change)
+
+	mu       sync.Mutex
+	rows     map[string]platform.Row
+	revision uint64
+	// newest is the revision of the newest change taken in.
+	newest uint64
+	loaded bool
+	failing  time.Time
+	interest chan struct{}
+	once     sync.Once
+}
+
+// Serve follows the table until the context ends.
+func (m *Mirror) Serve(ctx context.Context) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		news, err := m.next(ctx)
+		if err != nil {
+			m.failed(err)
+			m.pause(ctx, retry/2+rand.N(retry))
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		retry = firstRetry
+		m.answered()
+		if news {
+			m.pause(ctx, pace)
+		}
+	}
+	return ctx.Err()
+}
+
+// Again ends a pause or a feed, because others have newer news.
+func (m *Mirror) Again() {
+	m.init()
+	select {
+	case m.interest <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Mirror) init() { m.once.Do(func() { m.interest = make(chan struct{}, 1) }) }
+
+func (m *Mirror) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// next reads the table, or waits for its next change.
+func (m *Mirror) next(ctx context.Context) (news bool, err error) {
+	m.init()
+	m.mu.Lock()
+	loaded, after := m.loaded, m.revision
+	m.mu.Unlock()
+	if !loaded {
+		return true, m.read(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
+	defer cancel()
+	stop := m.wake(ctx, cancel)
+	defer stop()
+	got, err := m.Store.Feed(ctx, m.Table, after, feedWait)
+	var compacted *platform.CompactedError
+	if errors.As(err, &compacted) {
+		event.HistoryLost.Log(m.Log, "table", m.Table, "after", after)
+		return true, m.read(ctx)
+	}
+	if err != nil {
+		return false, err
+	}
+	if len(got.Rows) == 0 {
+		m.mu.Lock()
+		m.revision = max(m.revision, got.Revision)
+		m.mu.Unlock()
+		return false, nil
+	}
+	m.apply(Change{Rows: got.Rows, Revision: got.Revision})
+	return true, nil
+}
+
+// wake cancels the feed on Again.
+func (m *Mirror) wake(ctx context.Context, cancel func()) (stop func()) {
+	done := make(chan struct{})
+	group := &sync.WaitGroup{}
+	group.Go(func() {
+		select {
+		case <-m.interest:
+			cancel()
+		case <-ctx.Done():
+		case <-done:
+		}
+	})
+	return func() { close(done); group.Wait() }
+}
+
+// read takes the whole table. Pages are from different moments; the feed goes
+// on from the first one's and brings again what changed in between.
+func (m *Mirror) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	whole := Change{Whole: true}
+	after := ""
+	for {
+		got, err := m.Store.Range(ctx, m.Table, "", after)
+		if err != nil {
+			return err
+		}
+		if whole.Revision == 0 {
+			whole.Revision = got.Revision
+		}
+		whole.Rows = append(whole.Rows, got.Rows...)
+		if !got.More || len(got.Rows) == 0 {
+			break
+		}
+		after = got.Rows[len(got.Rows)-1].Key
+	}
+	m.apply(whole)
+	return nil
+}
+
+// apply takes in news unless it is older than what is known.
+func (m *Mirror) apply(c Change) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if c.Whole && m.loaded && c.Revision < m.revision {
+		return
+	}
+	if m.rows == nil || c.Whole {
+		m.rows = map[string]platform.Row{}
+	}
+	for _, r := range c.Rows {
+		m.newest = max(m.newest, r.Revision)
+		if r.Removed {
+			delete(m.rows, r.Key)
+			continue
+		}
+		m.rows[r.Key] = r
+	}
+	m.loaded = true
+	m.revision = max(m.revision, c.Revision)
+	m.Changed(c)
+}
+
+func (m *Mirror) failed(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.failing.IsZero() || errors.Is(err, context.Canceled) {
+		return
+	}
+	m.failing = time.Now()
+	event.TableLost.Log(m.Log, "table", m.Table, "revision", m.revision, "error", err)
+}
+
+func (m *Mirror) answered() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failing.IsZero() {
+		return
+	}
+	event.TableBack.Log(m.Log, "table", m.Table, "revision", m.revision, "afterMs", time.Since(m.failing).Milliseconds())
+	m.failing = time.Time{}
+}
+
+// State is a copy of a table at one moment.
+type State struct {
+	Table string
+	// Revision is how far the copy goes.
+	Revision uint64
+	Rows     []platform.Row
+}
+
+// State returns the copy, and whether there is one.
+func (m *Mirror) State() (State, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := State{Table: m.Table, Revision: m.revision}
+	for _, r := range m.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	return s, m.loaded
+}
+
+// Newest returns the revision of the newest change taken in. Copies of two
+// instances are alike if it is, however far each one has read.
+func (m *Mirror) Newest() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest
+}
+
+// Failing tells whether the copy cannot be kept up from the store.
+func (m *Mirror) Failing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.loaded || !m.failing.IsZero()
+}
+
+// Offer takes in another instance's copy if it is newer, and tells whether.
+func (m *Mirror) Offer(s State) bool {
+	m.mu.Lock()
+	known := m.loaded && s.Revision <= m.revision
+	m.mu.Unlock()
+	if known {
+		return false
+	}
+	m.apply(Change{Rows: s.Rows, Whole: true, Revision: s.Revision})
+	return true
+}
