A grant without an answer is followed by one with a higher epoch

Cause: under applied_late a first grant (epoch 1048729) got no answer, a renewal of the same epoch did, and that was taken to end the doubt. Ruled out: a release overtaking a renewal (the release came last), a second coordinator (one term). Change: after a grant without an answer the epoch rises, so that the next answer shuts the doubtful one out; where that has no answer either, a release does not end the wait.

--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -89,8 +89,10 @@
 	epoch int64
 	// until is the latest time at which the owner may still hold the piece.
 	until time.Time
-	// doubt is the latest time at which a grant without an answer may hold.
-	doubt time.Time
+	// doubt is the latest time at which a grant without an answer may hold, and
+	// doubtEpoch the highest epoch of such a one.
+	doubt      time.Time
+	doubtEpoch int64
 	// usable is when the owner stops using it, counted from the sending.
 	usable time.Time
 	// confirmed is the epoch of the last answered grant.
@@ -140,6 +142,7 @@
 		return
 	}
 	for _, p := range recorded.Pieces {
+		// All grants in doubt are a former coordinator's, under lower epochs.
 		kept := &piece{Piece: p, phase: held, epoch: k.nextEpoch(), until: until, doubt: until}
 		if p.Owner == "" {
 			kept.phase = free
@@ -235,6 +238,7 @@
 		q.epoch = k.nextEpoch()
 		q.until = later(q.until, p.until)
 		q.doubt = later(q.doubt, p.doubt)
+		q.doubtEpoch = max(q.doubtEpoch, p.doubtEpoch)
 		q.usable = earlier(q.usable, p.usable)
 		q.renewAt = time.Time{}
 	}
--- /dev/null
+++ b/basilcross/ownership/keeper_test.go
@@ -0,0 +1,213 @@
+package ownership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"gotest.tools/v3/assert"
+)
+
+var holds = ownership.Holds{Usual: 3200 * time.Millisecond, Long: 9800 * time.Millisecond, Every: 800 * time.Millisecond}
+
+func targets(n int) []*roster.Target {
+	list := make([]*roster.Target, n)
+	for i := range list {
+		list[i] = &roster.Target{ID: fmt.Sprintf("t%d", i), Born: 1, Address: fmt.Sprintf("t%d:1", i), Slots: 3}
+	}
+	return list
+}
+
+func keeper(now time.Time, term int64, recorded *ownership.Assignment) *ownership.Keeper {
+	k := &ownership.Keeper{Service: "lists", Term: term, Holds: holds}
+	k.Take(now, recorded, holds.Long)
+	return k
+}
+
+// step carries out all orders at once, until none is due any more.
+func step(k *ownership.Keeper, now time.Time, list []*roster.Target) (orders []ownership.Order) {
+	for {
+		due := k.Step(now, list)
+		if len(due) == 0 {
+			return orders
+		}
+		for _, o := range due {
+			switch o := o.(type) {
+			case *ownership.Record:
+				k.Recorded(now, true)
+			case *ownership.Grant:
+				k.Granted(now, now, o, ownership.Done)
+			case *ownership.Release:
+				k.Released(now, o, "handover", ownership.Done)
+			}
+		}
+		orders = append(orders, due...)
+	}
+}
+
+func grantsTo(orders []ownership.Order, id string) (got []*ownership.Grant) {
+	for _, o := range orders {
+		if g, ok := o.(*ownership.Grant); ok && g.Owner.ID == id {
+			got = append(got, g)
+		}
+	}
+	return got
+}
+
+func TestFirstAssignmentCoversAllKeysEvenly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := keeper(now, 1, nil)
+	step(k, now, targets(20))
+	a := k.Assignment()
+	assert.Equal(t, len(a.Pieces), 20)
+	for _, p := range a.Pieces {
+		assert.Assert(t, p.Last-p.First < 2*ownership.Keys/20)
+	}
+	assert.Assert(t, k.Settled(now))
+}
+
+// A grant gets no answer, and is carried out seconds later. The keys have been
+// released and given to another target meanwhile: two would hold them. So the
+// next grant to the same target has a higher epoch, and only its answer lets a
+// release count.
+func TestGrantInDoubtIsShutOut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(2)
+	k := keeper(now, 1, nil)
+	step(k, now, list)
+	now = now.Add(holds.Every)
+	var doubtful *ownership.Grant
+	for _, o := range k.Step(now, list) {
+		g := o.(*ownership.Grant)
+		if g.Owner.ID == "t0" && doubtful == nil {
+			doubtful = g
+			k.Granted(now, now, g, ownership.Unknown)
+			continue
+		}
+		k.Granted(now, now, g, ownership.Done)
+	}
+	list[0].Draining = true
+	now = now.Add(200 * time.Millisecond)
+	orders := step(k, now, list)
+	again := grantsTo(orders, "t0")
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Epoch > doubtful.Epoch)
+	assert.Assert(t, len(grantsTo(orders, "t1")) > 0)
+}
+
+// The answer to that next grant is lost as well. Then nothing shuts the door,
+// and the keys wait until the last one in doubt must have run out.
+func TestKeysWaitForGrantInDoubt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(2)
+	k := keeper(now, 1, nil)
+	step(k, now, list)
+	list[0].Draining = true
+	answerAll(k, now.Add(holds.Every), list, "t0", ownership.Unknown)
+	given := answerAll(k, now.Add(holds.Every+time.Second), list, "t0", ownership.Unknown)
+	assert.Equal(t, len(grantsTo(given, "t1")), 1, "only the renewal of what t1 had")
+	given = answerAll(k, now.Add(holds.Every+time.Second+holds.Usual*11/10), list, "t0", ownership.Unknown)
+	assert.Assert(t, len(grantsTo(given, "t1")) >= 2)
+}
+
+// answerAll steps once in a loop; grants and releases of one target end with
+// the given outcome.
+func answerAll(k *ownership.Keeper, now time.Time, list []*roster.Target, id string, out ownership.Outcome) (orders []ownership.Order) {
+	for range 10 {
+		for _, o := range k.Step(now, list) {
+			orders = append(orders, o)
+			switch o := o.(type) {
+			case *ownership.Record:
+				k.Recorded(now, true)
+			case *ownership.Grant:
+				if o.Owner.ID == id {
+					k.Granted(now, now, o, out)
+				} else {
+					k.Granted(now, now, o, ownership.Done)
+				}
+			case *ownership.Release:
+				if o.Owner.ID == id {
+					k.Released(now, o, "", out)
+				} else {
+					k.Released(now, o, "", ownership.Done)
+				}
+			}
+		}
+	}
+	return orders
+}
+
+// A target dies and starts again under its name before the store knows. It may
+// have taken a renewal meant for its former life, so its keys are not free:
+// they stay with it under a new epoch.
+func TestRebornTargetKeepsItsKeysUnderNewEpoch(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(2)
+	k := keeper(now, 1, nil)
+	before := grantsTo(step(k, now, list), "t0")
+	list[0].Born = 2
+	after := grantsTo(step(k, now.Add(time.Millisecond), list), "t0")
+	assert.Assert(t, len(after) > 0)
+	assert.Assert(t, after[0].Epoch > before[0].Epoch)
+	assert.Equal(t, after[0].Owner.Born, int64(2))
+}
+
+// The coordinator is lost. Its successor reads what was recorded and grants
+// the same keys to the same targets, under higher epochs.
+func TestSuccessorGrantsTheSameKeys(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(3)
+	first := keeper(now, 1, nil)
+	before := step(first, now, list)
+	second := keeper(now, 2, first.Assignment())
+	after := step(second, now, list)
+	for _, target := range list {
+		assert.Equal(t, grantsTo(before, target.ID)[0].First, grantsTo(after, target.ID)[0].First)
+		assert.Assert(t, grantsTo(after, target.ID)[0].Epoch > grantsTo(before, target.ID)[0].Epoch)
+	}
+}
+
+// A renewal has no answer, neither has the one that would shut it out, but the
+// release is answered. The renewal may still be applied, so the keys wait.
+func TestReleaseDoesNotEndDoubt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(2)
+	k := keeper(now, 1, nil)
+	step(k, now, list)
+	now = now.Add(holds.Every)
+	list[0].Draining = true
+	released := false
+	given := 0
+	run := func() {
+		for range 10 {
+			for _, o := range k.Step(now, list) {
+				switch o := o.(type) {
+				case *ownership.Record:
+					k.Recorded(now, true)
+				case *ownership.Grant:
+					if o.Owner.ID == "t0" {
+						k.Granted(now, now, o, ownership.Unknown)
+						continue
+					}
+					given++
+					k.Granted(now, now, o, ownership.Done)
+				case *ownership.Release:
+					released = true
+					k.Released(now, o, "h", ownership.Done)
+				}
+			}
+		}
+	}
+	list[0].Draining = false
+	run()
+	list[0].Draining = true
+	now = now.Add(200 * time.Millisecond)
+	run()
+	assert.Assert(t, released)
+	assert.Equal(t, given, 1, "only the renewal of what t1 had")
+	now = now.Add(holds.Usual * 11 / 10)
+	run()
+	assert.Assert(t, given > 1)
+}
--- a/basilcross/ownership/load.go
+++ b/basilcross/ownership/load.go
@@ -9,11 +9,18 @@
 // few seconds, and a move costs little, so it is short.
 const loadHalfLife = 3 * time.Second
 
+// sumsFor is how long sums are used again: adding up all keys takes about
+// 0.1 ms, and decisions of one moment need the same figures.
+const sumsFor = 100 * time.Millisecond
+
 // Load is the work on each key, forgetting the past. The zero value is empty.
 type Load struct {
 	work  []float32
 	scale float64
 	at    time.Time
+	// cached are the sums at cachedAt.
+	cached   []float64
+	cachedAt time.Time
 }
 
 // Add notes work, in seconds of a target's slot.
@@ -43,7 +50,14 @@
 
 // sums returns the work per second on all keys below each index.
 func (l *Load) sums(now time.Time) []float64 {
-	sums := make([]float64, Keys+1)
+	if l.cached != nil && now.Sub(l.cachedAt) < sumsFor {
+		return l.cached
+	}
+	if l.cached == nil {
+		l.cached = make([]float64, Keys+1)
+	}
+	l.cachedAt = now
+	sums := l.cached
 	if l.work == nil {
 		return sums
 	}
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -69,14 +69,12 @@
 	case Done:
 		p.until = later(p.until, now.Add(bound(o.Hold)))
 		p.usable = sent.Add(time.Duration(float64(o.Hold) / clockDrift))
-		if o.Epoch == p.epoch {
-			// The target now refuses every lower epoch, so that nothing sent
-			// before under one can still take effect.
-			p.handover = ""
-			if p.confirmed != o.Epoch {
-				p.confirmed = o.Epoch
-				p.doubt = time.Time{}
-			}
+		p.handover = ""
+		p.confirmed = max(p.confirmed, o.Epoch)
+		if o.Epoch > p.doubtEpoch {
+			// The target now refuses every lower epoch. Under an equal one, a
+			// grant in doubt could still be applied after a release.
+			p.doubt = time.Time{}
 		}
 		h.answered, h.silent = now, time.Time{}
 		return
@@ -85,6 +83,9 @@
 	case Unknown:
 		p.until = later(p.until, now.Add(bound(o.Hold)))
 		p.doubt = later(p.doubt, now.Add(bound(o.Hold)))
+		p.doubtEpoch = max(p.doubtEpoch, o.Epoch)
+		// Once the next one is answered, this one is refused if it comes late.
+		p.epoch = k.nextEpoch()
 		h.fail(now)
 	case Refused, Unsent:
 		h.fail(now)
@@ -138,6 +139,7 @@
 		p.phase = held
 		p.epoch = k.nextEpoch()
 		p.until, p.doubt, p.usable = time.Time{}, time.Time{}, time.Time{}
+		p.doubtEpoch, p.confirmed = 0, 0
 		p.renewAt = now
 		p.tries = 0
 	}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -82,17 +82,19 @@
 // assign gives every free piece an owner, to be recorded.
 func (k *Keeper) assign(now time.Time, targets []*roster.Target) {
 	var open []*piece
-	total := 0.0
-	sums := k.Load.sums(now)
 	for _, p := range k.pieces {
 		if p.phase == free {
 			open = append(open, p)
-			total += work(sums, p.First, p.Last)
 		}
 	}
 	if len(open) == 0 {
 		return
 	}
+	sums := k.Load.sums(now)
+	total := 0.0
+	for _, p := range open {
+		total += work(sums, p.First, p.Last)
+	}
 	rooms := k.rooms(now, targets, sums)
 	if len(rooms) == 0 {
 		return
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -50,15 +50,23 @@
 
 	splitter routing.Splitter
 	closing  atomic.Bool
+	ending   context.Context
+	end      context.CancelFunc
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
 }
 
 // New returns a handler.
 func New(o Options) *Front {
-	return &Front{Options: o, budgets: map[string]*retry.Budget{}}
+	f := &Front{Options: o, budgets: map[string]*retry.Budget{}}
+	f.ending, f.end = context.WithCancel(context.Background())
+	return f
 }
 
+// End gives up every request that is still without an answer: the process is
+// about to end, and an answer that says so is better than a closed connection.
+func (f *Front) End() { f.end() }
+
 // Close makes every answer the last one of its connection.
 func (f *Front) Close() { f.closing.Store(true) }
 
@@ -68,6 +76,8 @@
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
+		stop := context.AfterFunc(f.ending, cancel)
+		defer stop()
 		var a *answer
 		a, refused = f.run(ctx, c)
 		if a != nil {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -231,8 +231,10 @@
 	// outOfRotation is when the platform, which asks once a second and takes
 	// an instance out after two misses, sends no new connections any more.
 	outOfRotation = 2600 * time.Millisecond
-	// endMargin is left of the stop timeout for the process's own end.
-	endMargin = 250 * time.Millisecond
+	// endMargin is left of the stop timeout for the process's own end, and
+	// giveUpMargin for the answers to requests that are given up before it.
+	endMargin    = 200 * time.Millisecond
+	giveUpMargin = 500 * time.Millisecond
 	// resignTimeout bounds the write by which a coordinator gives up.
 	resignTimeout = time.Second
 )
@@ -243,15 +245,17 @@
 	event.Stopping.Log(i.log)
 	ctx, cancel := context.WithTimeout(ctx, i.settings.StopTimeout-endMargin)
 	defer cancel()
+	began := time.Now()
 	i.closing.Store(true)
 	i.front.Close()
 	resignCtx, done := context.WithTimeout(ctx, resignTimeout)
-	began := time.Now()
 	i.coordinator.Resign(resignCtx)
 	done()
 	timer := time.NewTimer(outOfRotation - time.Since(began))
 	defer timer.Stop()
 	<-timer.C
+	giveUp := time.AfterFunc(i.settings.StopTimeout-giveUpMargin-time.Since(began), i.front.End)
+	defer giveUp.Stop()
 	var group errgroup.Group
 	for _, s := range servers {
 		group.Go(func() error { return s.Shutdown(ctx) })
