Requests go to the nearest tier that answers in good time

Ruled out: keys with owners abroad (400 bytes an answer). Change: a tier farther away is used only if the nearer one's expected answer, after a wait if need be, comes later than 0.6 of the time left to the objective.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -17,11 +17,15 @@
 	startLatency = 0.2
 	// latencyShare is the weight of the newest answer in a target's latency.
 	latencyShare = 0.15
-	// regionCost and zoneCost are what sending to another zone of the region,
-	// or to another region, must gain in expected seconds: their bytes are
-	// paid, and the way adds to the answer.
-	zoneCost   = 0.03
-	regionCost = 0.5
+	// nearShare is the part of the time left to the objective within which an
+	// answer from near by is good enough: the work varies around its mean.
+	// Bytes between zones and regions are paid, so a farther target is used
+	// only if the near ones are too late.
+	nearShare = 0.6
+	// regionCost and zoneCost are the seconds that a target in another zone of
+	// the region, or in another region, must gain where all are too late.
+	zoneCost   = 0.05
+	regionCost = 0.3
 	// shedPause keeps requests away from a target that has just shed one.
 	shedPause = 60 * time.Millisecond
 	// shedCut is what a shed request takes off a target's limit; limitRise is
@@ -58,7 +62,9 @@
 	// Avoid are targets that this request has been sent to.
 	Avoid    map[string]bool
 	Priority int
-	// Latest is when the request must be on its way to be of use.
+	// Soon is when the answer should be there, Latest when the request must be
+	// on its way to be of any use.
+	Soon   time.Time
 	Latest time.Time
 }
 
@@ -226,29 +232,94 @@
 	return &Place{Target: t, d: d, s: s, st: st, began: now}, nil
 }
 
-// best returns the target with room where the answer is expected first, and
-// whether there is any target that would do.
+// The tiers of targets, by what their bytes cost.
+const (
+	sameZone = iota
+	sameRegion
+	elsewhere
+	tiers
+)
+
+func (d *Dispatcher) tier(t *roster.Target) int {
+	switch {
+	case t.Zone == d.Zone:
+		return sameZone
+	case d.Regions[t.Zone] == d.Region:
+		return sameRegion
+	default:
+		return elsewhere
+	}
+}
+
+// choice is the best target of a tier.
+type choice struct {
+	target *roster.Target
+	state  *state
+	// seconds until its answer is expected.
+	seconds float64
+	// targets that would do, and their limits together.
+	targets int
+	slots   float64
+}
+
+// best returns the target with room to send to now, and whether there is any
+// target that would do. It is nil also if waiting for a near one is better.
 func (d *Dispatcher) best(now time.Time, s *service, a *Ask) (best *roster.Target, bestState *state, any bool) {
-	least := 0.0
+	var choices [tiers]choice
 	for _, t := range d.Roster.Load().Services[s.name] {
 		if a.Target != "" && t.ID != a.Target || a.Target == "" && t.Draining {
 			continue
 		}
 		any = true
 		st := s.state(t)
-		if a.Avoid[t.ID] && a.Target == "" || float64(st.inFlight) >= max(1, st.limit) || now.Before(st.pause) {
+		c := &choices[d.tier(t)]
+		if a.Avoid[t.ID] && a.Target == "" || now.Before(st.pause) {
+			continue
+		}
+		c.targets++
+		c.slots += max(1, st.limit)
+		if float64(st.inFlight) >= max(1, st.limit) {
 			continue
 		}
-		cost := d.cost(now, s, t, st)
-		if best == nil || cost < least || cost == least && t.ID < best.ID {
-			best, bestState, least = t, st, cost
+		if seconds := s.seconds(now, t, st); c.target == nil || seconds < c.seconds || seconds == c.seconds && t.ID < c.target.ID {
+			c.target, c.state, c.seconds = t, st, seconds
 		}
 	}
-	return best, bestState, any
+	t, st := s.choose(now, a, &choices)
+	return t, st, any
 }
 
-// cost is the expected time of an answer, with what the way there costs.
-func (d *Dispatcher) cost(now time.Time, s *service, t *roster.Target, st *state) float64 {
+// choose takes the nearest tier that answers in good time, be it after a wait;
+// if none does, the one that answers first.
+func (s *service) choose(now time.Time, a *Ask, choices *[tiers]choice) (*roster.Target, *state) {
+	patience := a.Soon.Sub(now).Seconds() * nearShare
+	cost := [tiers]float64{0, zoneCost, regionCost}
+	var first *choice
+	least := 0.0
+	for i := range choices {
+		c := &choices[i]
+		if c.targets == 0 {
+			continue
+		}
+		seconds := c.seconds
+		if c.target == nil {
+			seconds = s.latency + s.latency*float64(len(s.waiters)+1)/c.slots
+		}
+		if seconds <= patience {
+			return c.target, c.state
+		}
+		if c.target != nil && (first == nil || seconds+cost[i] < least) {
+			first, least = c, seconds+cost[i]
+		}
+	}
+	if first == nil {
+		return nil, nil
+	}
+	return first.target, first.state
+}
+
+// seconds is the expected time of an answer.
+func (s *service) seconds(now time.Time, t *roster.Target, st *state) float64 {
 	latency := st.latency
 	if latency == 0 {
 		latency = s.latency
@@ -256,15 +327,7 @@
 	if now.Sub(t.Seen) < t.Warming {
 		latency *= 2
 	}
-	cost := latency * (1 + float64(st.inFlight)/float64(t.Slots))
-	switch {
-	case t.Zone == d.Zone:
-	case d.Regions[t.Zone] == d.Region:
-		cost += zoneCost
-	default:
-		cost += regionCost
-	}
-	return cost
+	return latency * (1 + float64(st.inFlight)/float64(t.Slots))
 }
 
 // expected is the wait for a place behind those that wait already.
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -35,6 +35,7 @@
 // attempt sends the request once.
 func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
 	ask := dispatch.Ask{Service: c.service, Avoid: c.avoid, Priority: c.route.Priority}
+	ask.Soon = c.arrived.Add(c.route.Objective)
 	ask.Latest = c.deadline.Add(-f.Dispatcher.Latency(c.service) / 2)
 	if c.sharded {
 		owner, failed := f.owner(c)
