Changes of an assignment are told by datagram; two tables are read on demand

Change: the coordinator broadcasts recorded differences; whoever misses one sees it by the next beat's revisions and reads the table once. Instances tell each other of themselves. Feeds of targets pause 400 ms after news.

--- a/basilcross/ownership/assignment.go
+++ b/basilcross/ownership/assignment.go
@@ -40,7 +40,9 @@
 	Key int
 }
 
-func (e *GapError) Error() string { return fmt.Sprintf("assignment: key %d is in no piece or in two", e.Key) }
+func (e *GapError) Error() string {
+	return fmt.Sprintf("assignment: key %d is in no piece or in two", e.Key)
+}
 
 // Parse decodes an assignment and checks that it covers all keys once.
 func Parse(text []byte) (*Assignment, error) {
@@ -69,3 +71,53 @@
 	}
 	return &a.Pieces[i]
 }
+
+// Differences returns the pieces of next that a does not have in the same way.
+func (a *Assignment) Differences(next *Assignment) []Piece {
+	same := make(map[Piece]bool, len(a.Pieces))
+	for _, p := range a.Pieces {
+		same[p] = true
+	}
+	var changed []Piece
+	for _, p := range next.Pieces {
+		if !same[p] {
+			changed = append(changed, p)
+		}
+	}
+	return changed
+}
+
+// With returns the assignment with other pieces laid over it.
+func (a *Assignment) With(term int64, pieces []Piece) *Assignment {
+	next := &Assignment{Service: a.Service, Term: term, Pieces: a.Pieces}
+	for _, p := range pieces {
+		next.Pieces = overlay(next.Pieces, p)
+	}
+	return next
+}
+
+func overlay(pieces []Piece, p Piece) []Piece {
+	next := make([]Piece, 0, len(pieces)+2)
+	done := false
+	for _, old := range pieces {
+		if old.Last < p.First {
+			next = append(next, old)
+			continue
+		}
+		if old.First < p.First {
+			head := old
+			head.Last = p.First - 1
+			next = append(next, head)
+		}
+		if !done {
+			next = append(next, p)
+			done = true
+		}
+		if old.Last > p.Last {
+			tail := old
+			tail.First = max(old.First, p.Last+1)
+			next = append(next, tail)
+		}
+	}
+	return next
+}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -30,6 +30,8 @@
 	silence = 900 * time.Millisecond
 	// lookEvery is the time between two looks at the row.
 	lookEvery = 400 * time.Millisecond
+	// lookSeldom is the same while its holder is seen to renew it.
+	lookSeldom = 1500 * time.Millisecond
 	// spread is the random wait per member before trying to take over, so that
 	// most see the first one's success instead of writing too.
 	spread = 10 * time.Millisecond
@@ -55,8 +57,11 @@
 	Table func() *routing.Table
 	// Revisions returns how far this instance's copies go.
 	Revisions func() map[string]uint64
-	Holds     ownership.Holds
-	Log       *slog.Logger
+	// Took is told of recorded changes, Missed of those too large to tell.
+	Took   func(n *peers.News)
+	Missed func()
+	Holds  ownership.Holds
+	Log    *slog.Logger
 }
 
 // Coordinator is the duty. Create it with New.
@@ -83,7 +88,7 @@
 	revision uint64
 	// goodUntil is the end of the authority, by the boot-time clock.
 	goodUntil atomic.Int64
-	keepers map[string]*ownership.Keeper
+	keepers   map[string]*ownership.Keeper
 	// recorded is what the store had when the term began; nil until read.
 	recorded  map[string]*ownership.Assignment
 	reading   bool
@@ -91,12 +96,19 @@
 	wroteAt   time.Time
 	pending   map[string]*ownership.Record
 	beatAt    time.Time
+	told      map[string]toldOf
 	inDoubt   bool
 	resigning bool
 	cancel    context.CancelFunc
 	ctx       context.Context
 }
 
+// toldOf is what instances were told last of a service.
+type toldOf struct {
+	assignment *ownership.Assignment
+	revision   uint64
+}
+
 // New returns a duty.
 func New(o Options) *Coordinator {
 	return &Coordinator{Options: o, events: make(chan func(), eventRoom), members: map[string]time.Time{}}
@@ -225,6 +237,11 @@
 			return
 		}
 	}
+	if renewed := c.seen.known && row.Revision > c.seen.revision; renewed {
+		// It is alive and does not reach us; perhaps it does not know us.
+		c.lookAt = time.Now().Add(lookSeldom)
+		c.Peers.Send(l.Holder, &peers.Message{Hello: &c.Self})
+	}
 	c.observe(row.Revision, l)
 	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
 		return
@@ -277,6 +294,7 @@
 	c.observe(s.revision, mine)
 	c.leading = &leading{
 		lease: mine, revision: s.revision,
+		told:    map[string]toldOf{},
 		keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
 		ctx: termCtx, cancel: cancel, wroteAt: time.Now(),
 	}
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -202,9 +202,30 @@
 		if k := l.keepers[name]; k != nil {
 			k.Recorded(now, true)
 		}
+		c.spread(l, name, r.Assignment, s.revision)
 	}
 }
 
+// newsPieces bounds the pieces in one datagram.
+const newsPieces = 10
+
+// spread tells all instances what has changed. Those that miss it learn from
+// the next beat that their copy is old, and read the store.
+func (c *Coordinator) spread(l *leading, service string, a *ownership.Assignment, revision uint64) {
+	last := l.told[service]
+	l.told[service] = toldOf{a, revision}
+	if last.assignment != nil {
+		if changed := last.assignment.Differences(a); len(changed) <= newsPieces {
+			news := &peers.News{Service: service, Term: a.Term, Base: last.revision, Revision: revision, Pieces: changed}
+			c.Peers.Broadcast(&peers.Message{News: news})
+			c.Took(news)
+			return
+		}
+	}
+	c.Missed()
+	l.beatAt = time.Time{}
+}
+
 // Resign gives the lease up, so that another instance takes over at once.
 func (c *Coordinator) Resign(ctx context.Context) {
 	done := make(chan struct{})
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -54,10 +54,23 @@
 		event.StoreCallFailed.Log(i.log, "call", "introduce", "error", err)
 		sleep(ctx, introduceRetry/2+rand.N(introduceRetry))
 	}
+	// Whoever came before is read from the store, and told; whoever comes later
+	// does the same.
+	i.instances.Again()
+	for range helloTries {
+		sleep(ctx, helloEvery)
+		i.peers.Broadcast(&peers.Message{Hello: &i.peers.Self})
+	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
+// helloTries and helloEvery: datagrams may get lost.
+const (
+	helloTries = 2
+	helloEvery = 300 * time.Millisecond
+)
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -97,10 +110,36 @@
 		i.lead.Store(&from)
 		i.members.Store(int64(m.Beat.Members))
 	}
+	switch {
+	case m.News != nil:
+		i.takeNews(m.News)
+	case m.Hello != nil:
+		i.peers.Add(*m.Hello)
+	case m.Report != nil && i.peers.All()[m.From].Name == "":
+		i.instances.Again()
+	}
 	i.state.noteRevisions(m.From, m.Revisions)
 	i.coordinator.Hear(m)
 }
 
+// takeNews lays a recorded change over the assignment that it is a change of.
+func (i *Instance) takeNews(n *peers.News) {
+	next, known := i.state.changed(n)
+	if known {
+		return
+	}
+	if next == nil {
+		i.assignments.Again()
+		return
+	}
+	text, err := json.Marshal(next)
+	if err != nil {
+		event.RowUnusable.Log(i.log, "table", coordinator.AssignmentTable, "key", n.Service, "revision", n.Revision, "error", err)
+		return
+	}
+	i.assignments.Inject(platform.Row{Table: coordinator.AssignmentTable, Key: n.Service, Value: text, Revision: n.Revision})
+}
+
 // told is what another instance said about how far its copies go.
 type told struct {
 	from      string
@@ -133,6 +172,9 @@
 			since, ok := behind[m.Table]
 			if !ok {
 				behind[m.Table] = now
+				if m.OnDemand {
+					m.Again()
+				}
 				continue
 			}
 			if now.Sub(since) < behindFor {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -50,6 +50,11 @@
 	usualHold = 3200 * time.Millisecond
 	// renewHolds is the time between two renewals of a grant.
 	renewHolds = 800 * time.Millisecond
+	// configPace and targetPace are the pauses after news of the tables that
+	// are followed. Targets come in series, each with several changes while it
+	// warms up; the users allow 2 s for one that leaves.
+	configPace = 60 * time.Millisecond
+	targetPace = 400 * time.Millisecond
 	// idleTimeout closes callers' connections: longer than the operators'
 	// limits, so that no caller's request crosses the close.
 	idleTimeout = 2 * time.Minute
@@ -69,6 +74,8 @@
 
 	state       state
 	mirrors     []*mirror.Mirror
+	assignments *mirror.Mirror
+	instances   *mirror.Mirror
 	peers       *peers.Peers
 	coordinator *coordinator.Coordinator
 	dispatcher  *dispatch.Dispatcher
@@ -101,6 +108,7 @@
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store, Grants: &platform.Grants{HTTP: newClient(targetDialer)},
+		Took: i.takeNews, Missed: i.assignments.Again,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: s.LongestHold - longMargin, Every: renewHolds},
 	})
@@ -135,19 +143,25 @@
 const idleClient = 5 * time.Second
 
 func (i *Instance) buildMirrors() {
-	add := func(table string, changed func(mirror.Change)) {
-		i.mirrors = append(i.mirrors, &mirror.Mirror{Table: table, Store: i.store, Log: i.log, Changed: changed})
+	add := func(m *mirror.Mirror) *mirror.Mirror {
+		m.Store, m.Log = i.store, i.log
+		i.mirrors = append(i.mirrors, m)
+		return m
 	}
-	add(platform.OperatorTable, i.state.takeConfig)
-	add(platform.TargetTable, i.state.takeTargets)
-	add(coordinator.AssignmentTable, i.state.takeAssignments)
-	add(coordinator.InstanceTable, func(c mirror.Change) { i.peers.Know(i.state.takeInstances(c)) })
+	add(&mirror.Mirror{Table: platform.OperatorTable, Pace: configPace, Changed: i.state.takeConfig})
+	add(&mirror.Mirror{Table: platform.TargetTable, Pace: targetPace, Changed: i.state.takeTargets})
+	i.assignments = add(&mirror.Mirror{Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments})
+	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Changed: func(c mirror.Change) {
+		i.peers.Know(i.state.takeInstances(c))
+	}})
 }
 
 func (i *Instance) revisions() map[string]uint64 {
 	r := make(map[string]uint64, len(i.mirrors))
 	for _, m := range i.mirrors {
-		r[m.Table] = m.Newest()
+		if m != i.instances {
+			r[m.Table] = m.Newest()
+		}
 	}
 	return r
 }
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -136,6 +136,24 @@
 	return a.assignment, a.newer
 }
 
+// changed returns the assignment after a change, or nil if that is a change of
+// another one than is known here. Known tells that it was taken in already.
+func (s *state) changed(n *peers.News) (next *ownership.Assignment, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.assignments[n.Service]
+	if a == nil || a.revision < n.Base {
+		return nil, false
+	}
+	if a.revision >= n.Revision {
+		return nil, true
+	}
+	if a.revision != n.Base {
+		return nil, false
+	}
+	return a.assignment.With(n.Term, n.Pieces), false
+}
+
 // takeInstances returns all instances known.
 func (s *state) takeInstances(c mirror.Change) map[string]peers.Instance {
 	s.mu.Lock()
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -23,9 +23,6 @@
 	feedGrace = 3 * time.Second
 	// readTimeout bounds the reading of a whole table.
 	readTimeout = 4 * time.Second
-	// pace is the pause after an answer with news, so that a series of changes
-	// costs one call instead of one each. It adds to the age of news.
-	pace = 60 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
@@ -42,8 +39,14 @@
 // Mirror is the copy of a table. Table, Store, Log and Changed must be set.
 type Mirror struct {
 	Table string
-	Store *platform.Store
-	Log   *slog.Logger
+	// Pace is the pause after an answer with news, so that a series of changes
+	// costs one call instead of one each. It adds to the age of news.
+	Pace time.Duration
+	// OnDemand tables are not followed: they are read at the start, and when
+	// Again is called. Others bring their news.
+	OnDemand bool
+	Store    *platform.Store
+	Log      *slog.Logger
 	// Changed is told of news, one call at a time.
 	Changed func(c Change)
 
@@ -51,8 +54,8 @@
 	rows     map[string]platform.Row
 	revision uint64
 	// newest is the revision of the newest change taken in.
-	newest uint64
-	loaded bool
+	newest   uint64
+	loaded   bool
 	failing  time.Time
 	interest chan struct{}
 	once     sync.Once
@@ -72,7 +75,7 @@
 		retry = firstRetry
 		m.answered()
 		if news {
-			m.pause(ctx, pace)
+			m.pause(ctx, m.Pace)
 		}
 	}
 	return ctx.Err()
@@ -107,6 +110,14 @@
 	if !loaded {
 		return true, m.read(ctx)
 	}
+	if m.OnDemand {
+		select {
+		case <-m.interest:
+			return false, m.read(ctx)
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
 	defer cancel()
 	stop := m.wake(ctx, cancel)
@@ -247,6 +258,11 @@
 	return !m.loaded || !m.failing.IsZero()
 }
 
+// Inject takes in a row that another instance wrote and told of.
+func (m *Mirror) Inject(r platform.Row) {
+	m.apply(Change{Rows: []platform.Row{r}})
+}
+
 // Offer takes in another instance's copy if it is newer, and tells whether.
 func (m *Mirror) Offer(s State) bool {
 	m.mu.Lock()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -2,8 +2,9 @@
 // coordinator is there, how far each one's copies go, and the load on keys.
 package peers
 
+import "basilcross.example/basilcross/ownership"
 
-// Message is a datagram. Exactly one of Beat and Report is set.
+// Message is a datagram. Exactly one of Beat, Report, News and Hello is set.
 type Message struct {
 	From string `json:"from"`
 	// Life is the sender's lifetime: another one under the same name means
@@ -12,6 +13,8 @@
 	Revisions map[string]uint64 `json:"revisions,omitempty"`
 	Beat      *Beat             `json:"beat,omitempty"`
 	Report    *Report           `json:"report,omitempty"`
+	News      *News             `json:"news,omitempty"`
+	Hello     *Instance         `json:"hello,omitempty"`
 }
 
 // Beat is the coordinator's sign of life.
@@ -26,6 +29,16 @@
 	Resigned bool `json:"resigned,omitempty"`
 }
 
+// News is a change of a service's assignment that was recorded in the store.
+type News struct {
+	Service string `json:"service"`
+	Term    int64  `json:"term"`
+	// Base is the revision to which Pieces are the difference.
+	Base     uint64            `json:"base"`
+	Revision uint64            `json:"revision"`
+	Pieces   []ownership.Piece `json:"pieces"`
+}
+
 // Report is what an instance tells the coordinator.
 type Report struct {
 	Loads []KeyLoad `json:"loads,omitempty"`
@@ -47,4 +60,3 @@
 	Datagram string `json:"datagram"`
 	Control  string `json:"control"`
 }
-
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -76,6 +76,17 @@
 	p.known, p.all = known, list
 }
 
+// Add takes in one instance.
+func (p *Peers) Add(i Instance) {
+	all := map[string]Instance{i.Name: i}
+	for name, known := range p.All() {
+		if name != i.Name {
+			all[name] = known
+		}
+	}
+	p.Know(all)
+}
+
 // All returns the instances known, this one included.
 func (p *Peers) All() map[string]Instance {
 	p.mu.Lock()
