One instance of a zone shares out each target's slots

Ruled out: limits that each instance finds by itself (a few answers a second per target and instance are too few to learn from). Change: a home per target (per zone and service where there are no keys), by rendezvous hashing among the zone's instances, is asked for a place by datagram; it orders by urgency and by who can still make the objective, refuses at once what cannot, and spreads by measured speed; a silent home is gone round. Targets' measured speeds go to the coordinator, which weighs keys by them. Datagrams are CBOR arrays.

--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -52,6 +52,7 @@
 	// balanceAt is when balance is looked at next.
 	balanceAt time.Time
 	holders   map[roster.Life]*holder
+	speeds    map[string]time.Duration
 	// long is set while the store is in doubt.
 	long bool
 	// Moved counts keys given to another owner, by cause.
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -40,6 +40,34 @@
 
 func (r *room) use() float64 { return r.load / r.slots }
 
+// slowest and fastest bound how much a target's measured speed counts: it is
+// an average of some twenty answers whose work varies.
+const (
+	slowest = 0.3
+	fastest = 1.8
+)
+
+// Speed notes a target's usual time of an answer.
+func (k *Keeper) Speed(target string, latency time.Duration) {
+	if k.speeds == nil {
+		k.speeds = map[string]time.Duration{}
+	}
+	k.speeds[target] = latency
+}
+
+// speed returns what a target does in the time in which the usual one does 1.
+func (k *Keeper) speed(target string) float64 {
+	mine := k.speeds[target]
+	if mine <= 0 {
+		return 1
+	}
+	sum := time.Duration(0)
+	for _, s := range k.speeds {
+		sum += s
+	}
+	return min(max(float64(sum)/float64(len(k.speeds))/float64(mine), slowest), fastest)
+}
+
 // rooms returns the targets that may be given keys.
 func (k *Keeper) rooms(now time.Time, targets []*roster.Target, sums []float64) map[string]*room {
 	rooms := map[string]*room{}
@@ -51,7 +79,7 @@
 		if t.Draining || h.gone || !h.silent.IsZero() {
 			continue
 		}
-		slots := float64(t.Slots)
+		slots := float64(t.Slots) * k.speed(t.ID)
 		if now.Sub(t.Seen) < t.Warming {
 			slots *= coldShare
 		}
--- /dev/null
+++ b/gateway/broker/broker.go
@@ -0,0 +1,297 @@
+// Package broker gives requests places at targets. For each target, and for
+// each zone's targets of a service, one instance of that zone decides: its
+// home. Others ask it by datagram. A home that does not answer is gone round:
+// then each instance decides for itself, with what it knows.
+package broker
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/gateway/peers"
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// askAgain is when an ask without a reply is repeated: several times the
+	// way there and back between regions.
+	askAgain = 50 * time.Millisecond
+	// giveUpAfter is how many asks without any reply make a home suspect.
+	giveUpAfter = 3
+	// firstSuspicion is how long a silent home is gone round; it doubles each
+	// time up to lastSuspicion.
+	firstSuspicion = time.Second
+	lastSuspicion  = 8 * time.Second
+	// fullFor is how long a zone that had no room is not asked again.
+	fullFor = 60 * time.Millisecond
+	// heldBeyond is how long a place is kept after its request's time is over,
+	// in case the word of its end is lost.
+	heldBeyond = 200 * time.Millisecond
+)
+
+// Options are what a Broker needs; all must be set.
+type Options struct {
+	Self       peers.Instance
+	Regions    map[string]string
+	Peers      *peers.Peers
+	Dispatcher *dispatch.Dispatcher
+	Roster     *roster.Roster
+	Log        *slog.Logger
+}
+
+// Broker asks homes, and is one. Create it with New.
+type Broker struct {
+	Options
+
+	group    errgroup.Group
+	mu       sync.Mutex
+	seq      uint64
+	pending  map[uint64]chan *peers.Reply
+	held     map[heldKey]*held
+	suspects map[string]suspicion
+	full     map[fullKey]time.Time
+}
+
+type fullKey struct{ service, zone string }
+
+type suspicion struct {
+	until time.Time
+	next  time.Duration
+}
+
+// Place is a request's right to a target's slot. Release must be called once.
+type Place struct {
+	Target  *roster.Target
+	release func(dispatch.Result)
+}
+
+// Release gives the place back.
+func (p *Place) Release(r dispatch.Result) { p.release(r) }
+
+// New returns a broker.
+func New(o Options) *Broker {
+	return &Broker{
+		Options: o, pending: map[uint64]chan *peers.Reply{}, held: map[heldKey]*held{},
+		suspects: map[string]suspicion{}, full: map[fullKey]time.Time{},
+	}
+}
+
+// Acquire returns a place for a request. Of a service without keys the zone's
+// own targets come first, then those of the region, then others: bytes between
+// them are paid, so they are used only for what would be late nearer by. The
+// error is a *dispatch.BusyError, a *dispatch.NoTargetError or the context's.
+func (b *Broker) Acquire(ctx context.Context, a dispatch.Ask) (*Place, error) {
+	if a.Target != "" {
+		t := b.Roster.Load().Targets[a.Target]
+		if t == nil {
+			return nil, &dispatch.NoTargetError{Service: a.Service}
+		}
+		a.Zone = t.Zone
+		return b.at(ctx, a)
+	}
+	zones := b.zones(a.Service)
+	if len(zones) == 0 {
+		return nil, &dispatch.NoTargetError{Service: a.Service}
+	}
+	var busy *dispatch.BusyError
+	for _, zone := range zones {
+		if b.isFull(a.Service, zone) && zone != b.Self.Zone {
+			continue
+		}
+		a.Zone, a.OnTime = zone, true
+		p, err := b.at(ctx, a)
+		if err == nil || ctx.Err() != nil {
+			return p, err
+		}
+		if errors.As(err, &busy) {
+			b.noteFull(a.Service, zone)
+		}
+	}
+	a.Zone, a.OnTime = zones[0], false
+	return b.at(ctx, a)
+}
+
+// zones returns the zones that have targets of the service, the nearest first.
+func (b *Broker) zones(service string) []string {
+	var tiers [3][]string
+	seen := map[string]bool{}
+	for _, t := range b.Roster.Load().Services[service] {
+		if t.Draining || seen[t.Zone] {
+			continue
+		}
+		seen[t.Zone] = true
+		tier := 2
+		switch {
+		case t.Zone == b.Self.Zone:
+			tier = 0
+		case b.Regions[t.Zone] == b.Regions[b.Self.Zone]:
+			tier = 1
+		}
+		tiers[tier] = append(tiers[tier], t.Zone)
+	}
+	return append(append(tiers[0], tiers[1]...), tiers[2]...)
+}
+
+func (b *Broker) isFull(service, zone string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return time.Now().Before(b.full[fullKey{service, zone}])
+}
+
+func (b *Broker) noteFull(service, zone string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.full[fullKey{service, zone}] = time.Now().Add(fullFor)
+}
+
+// at asks the home of the ask's target, or of its zone.
+func (b *Broker) at(ctx context.Context, a dispatch.Ask) (*Place, error) {
+	home := b.home(&a)
+	if home != "" && home != b.Self.Name {
+		p, err := b.remote(ctx, home, a)
+		var silent *SilentError
+		if !errors.As(err, &silent) {
+			return p, err
+		}
+		b.suspect(home)
+	}
+	p, err := b.Dispatcher.Acquire(ctx, a)
+	if err != nil {
+		return nil, err
+	}
+	return &Place{Target: p.Target, release: p.Release}, nil
+}
+
+// home names the instance that decides, by rendezvous hashing: if one goes,
+// only what it decided moves.
+func (b *Broker) home(a *dispatch.Ask) string {
+	key := a.Target
+	if key == "" {
+		key = a.Service
+	}
+	now := time.Now()
+	best, most := "", uint64(0)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, i := range b.Peers.All() {
+		if i.Zone != a.Zone || now.Before(b.suspects[name].until) {
+			continue
+		}
+		if h := xxhash.Sum64String(name + "\x00" + key); best == "" || h > most {
+			best, most = name, h
+		}
+	}
+	return best
+}
+
+func (b *Broker) suspect(home string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	s := b.suspects[home]
+	if now.Before(s.until) {
+		return
+	}
+	s.next = min(max(firstSuspicion, 2*s.next), lastSuspicion)
+	s.until = now.Add(s.next)
+	b.suspects[home] = s
+	event.HomeSilent.Log(b.Log, "home", home, "forMs", s.next.Milliseconds())
+}
+
+// SilentError says that a home did not answer.
+type SilentError struct{ Home string }
+
+func (e *SilentError) Error() string { return "broker: no reply from " + e.Home }
+
+// remote asks another instance, and asks again until it replies.
+func (b *Broker) remote(ctx context.Context, home string, a dispatch.Ask) (*Place, error) {
+	b.mu.Lock()
+	b.seq++
+	seq := b.seq
+	replies := make(chan *peers.Reply, 4)
+	b.pending[seq] = replies
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.pending, seq)
+		b.mu.Unlock()
+	}()
+	tick := time.NewTicker(askAgain)
+	defer tick.Stop()
+	silent := 0
+	for {
+		b.Peers.Send(home, &peers.Message{Ask: wireAsk(seq, &a)})
+		select {
+		case r := <-replies:
+			silent = 0
+			if r.Queued {
+				b.awaitTick(ctx, tick, replies)
+				continue
+			}
+			b.trust(home)
+			return b.replied(home, seq, &a, r)
+		case <-tick.C:
+			if silent++; silent >= giveUpAfter {
+				b.done(home, seq, dispatch.Abandoned)
+				return nil, &SilentError{Home: home}
+			}
+		case <-ctx.Done():
+			b.done(home, seq, dispatch.Abandoned)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// awaitTick waits until it is time to ask again, or for the next reply.
+func (b *Broker) awaitTick(ctx context.Context, tick *time.Ticker, replies chan *peers.Reply) {
+	select {
+	case r := <-replies:
+		replies <- r
+	case <-tick.C:
+	case <-ctx.Done():
+	}
+}
+
+func (b *Broker) trust(home string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.suspects, home)
+}
+
+func (b *Broker) replied(home string, seq uint64, a *dispatch.Ask, r *peers.Reply) (*Place, error) {
+	switch {
+	case r.NoTarget:
+		return nil, &dispatch.NoTargetError{Service: a.Service}
+	case r.Target == "":
+		return nil, &dispatch.BusyError{Service: a.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.Waiting}
+	}
+	t := b.Roster.Load().Targets[r.Target]
+	if t == nil || t.Born != r.Born || a.Target == "" && t.Draining {
+		b.done(home, seq, dispatch.Abandoned)
+		return nil, &dispatch.NoTargetError{Service: a.Service}
+	}
+	return &Place{Target: t, release: func(out dispatch.Result) { b.done(home, seq, out) }}, nil
+}
+
+func (b *Broker) done(home string, seq uint64, out dispatch.Result) {
+	b.Peers.Send(home, &peers.Message{Done: &peers.Done{Seq: seq, Result: int(out)}})
+}
+
+func wireAsk(seq uint64, a *dispatch.Ask) *peers.Ask {
+	now := time.Now()
+	w := &peers.Ask{
+		Seq: seq, Service: a.Service, Target: a.Target, Zone: a.Zone, Priority: a.Priority, OnTime: a.OnTime,
+		SoonMs: a.Soon.Sub(now).Milliseconds(), LatestMs: a.Latest.Sub(now).Milliseconds(),
+	}
+	for id := range a.Avoid {
+		w.Avoid = append(w.Avoid, id)
+	}
+	return w
+}
--- /dev/null
+++ b/gateway/broker/home.go
@@ -0,0 +1,136 @@
+package broker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/gateway/peers"
+)
+
+// heldKey names an ask of another instance.
+type heldKey struct {
+	from, life string
+	seq        uint64
+}
+
+// held is an ask of another instance that waits or has a place. All but the
+// context is guarded by the broker's lock.
+type held struct {
+	cancel context.CancelFunc
+	place  *dispatch.Place
+	reply  *peers.Reply
+}
+
+// Receive takes in a datagram about places, and tells whether it was one.
+func (b *Broker) Receive(m *peers.Message) bool {
+	switch {
+	case m.Ask != nil:
+		b.takeAsk(m)
+	case m.Reply != nil:
+		b.takeReply(m.Reply)
+	case m.Done != nil:
+		b.takeDone(m)
+	default:
+		return false
+	}
+	return true
+}
+
+func (b *Broker) takeReply(r *peers.Reply) {
+	b.mu.Lock()
+	replies := b.pending[r.Seq]
+	b.mu.Unlock()
+	if replies == nil {
+		// Nobody waits for it any more; whoever did has said so.
+		return
+	}
+	select {
+	case replies <- r:
+	default:
+	}
+}
+
+func (b *Broker) takeAsk(m *peers.Message) {
+	key := heldKey{m.From, m.Life, m.Ask.Seq}
+	b.mu.Lock()
+	h := b.held[key]
+	if h != nil {
+		reply := h.reply
+		b.mu.Unlock()
+		if reply == nil {
+			reply = &peers.Reply{Seq: m.Ask.Seq, Queued: true}
+		}
+		b.Peers.Send(m.From, &peers.Message{Reply: reply})
+		return
+	}
+	now := time.Now()
+	latest := now.Add(time.Duration(m.Ask.LatestMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.Background(), latest)
+	h = &held{cancel: cancel}
+	b.held[key] = h
+	b.mu.Unlock()
+	time.AfterFunc(time.Until(latest)+heldBeyond, func() { b.end(key, dispatch.Abandoned) })
+	a := dispatch.Ask{
+		Service: m.Ask.Service, Target: m.Ask.Target, Zone: m.Ask.Zone, Priority: m.Ask.Priority, OnTime: m.Ask.OnTime,
+		Soon: now.Add(time.Duration(m.Ask.SoonMs) * time.Millisecond), Latest: latest,
+	}
+	if len(m.Ask.Avoid) > 0 {
+		a.Avoid = map[string]bool{}
+		for _, id := range m.Ask.Avoid {
+			a.Avoid[id] = true
+		}
+	}
+	b.group.Go(func() error {
+		b.decide(ctx, key, h, a)
+		return nil
+	})
+}
+
+// decide finds a place for another instance's request and tells it.
+func (b *Broker) decide(ctx context.Context, key heldKey, h *held, a dispatch.Ask) {
+	p, err := b.Dispatcher.Acquire(ctx, a)
+	reply := &peers.Reply{Seq: key.seq}
+	var busy *dispatch.BusyError
+	var none *dispatch.NoTargetError
+	switch {
+	case err == nil:
+		reply.Target, reply.Born = p.Target.ID, p.Target.Born
+	case errors.As(err, &busy):
+		reply.WaitMs, reply.Waiting = busy.Wait.Milliseconds(), busy.Queued
+	case errors.As(err, &none):
+		reply.NoTarget = true
+	}
+	b.mu.Lock()
+	if b.held[key] != h {
+		// It was withdrawn meanwhile.
+		b.mu.Unlock()
+		if p != nil {
+			p.Release(dispatch.Abandoned)
+		}
+		return
+	}
+	h.place, h.reply = p, reply
+	b.mu.Unlock()
+	b.Peers.Send(key.from, &peers.Message{Reply: reply})
+}
+
+func (b *Broker) takeDone(m *peers.Message) {
+	b.end(heldKey{m.From, m.Life, m.Done.Seq}, dispatch.Result(m.Done.Result))
+}
+
+// end gives back the place of another instance's request.
+func (b *Broker) end(key heldKey, out dispatch.Result) {
+	b.mu.Lock()
+	h := b.held[key]
+	delete(b.held, key)
+	b.mu.Unlock()
+	if h == nil {
+		return
+	}
+	h.cancel()
+	if h.place != nil {
+		h.place.Release(out)
+	}
+}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -197,6 +197,11 @@
 			k.Load.Add(now, l.Key, float64(l.Ms)/1000)
 		}
 	}
+	for _, s := range r.Speeds {
+		if k := c.leading.keepers[s.Service]; k != nil {
+			k.Speed(s.Target, time.Duration(s.Ms)*time.Millisecond)
+		}
+	}
 }
 
 func (c *Coordinator) step(ctx context.Context) {
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -12,6 +12,7 @@
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/pool"
+	"basilcross.example/gateway/broker"
 )
 
 const (
@@ -36,7 +37,7 @@
 func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
 	ask := dispatch.Ask{Service: c.service, Avoid: c.avoid, Priority: c.route.Priority}
 	ask.Soon = c.arrived.Add(c.route.Objective)
-	ask.Latest = c.deadline.Add(-f.Dispatcher.Latency(c.service) / 2)
+	ask.Latest = c.deadline
 	if c.sharded {
 		owner, failed := f.owner(c)
 		if failed != nil {
@@ -45,7 +46,7 @@
 		ask.Target = owner
 	}
 	began := time.Now()
-	place, err := f.Dispatcher.Acquire(ctx, ask)
+	place, err := f.Broker.Acquire(ctx, ask)
 	c.queued += time.Since(began)
 	if err != nil {
 		return nil, f.noPlace(ctx, c, err)
@@ -63,7 +64,7 @@
 		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryOwner, forOwner: true}
 	}
 	p := a.Find(c.key)
-	t := f.Dispatcher.Roster.Load().Targets[p.Owner]
+	t := f.Roster.Load().Targets[p.Owner]
 	if p.Owner == "" || t == nil || t.Draining && time.Since(t.Left) > drainUse {
 		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryOwner, forOwner: true}
 	}
@@ -92,8 +93,9 @@
 }
 
 // send writes the request to the target and reads the answer.
-func (f *Front) send(ctx context.Context, c *call, place *dispatch.Place) (*answer, *refusal) {
+func (f *Front) send(ctx context.Context, c *call, place *broker.Place) (*answer, *refusal) {
 	t := place.Target
+	began := time.Now()
 	lane := f.Lanes.To(t)
 	req := &pool.Request{
 		Method: c.method, Target: c.uri, Host: c.host, Header: c.header,
@@ -116,11 +118,15 @@
 	if err != nil {
 		return nil, f.sendFailed(ctx, c, place, err)
 	}
-	return f.read(ctx, c, place, res)
+	a, failed := f.read(ctx, c, place, res)
+	if a != nil {
+		f.learn(c.service, time.Since(began))
+	}
+	return a, failed
 }
 
 // sendFailed says what a request without an answer proves.
-func (f *Front) sendFailed(ctx context.Context, c *call, place *dispatch.Place, err error) *refusal {
+func (f *Front) sendFailed(ctx context.Context, c *call, place *broker.Place, err error) *refusal {
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
 	r := notRun("connectFailed", retryTarget)
@@ -154,7 +160,7 @@
 }
 
 // read takes the answer's body and tells whether it is one to pass on.
-func (f *Front) read(ctx context.Context, c *call, place *dispatch.Place, res *http.Response) (*answer, *refusal) {
+func (f *Front) read(ctx context.Context, c *call, place *broker.Place, res *http.Response) (*answer, *refusal) {
 	if res.Header.Get(f.Wire.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		return nil, f.notExecuted(c, place, res)
 	}
@@ -208,17 +214,17 @@
 		// this status would promise more than is known.
 		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
 	case res.StatusCode >= http.StatusInternalServerError && c.route.Idempotent && c.runs < c.route.MaxAttempts &&
-		time.Until(c.deadline) > f.Dispatcher.Latency(c.service):
+		time.Until(c.deadline) > f.latency(c.service):
 		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
 	}
 	return nil
 }
 
 // notExecuted handles a target's own word that the request did not run.
-func (f *Front) notExecuted(c *call, place *dispatch.Place, res *http.Response) *refusal {
+func (f *Front) notExecuted(c *call, place *broker.Place, res *http.Response) *refusal {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
 	_ = res.Body.Close()
-	r := notRun("shed", f.Dispatcher.Latency(c.service))
+	r := notRun("shed", f.latency(c.service))
 	r.arrived = true
 	r.targetStatus = res.StatusCode
 	if res.StatusCode == http.StatusMisdirectedRequest {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -11,17 +11,19 @@
 	"sync/atomic"
 	"time"
 
-	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/retry"
+	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/broker"
 )
 
 // Options are what a Front needs; all must be set.
 type Options struct {
-	Wire       routing.Wire
-	Dispatcher *dispatch.Dispatcher
-	Lanes      *Lanes
+	Wire   routing.Wire
+	Broker *broker.Broker
+	Roster *roster.Roster
+	Lanes  *Lanes
 	// Table returns the routes in force, or nil.
 	Table func() *routing.Table
 	// Owners returns a service's assignment, or nil, and a channel that is
@@ -54,11 +56,12 @@
 	end      context.CancelFunc
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
+	usual    map[string]time.Duration
 }
 
 // New returns a handler.
 func New(o Options) *Front {
-	f := &Front{Options: o, budgets: map[string]*retry.Budget{}}
+	f := &Front{Options: o, budgets: map[string]*retry.Budget{}, usual: map[string]time.Duration{}}
 	f.ending, f.end = context.WithCancel(context.Background())
 	return f
 }
@@ -107,6 +110,33 @@
 	return b
 }
 
+const (
+	// startLatency is taken for a service that was not used yet.
+	startLatency = 200 * time.Millisecond
+	// latencyShare is the weight of the newest answer, as a divisor.
+	latencyShare = 16
+)
+
+// latency returns a service's usual time of an answer.
+func (f *Front) latency(service string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if usual := f.usual[service]; usual > 0 {
+		return usual
+	}
+	return startLatency
+}
+
+func (f *Front) learn(service string, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	usual := f.usual[service]
+	if usual == 0 {
+		usual = startLatency
+	}
+	f.usual[service] = usual + (took-usual)/latencyShare
+}
+
 // safeShare is the part of the fleet's limit that is spent: members come and
 // go, and two windows of requests are not alike.
 const safeShare = 0.75
@@ -116,7 +146,7 @@
 	budget := f.budget(c.service)
 	budget.Earn()
 	if c.sharded {
-		f.Loads.Add(c.service, c.key, f.Dispatcher.Latency(c.service))
+		f.Loads.Add(c.service, c.key, f.latency(c.service))
 	}
 	for {
 		a, failed := f.attempt(ctx, c)
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -85,12 +85,16 @@
 
 // Serve reports until the context ends.
 func (r *reporter) Serve(ctx context.Context) error {
+	rounds := 0
 	for ctx.Err() == nil {
 		sleep(ctx, reportEvery)
 		reports := r.loads.Take()
 		if len(reports) == 0 {
 			reports = []*peers.Report{{}}
 		}
+		if rounds++; rounds%speedsEvery == 0 {
+			reports[0].Speeds = r.speeds()
+		}
 		lead := r.lead.Load()
 		for _, report := range reports {
 			if lead == nil || *lead == r.settings.Instance {
@@ -103,8 +107,35 @@
 	return ctx.Err()
 }
 
+const (
+	// speedsEvery is how many reports come with speeds.
+	speedsEvery = 2
+	// speedsAtOnce bounds the speeds in one datagram.
+	speedsAtOnce = 12
+)
+
+// speeds returns the speeds of the targets of sharded services.
+func (r *reporter) speeds() []peers.Speed {
+	table := r.state.table.Load()
+	if table == nil {
+		return nil
+	}
+	var list []peers.Speed
+	for _, s := range r.dispatcher.Speeds() {
+		if service := table.Service(s.Service); service == nil || !service.Sharded {
+			continue
+		}
+		list = append(list, peers.Speed{Service: s.Service, Target: s.Target, Ms: int(s.Latency.Milliseconds())})
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), speedsAtOnce)]
+}
+
 // receive takes in a datagram.
 func (i *Instance) receive(m *peers.Message) {
+	if i.broker.Receive(m) {
+		return
+	}
 	if m.Beat != nil && !m.Beat.Resigned {
 		from := m.From
 		i.lead.Store(&from)
@@ -115,6 +146,8 @@
 		i.takeNews(m.News)
 	case m.Hello != nil:
 		i.peers.Add(*m.Hello)
+	case m.Bye:
+		i.peers.Remove(m.From)
 	case m.Report != nil && i.peers.All()[m.From].Name == "":
 		i.instances.Again()
 	}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -18,6 +18,7 @@
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/fleet"
 	"basilcross.example/gateway/front"
@@ -79,6 +80,7 @@
 	peers       *peers.Peers
 	coordinator *coordinator.Coordinator
 	dispatcher  *dispatch.Dispatcher
+	broker      *broker.Broker
 	lanes       *front.Lanes
 	loads       *front.Loads
 	front       *front.Front
@@ -112,10 +114,13 @@
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: s.LongestHold - longMargin, Every: renewHolds},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Zone: s.Zone, Region: s.Region, Regions: s.Regions, Roster: i.state.roster}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster}
+	i.broker = broker.New(broker.Options{
+		Self: i.peers.Self, Regions: s.Regions, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
+	})
 	i.lanes = &front.Lanes{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
-		Wire: platform.Wire(), Dispatcher: i.dispatcher, Lanes: i.lanes, Table: i.state.table.Load,
+		Wire: platform.Wire(), Broker: i.broker, Roster: i.state.roster, Lanes: i.lanes, Table: i.state.table.Load,
 		Owners: i.state.owners, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		Retries: front.Retries{Ratio: s.RetryRatio, Slack: s.RetrySlack, Members: i.countMembers},
 	})
@@ -123,7 +128,7 @@
 }
 
 // lifeLength is enough to tell lifetimes of one name apart.
-const lifeLength = 12
+const lifeLength = 8
 
 // longMargin keeps the longest hold under the platform's limit.
 const longMargin = 200 * time.Millisecond
@@ -262,6 +267,7 @@
 	began := time.Now()
 	i.closing.Store(true)
 	i.front.Close()
+	i.peers.Broadcast(&peers.Message{Bye: true})
 	resignCtx, done := context.WithTimeout(ctx, resignTimeout)
 	i.coordinator.Resign(resignCtx)
 	done()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -4,56 +4,122 @@
 
 import "basilcross.example/basilcross/ownership"
 
-// Message is a datagram. Exactly one of Beat, Report, News and Hello is set.
+// Message is a datagram, encoded as CBOR arrays: names of fields would be most
+// of its bytes, and those between regions are paid. Exactly one of its pointers is set.
 type Message struct {
-	From string `json:"from"`
+	_ struct{} `cbor:",toarray"`
+
+	From string
 	// Life is the sender's lifetime: another one under the same name means
 	// that the process was started anew.
-	Life      string            `json:"life"`
-	Revisions map[string]uint64 `json:"revisions,omitempty"`
-	Beat      *Beat             `json:"beat,omitempty"`
-	Report    *Report           `json:"report,omitempty"`
-	News      *News             `json:"news,omitempty"`
-	Hello     *Instance         `json:"hello,omitempty"`
+	Life      string
+	Revisions map[string]uint64
+	Beat      *Beat
+	Report    *Report
+	News      *News
+	Hello     *Instance
+	Ask       *Ask
+	Reply     *Reply
+	Done      *Done
+	// Bye is set in the last message of an instance that ends.
+	Bye bool
+}
+
+// Ask asks for a place at a target.
+type Ask struct {
+	_ struct{} `cbor:",toarray"`
+
+	Seq      uint64
+	Service  string
+	Target   string
+	Zone     string
+	Avoid    []string
+	Priority int
+	OnTime   bool
+	SoonMs   int64
+	LatestMs int64
+}
+
+// Reply answers an ask: with a target, with Queued, or with a refusal.
+type Reply struct {
+	_ struct{} `cbor:",toarray"`
+
+	Seq      uint64
+	Target   string
+	Born     int64
+	Queued   bool
+	NoTarget bool
+	WaitMs   int64
+	Waiting  int
+}
+
+// Done gives a place back, or withdraws an ask.
+type Done struct {
+	_ struct{} `cbor:",toarray"`
+
+	Seq    uint64
+	Result int
 }
 
 // Beat is the coordinator's sign of life.
 type Beat struct {
-	Term int64 `json:"term"`
+	_ struct{} `cbor:",toarray"`
+
+	Term int64
 	// Lease is the revision of the lease's row, and LeaseMs what it is good for.
-	Lease   uint64 `json:"lease"`
-	LeaseMs int64  `json:"leaseMs"`
+	Lease   uint64
+	LeaseMs int64
 	// Members is how many instances report to the coordinator.
-	Members int `json:"members"`
+	Members int
 	// Resigned is set in the last beat of a coordinator that gives up.
-	Resigned bool `json:"resigned,omitempty"`
+	Resigned bool
 }
 
 // News is a change of a service's assignment that was recorded in the store.
 type News struct {
-	Service string `json:"service"`
-	Term    int64  `json:"term"`
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Term    int64
 	// Base is the revision to which Pieces are the difference.
-	Base     uint64            `json:"base"`
-	Revision uint64            `json:"revision"`
-	Pieces   []ownership.Piece `json:"pieces"`
+	Base     uint64
+	Revision uint64
+	Pieces   []ownership.Piece
 }
 
 // Report is what an instance tells the coordinator.
 type Report struct {
-	Loads []KeyLoad `json:"loads,omitempty"`
+	_ struct{} `cbor:",toarray"`
+
+	Loads []KeyLoad
+	// Speeds are how long targets need for an answer, as far as the sender
+	// decides for them.
+	Speeds []Speed
+}
+
+// Speed is a target's usual time of an answer.
+type Speed struct {
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Target  string
+	Ms      int
 }
 
 // KeyLoad is the work on one key since the last report.
 type KeyLoad struct {
-	Service string `json:"s"`
-	Key     int    `json:"k"`
+	_ struct{} `cbor:",toarray"`
+
+	Service string
+	Key     int
 	// Ms is time of a target's slot, in milliseconds.
-	Ms int `json:"m"`
+	Ms int
 }
 
 // Instance is what an instance writes about itself into the store.
 type Instance struct {
+	_ struct{} `cbor:",toarray"`
+
 	Name     string `json:"name"`
 	Life     string `json:"life"`
 	Zone     string `json:"zone"`
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"sync"
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // maxDatagram is what fits into one packet of an ordinary network.
@@ -51,7 +51,7 @@
 			continue
 		}
 		m := &Message{}
-		if err := json.Unmarshal(buffer[:n], m); err != nil {
+		if err := cbor.Unmarshal(buffer[:n], m); err != nil {
 			event.DatagramFailed.Log(p.Log, "error", err)
 			continue
 		}
@@ -87,6 +87,17 @@
 	p.Know(all)
 }
 
+// Remove forgets an instance that ends.
+func (p *Peers) Remove(name string) {
+	all := map[string]Instance{}
+	for other, known := range p.All() {
+		if other != name {
+			all[other] = known
+		}
+	}
+	p.Know(all)
+}
+
 // All returns the instances known, this one included.
 func (p *Peers) All() map[string]Instance {
 	p.mu.Lock()
@@ -120,7 +131,7 @@
 
 func (p *Peers) write(m *Message, addrs ...*net.UDPAddr) {
 	m.From, m.Life = p.Self.Name, p.Self.Life
-	text, err := json.Marshal(m)
+	text, err := cbor.Marshal(m)
 	if err != nil {
 		event.DatagramFailed.Log(p.Log, "error", err)
 		return
