--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -26,7 +26,7 @@
 	coldFactor = 2.0
 	// safety is the share of a usual answer's time that is kept free before
 	// the objective: work varies around its mean.
-	safety = 1.2
+	safety = 1.4
 	// lateShare of the time left is how long a request waits that cannot make
 	// its objective any more. It goes behind all that can.
 	lateShare = 0.4
@@ -370,10 +370,14 @@
 // admit gives places to those that wait.
 func (d *Dispatcher) admit(now time.Time, s *service, g *group) {
 	for {
-		next := g.next(now, time.Duration(s.latency*float64(time.Second)))
-		if next == nil {
+		if len(g.waiters) == 0 {
 			return
 		}
+		_, r := d.best(now, s, &g.waiters[0].ask)
+		if r.best == nil {
+			return
+		}
+		next := g.next(now.Add(time.Duration(r.seconds * safety * float64(time.Second))))
 		p, _ := d.place(now, s, g, &next.ask)
 		if p == nil {
 			return
@@ -384,11 +388,12 @@
 }
 
 // next returns the most urgent waiter. Of equally urgent ones those go first
-// that can still make their objective, and of those the oldest.
-func (g *group) next(now time.Time, usual time.Duration) *waiter {
+// that make their objective if answered at the given time, and of those the
+// oldest.
+func (g *group) next(answered time.Time) *waiter {
 	var best *waiter
 	for _, w := range g.waiters {
-		if best == nil || w.before(best, now.Add(usual)) {
+		if best == nil || w.before(best, answered) {
 			best = w
 		}
 	}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -72,11 +72,7 @@
 func (k *Keeper) rooms(now time.Time, targets []*roster.Target, sums []float64) map[string]*room {
 	rooms := map[string]*room{}
 	for _, t := range targets {
-		h := k.holder(t.Life())
-		if !h.silent.IsZero() && now.Sub(h.silent) > forgiveAfter {
-			h.silent = time.Time{}
-		}
-		if t.Draining || h.gone || !h.silent.IsZero() {
+		if !k.mayHold(now, t) {
 			continue
 		}
 		slots := float64(t.Slots) * k.speed(t.ID)
@@ -102,6 +98,15 @@
 	return rooms
 }
 
+// mayHold tells whether a target may be given keys.
+func (k *Keeper) mayHold(now time.Time, t *roster.Target) bool {
+	h := k.holder(t.Life())
+	if !h.silent.IsZero() && now.Sub(h.silent) > forgiveAfter {
+		h.silent = time.Time{}
+	}
+	return !t.Draining && !h.gone && h.silent.IsZero()
+}
+
 // work is the load of a range, with the prior.
 func work(sums []float64, first, last int) float64 {
 	return sums[last+1] - sums[first] + priorWork*float64(last-first+1)/Keys
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -35,7 +35,7 @@
 	if l.recorded == nil {
 		c.readRecorded(ctx)
 	} else {
-		c.keep(now)
+		c.keep(now) //nolint:contextcheck // orders end with the term, whose context is the term's own
 	}
 	c.noteDoubt(now)
 	if !l.writing && (len(l.pending) > 0 || now.Sub(l.wroteAt) >= renewEvery) {
@@ -77,7 +77,7 @@
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(l.ctx, attemptTimeout)
 		defer cancel()
-		recorded, err := c.allRecorded(callCtx)
+		recorded, err := c.allRecorded(callCtx) //nolint:contextcheck // as above
 		c.post(ctx, func() {
 			l.reading = false
 			if err != nil {
@@ -170,7 +170,7 @@
 	sent := boottime()
 	on := l.revision
 	c.group.Go(func() error {
-		s := c.write(l.ctx, &next, on, writes)
+		s := c.write(l.ctx, &next, on, writes) //nolint:contextcheck // as above
 		c.post(ctx, func() { c.renewed(l, next, sent, s, records) })
 		return nil
 	})
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -49,7 +49,7 @@
 	place, err := f.Broker.Acquire(ctx, ask)
 	c.queued += time.Since(began)
 	if err != nil {
-		return nil, f.noPlace(ctx, c, err)
+		return nil, f.noPlace(c, err)
 	}
 	c.sends++
 	c.target = place.Target.ID
@@ -71,7 +71,7 @@
 	return p.Owner, nil
 }
 
-func (f *Front) noPlace(ctx context.Context, c *call, err error) *refusal {
+func (f *Front) noPlace(c *call, err error) *refusal {
 	var busy *dispatch.BusyError
 	var none *dispatch.NoTargetError
 	switch {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -79,7 +79,7 @@
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
-		stop := context.AfterFunc(f.ending, cancel)
+		stop := context.AfterFunc(f.ending, cancel) //nolint:contextcheck // the process's end, not the request's
 		defer stop()
 		var a *answer
 		a, refused = f.run(ctx, c)
--- a/gateway/instance/settings.go
+++ b/gateway/instance/settings.go
@@ -102,8 +102,11 @@
 		check(n.value != "" && !strings.ContainsAny(n.value, " \t\n"), n.field, n.value, "a name without spaces")
 	}
 	for _, a := range []struct{ field, value string }{
-		{"callers-listen", s.CallersListen}, {"ready-listen", s.ReadyListen}, {"control-listen", s.ControlListen},
-		{"datagram-listen", s.DatagramListen}, {"store", s.Store},
+		{"callers-listen", s.CallersListen},
+		{"ready-listen", s.ReadyListen},
+		{"control-listen", s.ControlListen},
+		{"datagram-listen", s.DatagramListen},
+		{"store", s.Store},
 	} {
 		check(isAddress(a.value), a.field, a.value, "host:port")
 	}
@@ -156,11 +159,11 @@
 }
 
 func readLines(file string) (map[string]string, error) {
-	f, err := os.Open(file)
+	f, err := os.Open(file) //nolint:gosec // the operator names the file
 	if err != nil {
 		return nil, err
 	}
-	defer f.Close()
+	defer func() { _ = f.Close() }()
 	lines := map[string]string{}
 	scanner := bufio.NewScanner(f)
 	for scanner.Scan() {
