--- a/basilcross/ownership/keeper_test.go
+++ b/basilcross/ownership/keeper_test.go
@@ -211,3 +211,37 @@
 	run()
 	assert.Assert(t, given > 1)
 }
+
+// What is told of a change must make the same assignment as the whole of it.
+func TestDifferencesMakeTheNextAssignment(t *testing.T) {
+	p := func(first, last int, owner string) ownership.Piece {
+		return ownership.Piece{First: first, Last: last, Owner: owner}
+	}
+	base := &ownership.Assignment{Service: "s", Term: 1, Pieces: []ownership.Piece{p(0, 99, "a"), p(100, 199, "b"), p(200, ownership.Keys-1, "c")}}
+	for _, pieces := range [][]ownership.Piece{
+		{p(0, 99, "a"), p(100, 150, "b"), p(151, 199, "a"), p(200, ownership.Keys-1, "c")},
+		{p(0, 250, "a"), p(251, ownership.Keys-1, "c")},
+		{p(0, ownership.Keys-1, "d")},
+		{p(0, 49, "a"), p(50, 300, "b"), p(301, ownership.Keys-1, "c")},
+	} {
+		next := &ownership.Assignment{Service: "s", Term: 2, Pieces: pieces}
+		got := base.With(2, base.Differences(next))
+		for key := 0; key < 400; key++ {
+			assert.Equal(t, got.Find(key).Owner, next.Find(key).Owner, "%v key %d", pieces, key)
+		}
+		assert.Equal(t, got.Find(ownership.Keys-1).Owner, next.Find(ownership.Keys-1).Owner)
+	}
+}
+
+func TestParseFindsGaps(t *testing.T) {
+	for _, text := range []string{
+		`{"pieces":[]}`, `{`, `{"pieces":[{"first":0,"last":5}]}`,
+		`{"pieces":[{"first":0,"last":5},{"first":5,"last":65535}]}`,
+		`{"pieces":[{"first":1,"last":65535}]}`,
+	} {
+		_, err := ownership.Parse([]byte(text))
+		assert.Assert(t, err != nil, text)
+	}
+	_, err := ownership.Parse([]byte(`{"pieces":[{"first":0,"last":5},{"first":6,"last":65535}]}`))
+	assert.NilError(t, err)
+}
--- a/basilcross/pool/pool_test.go
+++ b/basilcross/pool/pool_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"basilcross.example/basilcross/pool"
@@ -169,3 +170,75 @@
 	_, err = get(t, p, "/")
 	assert.NilError(t, err)
 }
+
+// A target answers a long request before it has read all of it, and reads on.
+// Sent on the same connection, the next request's bytes would be taken for the
+// rest of the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+			go func() {
+				r := bufio.NewReader(c)
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+		}
+	}()
+	p := &pool.Pool{Address: l.Addr().String()}
+	long := strings.Repeat("x", 32<<20)
+	res, err := p.Do(t.Context(), &pool.Request{Method: "POST", Target: "/", Host: "h", Header: http.Header{}, Body: strings.NewReader(long), Length: int64(len(long))})
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
+	_, err = io.Copy(io.Discard, res.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, res.Body.Close())
+	assert.Equal(t, p.Idle(), 0)
+	(<-accepted).Close()
+}
+
+// A target says how long it keeps idle connections. One that is nearly over is
+// not used: the request would cross the close, and might have run.
+func TestKeepAliveOfTheTargetCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := 0
+		p := &pool.Pool{Address: "t", Dial: func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			near, far := net.Pipe()
+			go func() {
+				r := bufio.NewReader(far)
+				for {
+					if _, err := http.ReadRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=4\r\nContent-Length: 0\r\n\r\n")
+				}
+			}()
+			return near, nil
+		}}
+		call := func() {
+			res, err := p.Do(t.Context(), &pool.Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, res.Body)
+			assert.NilError(t, err)
+			assert.NilError(t, res.Body.Close())
+		}
+		call()
+		time.Sleep(time.Second)
+		call()
+		assert.Equal(t, dials, 1)
+		time.Sleep(2500 * time.Millisecond)
+		call()
+		assert.Equal(t, dials, 2)
+		p.Close()
+	})
+}
--- /dev/null
+++ b/gateway/broker/broker_test.go
@@ -0,0 +1,127 @@
+package broker_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/gateway/broker"
+	"basilcross.example/gateway/peers"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+type node struct {
+	broker *broker.Broker
+	peers  *peers.Peers
+	stop   func()
+}
+
+// nodes are instances of one zone that know each other and the same targets.
+func nodes(t *testing.T, names ...string) map[string]*node {
+	t.Helper()
+	list := &roster.Roster{}
+	list.Replace(time.Now(), []*roster.Target{{ID: "t", Born: 1, Service: "s", Zone: "z", Slots: 1}}, 1)
+	all, known := map[string]*node{}, map[string]peers.Instance{}
+	log := slog.New(slog.DiscardHandler)
+	for _, name := range names {
+		c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := c.LocalAddr().String()
+		assert.NilError(t, c.Close())
+		n := &node{}
+		n.peers = &peers.Peers{Self: peers.Instance{Name: name, Life: "1", Zone: "z", Datagram: address}, Log: log}
+		n.peers.Receive = func(m *peers.Message) { n.broker.Receive(m) }
+		n.broker = broker.New(broker.Options{
+			Self: n.peers.Self, Peers: n.peers, Dispatcher: &dispatch.Dispatcher{Roster: list}, Roster: list, Log: log,
+		})
+		assert.NilError(t, n.peers.Listen())
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan struct{})
+		go func() { defer close(ended); _ = n.peers.Serve(ctx) }()
+		n.stop = func() { cancel(); <-ended }
+		t.Cleanup(n.stop)
+		all[name], known[name] = n, n.peers.Self
+	}
+	for _, n := range all {
+		n.peers.Know(known)
+	}
+	return all
+}
+
+func ask(soon, latest time.Duration) dispatch.Ask {
+	now := time.Now()
+	return dispatch.Ask{Service: "s", Zone: "z", Soon: now.Add(soon), Latest: now.Add(latest)}
+}
+
+// A target has one slot, and one more may wait there. Whichever instance asks,
+// one of them counts: the third request of three instances has no room.
+func TestSlotsAreCountedOnceForAll(t *testing.T) {
+	all := nodes(t, "a", "b", "c")
+	var places []*broker.Place
+	for _, n := range all {
+		p, err := n.broker.Acquire(t.Context(), ask(time.Millisecond, 50*time.Millisecond))
+		if err != nil {
+			var busy *dispatch.BusyError
+			assert.Assert(t, errors.As(err, &busy), err)
+			continue
+		}
+		places = append(places, p)
+	}
+	assert.Equal(t, len(places), 2)
+	for _, p := range places {
+		p.Release(dispatch.Answered)
+	}
+	for _, n := range all {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			p, err := n.broker.Acquire(t.Context(), ask(time.Second, 3*time.Second))
+			if err != nil {
+				return poll.Continue("%v", err)
+			}
+			p.Release(dispatch.Answered)
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+}
+
+// The instance that decides is gone without a word. The others decide by
+// themselves: a request waits a little and is not refused.
+func TestSilentHomeIsGoneRound(t *testing.T) {
+	all := nodes(t, "a", "b", "c")
+	for _, n := range all {
+		n.stop()
+	}
+	for _, n := range all {
+		p, err := n.broker.Acquire(t.Context(), ask(20*time.Second, 60*time.Second))
+		assert.NilError(t, err)
+		p.Release(dispatch.Answered)
+	}
+}
+
+func TestCallerThatGoesAwayWithdrawsItsAsk(t *testing.T) {
+	all := nodes(t, "a", "b", "c")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for _, n := range all {
+		for range 5 {
+			if p, err := n.broker.Acquire(ctx, ask(time.Second, time.Minute)); err == nil {
+				p.Release(dispatch.Abandoned)
+			}
+		}
+	}
+	for _, n := range all {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			p, err := n.broker.Acquire(t.Context(), ask(time.Second, 3*time.Second))
+			if err != nil {
+				return poll.Continue("%v", err)
+			}
+			p.Release(dispatch.Answered)
+			return poll.Success()
+		}, poll.WithTimeout(30*time.Second))
+	}
+}
--- /dev/null
+++ b/gateway/instance/instance_test.go
@@ -0,0 +1,292 @@
+package instance_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/gateway/coordinator"
+	"basilcross.example/gateway/instance"
+	"basilcross.example/gateway/logsink"
+	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// fleet is a few instances on loopback, with a store and targets.
+type fleet struct {
+	t         *testing.T
+	store     *standin.Store
+	address   string
+	targets   map[string]*standin.Target
+	addresses map[string]string
+	requests  atomic.Int64
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: &standin.Store{}, targets: map[string]*standin.Target{}, addresses: map[string]string{}}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	f.configure(1, "menus")
+	return f
+}
+
+// configure writes a configuration; /lists/ goes to the sharded service,
+// /menus/ to the one named.
+func (f *fleet) configure(version int, menus string) {
+	f.store.Put(platform.OperatorTable, platform.ConfigKey, []byte(fmt.Sprintf(`{"version":"r%d","routes":[
+	{"name":"menus","host":"cakes.example","prefix":"/menus/","route_type":"safe","timeout":"8s","target_latency":"4s","priority":2,"service":"%s","max_attempts":2},
+	{"name":"book","host":"cakes.example","prefix":"/book/","route_type":"unsafe","timeout":"8s","target_latency":"4s","priority":1,"service":"menus","max_attempts":2},
+	{"name":"lists","host":"cakes.example","prefix":"/lists/","route_type":"safe","timeout":"8s","target_latency":"4s","priority":2,"service":"lists","max_attempts":2}],
+	"services":[{"name":"menus"},{"name":"other"},{"name":"lists","sharded":true}],"limits":{"max_body_bytes":100000}}`, version, menus)))
+}
+
+func (f *fleet) startTarget(id, service string, sharded bool) {
+	target := &standin.Target{ID: id, Sharded: sharded}
+	server := httptest.NewServer(target)
+	f.t.Cleanup(server.Close)
+	f.targets[id] = target
+	f.addresses[id] = strings.TrimPrefix(server.URL, "http://")
+	f.list(id, service, "ready")
+}
+
+func (f *fleet) list(id, service, state string) {
+	f.store.Put(platform.TargetTable, id, []byte(fmt.Sprintf(
+		`{"address":"%s","born":1,"info":{"service":"%s","version":"v1","zone":"graz","slots":3},"status":{"state":"%s","seq":%d,"warmup_left":"0ms"}}`,
+		f.addresses[id], service, state, f.requests.Add(1))))
+}
+
+// running is one instance.
+type running struct {
+	callers, ready string
+	stop           func() error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) start(name string, seeds ...string) *running {
+	f.t.Helper()
+	s := instance.Defaults()
+	s.Instance, s.Zone, s.Region, s.Regions = name, "graz", "ost", map[string]string{"graz": "ost"}
+	s.CallersListen, s.ReadyListen = freeAddress(f.t), freeAddress(f.t)
+	s.ControlListen, s.DatagramListen = freeAddress(f.t), freeAddress(f.t)
+	s.Store, s.Seeds = f.address, seeds
+	assert.NilError(f.t, s.Validate())
+	sink := logsink.New(io.Discard)
+	i := instance.New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- i.Run(ctx) }()
+	r := &running{callers: s.CallersListen, ready: s.ReadyListen}
+	var result error
+	stopped := false
+	r.stop = func() error {
+		if !stopped {
+			cancel()
+			result, stopped = <-ended, true
+		}
+		return result
+	}
+	f.t.Cleanup(func() { _ = r.stop() })
+	return r
+}
+
+func (r *running) awaitReady(t *testing.T) {
+	t.Helper()
+	eventually(t, func() bool {
+		res, err := http.Get("http://" + r.ready + platform.ReadyPath)
+		if err != nil {
+			return false
+		}
+		res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("not yet")
+	}, poll.WithTimeout(60*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// call sends a request; the answer's status is 0 if there was none.
+func (f *fleet) call(r *running, path string, key int) (status int, body string) {
+	id := "r" + strconv.FormatInt(f.requests.Add(1), 10)
+	req, err := http.NewRequest(http.MethodGet, "http://"+r.callers+path, nil)
+	assert.NilError(f.t, err)
+	req.Host = "cakes.example"
+	req.Header.Set(platform.RequestID, id)
+	req.Header.Set(platform.TimeLeft, "8000")
+	req.Header.Set(platform.ShardKey, strconv.Itoa(key))
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return res.StatusCode, string(text)
+}
+
+// answered retries while the fleet settles.
+func (f *fleet) answered(r *running, path string, key int, want string) {
+	f.t.Helper()
+	eventually(f.t, func() bool {
+		status, body := f.call(r, path, key)
+		return status == http.StatusOK && strings.HasPrefix(body, want)
+	})
+}
+
+func (f *fleet) assignment() *ownership.Assignment {
+	a, err := ownership.Parse(f.store.Row(coordinator.AssignmentTable, "lists").Value)
+	if err != nil {
+		return &ownership.Assignment{}
+	}
+	return a
+}
+
+func TestFleetServes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("m1", "menus", false)
+	f.startTarget("l1", "lists", true)
+	f.startTarget("l2", "lists", true)
+	one, two := f.start("one"), f.start("two")
+	one.awaitReady(t)
+	two.awaitReady(t)
+	f.answered(one, "/menus/today", 0, "m1 GET /menus/today 0")
+	f.answered(two, "/menus/today?day=2", 0, "m1 GET /menus/today?day=2 0")
+	for _, key := range []int{0, 30000, 65535} {
+		f.answered(one, "/lists/x", key, "l")
+		f.answered(two, "/lists/x", key, "l")
+	}
+	status, _ := f.call(one, "/unknown/", 0)
+	assert.Equal(t, status, http.StatusNotFound)
+}
+
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("m1", "menus", false)
+	f.startTarget("o1", "other", false)
+	one, two := f.start("one"), f.start("two")
+	one.awaitReady(t)
+	two.awaitReady(t)
+	f.answered(one, "/menus/x", 0, "m1")
+	f.configure(3, "other")
+	f.answered(one, "/menus/x", 0, "o1")
+	f.answered(two, "/menus/x", 0, "o1")
+	// An older one does not come back.
+	f.configure(2, "menus")
+	f.configure(4, "other")
+	f.answered(one, "/menus/x", 0, "o1")
+}
+
+// A target says that it leaves. Its keys go to the other one, which must hold
+// them before the first one stops.
+func TestLeavingTargetsKeysMove(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("l1", "lists", true)
+	f.startTarget("l2", "lists", true)
+	one := f.start("one")
+	one.awaitReady(t)
+	f.answered(one, "/lists/x", 5, "l")
+	eventually(t, func() bool { return len(f.assignment().Pieces) == 2 })
+	owner := f.assignment().Find(5).Owner
+	other := map[string]string{"l1": "l2", "l2": "l1"}[owner]
+	f.list(owner, "lists", "draining")
+	f.answered(one, "/lists/x", 5, other)
+	eventually(t, func() bool { return !f.targets[owner].Holds(5) && f.targets[other].Holds(5) })
+}
+
+// The coordinator stops. Another instance takes over and goes on renewing, so
+// that the keys stay where they are.
+func TestCoordinatorIsReplaced(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("l1", "lists", true)
+	running := map[string]*running{"one": f.start("one"), "two": f.start("two")}
+	for _, r := range running {
+		r.awaitReady(t)
+		f.answered(r, "/lists/x", 5, "l1")
+	}
+	lease := func() (l struct{ Term int64; Holder string; LeaseMs int64 }) {
+		assert.NilError(t, json.Unmarshal(f.store.Row(coordinator.LeaseTable, "lease").Value, &l))
+		return l
+	}
+	first := lease()
+	assert.NilError(t, running[first.Holder].stop())
+	other := map[string]string{"one": "two", "two": "one"}[first.Holder]
+	eventually(t, func() bool { l := lease(); return l.Holder == other && l.LeaseMs > 0 && l.Term > first.Term })
+	f.answered(running[other], "/lists/x", 5, "l1")
+}
+
+// The store is away when an instance starts. It learns from another one what
+// it needs to serve.
+func TestInstanceStartsWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("m1", "menus", false)
+	one := f.start("one")
+	one.awaitReady(t)
+	f.answered(one, "/menus/x", 0, "m1")
+	var i struct{ Control string }
+	eventually(t, func() bool {
+		return json.Unmarshal(f.store.Row(coordinator.InstanceTable, "one").Value, &i) == nil
+	})
+	f.store.Refuse(http.StatusServiceUnavailable)
+	two := f.start("two", i.Control)
+	two.awaitReady(t)
+	f.answered(two, "/menus/x", 0, "m1")
+	f.store.Refuse(0)
+}
+
+// Requests are under way when the process is told to stop. All are answered.
+func TestShutdownCutsNothing(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("m1", "menus", false)
+	f.targets["m1"].Run = func(*http.Request) { time.Sleep(300 * time.Millisecond) }
+	one := f.start("one")
+	one.awaitReady(t)
+	f.answered(one, "/menus/x", 0, "m1")
+	got := make(chan int, 3)
+	for range 3 {
+		go func() {
+			status, _ := f.call(one, "/menus/x", 0)
+			got <- status
+		}()
+	}
+	eventually(t, func() bool { return f.store.Calls() > 0 })
+	assert.NilError(t, one.stop())
+	for range 3 {
+		assert.Equal(t, <-got, http.StatusOK)
+	}
+}
--- /dev/null
+++ b/gateway/mirror/mirror_test.go
@@ -0,0 +1,124 @@
+package mirror_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+type copyOf struct {
+	*mirror.Mirror
+	mu   sync.Mutex
+	rows map[string]string
+}
+
+func (c *copyOf) value(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.rows[key]
+}
+
+func start(t *testing.T, onDemand bool) (*standin.Store, *copyOf) {
+	t.Helper()
+	fake := &standin.Store{}
+	server := httptest.NewServer(fake)
+	t.Cleanup(server.Close)
+	c := &copyOf{rows: map[string]string{}}
+	c.Mirror = &mirror.Mirror{
+		Table: "mine", OnDemand: onDemand, Log: slog.New(slog.DiscardHandler),
+		Store: &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: server.Client()},
+		Changed: func(change mirror.Change) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if change.Whole {
+				c.rows = map[string]string{}
+			}
+			for _, r := range change.Rows {
+				if r.Removed {
+					delete(c.rows, r.Key)
+					continue
+				}
+				c.rows[r.Key] = string(r.Value)
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { defer close(ended); _ = c.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); server.CloseClientConnections(); <-ended })
+	return fake, c
+}
+
+func await(t *testing.T, c *copyOf, key, want string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := c.value(key); got != want {
+			return poll.Continue("%s is %q", key, got)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+func TestFollowsChanges(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	fake.Put("mine", "a", []byte("2"))
+	await(t, c, "a", "2")
+	fake.Drop("mine", "a")
+	await(t, c, "a", "")
+}
+
+// The store forgets its history while this instance was not told of a change
+// and a removal. The table is read whole: nothing stale may remain.
+func TestHistoryLost(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	fake.Put("mine", "b", []byte("1"))
+	await(t, c, "b", "1")
+	fake.Refuse(http.StatusServiceUnavailable)
+	fake.Put("mine", "a", []byte("2"))
+	fake.Drop("mine", "b")
+	fake.Compact()
+	fake.Refuse(0)
+	await(t, c, "a", "2")
+	await(t, c, "b", "")
+}
+
+func TestOnDemandIsReadWhenAsked(t *testing.T) {
+	fake, c := start(t, true)
+	fake.Put("mine", "a", []byte("1"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c.Again()
+		if c.value("a") == "1" {
+			return poll.Success()
+		}
+		return poll.Continue("not read")
+	}, poll.WithTimeout(30*time.Second))
+}
+
+// Another instance offers its copy while the store is away. A newer one is
+// taken, an older one must not undo what is known.
+func TestOffersOfOthers(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	s, ok := c.State()
+	assert.Assert(t, ok)
+	newer := mirror.State{Table: "mine", Revision: s.Revision + 5, Rows: []platform.Row{{Table: "mine", Key: "a", Value: []byte("5"), Revision: s.Revision + 5}}}
+	assert.Assert(t, c.Offer(newer))
+	assert.Equal(t, c.value("a"), "5")
+	assert.Assert(t, !c.Offer(s))
+	assert.Equal(t, c.value("a"), "5")
+}
