Bounds on holds count what a full link holds back; readers of the feeds

Ruled out by the logs: proofs by address, refused connections, a change of coordinator (one term). Change: (a) half a second more for grants in doubt, (b) a lost release is never taken as ended by a later one, (c) the arrival's time. Also: in zones of more than six instances two follow the feeds and pass the news on; others listen as long as they hear a reader and the coordinator. Assignments are written by owner and ends of pieces (a row grew over 64 KB).

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -71,6 +71,7 @@
 	HomeSilent        = Event{406, "homeSilent", slog.LevelWarn, "The instance that shares out a target's slots does not answer; for a while this instance decides by itself.", "Look at that instance and the way to it."}
 	LinesLeftOut      = Event{106, "linesLeftOut", slog.LevelWarn, "More log lines came than are written; the number left out.", ""}
 	Reloaded          = Event{105, "reloaded", slog.LevelInfo, "The settings were read anew.", ""}
+	Reading           = Event{108, "reading", slog.LevelInfo, "Whether this instance follows the store's feeds itself, or listens to others of its zone that do.", ""}
 	NotReady          = Event{107, "notReady", slog.LevelInfo, "Whether this instance takes connections has changed.", ""}
 	RelayInUse        = Event{602, "relayInUse", slog.LevelWarn, "The table service is reached through another zone's leader only.", "Look at the zone's way to the platform."}
 )
@@ -78,7 +79,7 @@
 // Catalogue returns all events by number.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, DutyFailed, SingleInstance, Reloaded, LinesLeftOut, NotReady,
+		Started, Stopping, Stopped, DutyFailed, SingleInstance, Reloaded, LinesLeftOut, NotReady, Reading,
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
 		LeadGained, LeadLost, LeadResigned,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
--- /dev/null
+++ b/basilcross/ownership/encode.go
@@ -0,0 +1,65 @@
+package ownership
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// record is an assignment as it is written: each owner once, and pieces by
+// their ends, since a row of the store holds 64 KB. 1,000 pieces of 300
+// targets take about 35 KB.
+type record struct {
+	Service string  `json:"service"`
+	Term    int64   `json:"term"`
+	Owners  []owner `json:"owners"`
+	// Pieces are triples: the last key, the owner's index or -1, and FreeAt.
+	Pieces [][3]int64 `json:"pieces"`
+}
+
+type owner struct {
+	ID      string `json:"id"`
+	Born    int64  `json:"born"`
+	Address string `json:"address"`
+}
+
+// MarshalJSON writes the assignment.
+func (a *Assignment) MarshalJSON() ([]byte, error) {
+	r := record{Service: a.Service, Term: a.Term, Owners: []owner{}, Pieces: make([][3]int64, 0, len(a.Pieces))}
+	index := map[owner]int64{}
+	for _, p := range a.Pieces {
+		i := int64(-1)
+		if p.Owner != "" {
+			o := owner{p.Owner, p.Born, p.Address}
+			known := false
+			if i, known = index[o]; !known {
+				i = int64(len(r.Owners))
+				index[o] = i
+				r.Owners = append(r.Owners, o)
+			}
+		}
+		r.Pieces = append(r.Pieces, [3]int64{int64(p.Last), i, p.FreeAt})
+	}
+	return json.Marshal(r)
+}
+
+// UnmarshalJSON reads the assignment.
+func (a *Assignment) UnmarshalJSON(text []byte) error {
+	var r record
+	if err := json.Unmarshal(text, &r); err != nil {
+		return err
+	}
+	*a = Assignment{Service: r.Service, Term: r.Term}
+	next := 0
+	for _, t := range r.Pieces {
+		p := Piece{First: next, Last: int(t[0]), FreeAt: t[2]}
+		if i := int(t[1]); i >= 0 {
+			if i >= len(r.Owners) {
+				return fmt.Errorf("piece from key %d: owner %d of %d", next, i, len(r.Owners))
+			}
+			p.Owner, p.Born, p.Address = r.Owners[i].ID, r.Owners[i].Born, r.Owners[i].Address
+		}
+		a.Pieces = append(a.Pieces, p)
+		next = p.Last + 1
+	}
+	return nil
+}
--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -13,6 +13,11 @@
 	// boundMargin covers the time between an answer's arrival and our noting
 	// it, on an instance that is slowed down several times.
 	boundMargin = 50 * time.Millisecond
+	// transit is how much later than the reset of its connection a call without
+	// an answer may still arrive: its bytes may wait in the queue of a full
+	// link, with the reset behind them. The users take a link for full at half
+	// a second.
+	transit = 500 * time.Millisecond
 	// retryAfter is the pause after a grant that was not carried out.
 	retryAfter = 100 * time.Millisecond
 	// silentAfter is how long a target may leave renewals unanswered before
@@ -100,11 +105,14 @@
 	// confirmed is the epoch of the last answered grant.
 	confirmed int64
 	// calling is set while a call about the piece is under way.
-	calling  bool
-	renewAt  time.Time
-	tries    int
-	handover string
-	cause    Cause
+	calling bool
+	renewAt time.Time
+	tries   int
+	// releaseLost is set if a release got no answer. A later one may be
+	// answered at once, though the work has not ended.
+	releaseLost bool
+	handover    string
+	cause       Cause
 	// wanted is the target that balance wants the piece to go to.
 	wanted string
 }
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -81,8 +81,8 @@
 	case Stale:
 		p.epoch = k.nextEpoch()
 	case Unknown:
-		p.until = later(p.until, now.Add(bound(o.Hold)))
-		p.doubt = later(p.doubt, now.Add(bound(o.Hold)))
+		p.until = later(p.until, now.Add(transit+bound(o.Hold)))
+		p.doubt = later(p.doubt, now.Add(transit+bound(o.Hold)))
 		p.doubtEpoch = max(p.doubtEpoch, o.Epoch)
 		// Once the next one is answered, this one is refused if it comes late.
 		p.epoch = k.nextEpoch()
@@ -110,10 +110,13 @@
 	if out == Done {
 		k.holder(o.Owner).answered = now
 		p.handover = handover
-		p.until = p.doubt
+		if !p.releaseLost {
+			p.until = p.doubt
+		}
 		p.phase = waiting
 		return
 	}
+	p.releaseLost = p.releaseLost || out == Unknown
 	p.tries++
 	p.phase = leaving
 	if p.tries >= releaseTries || !now.Before(p.until) {
@@ -140,6 +143,7 @@
 		p.epoch = k.nextEpoch()
 		p.until, p.doubt, p.usable = time.Time{}, time.Time{}, time.Time{}
 		p.doubtEpoch, p.confirmed = 0, 0
+		p.releaseLost = false
 		p.renewAt = now
 		p.tries = 0
 	}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -24,6 +24,9 @@
 	// forgiveAfter is how long a target that left orders unanswered, but is
 	// still named by the platform, is given no keys.
 	forgiveAfter = 5 * time.Second
+	// piecesPerTarget bounds the pieces by which balance divides the keys: each
+	// is renewed by a call of its own, and takes room in a row.
+	piecesPerTarget = 4
 	// spreadOver is how many targets a lost one's keys are spread over at least.
 	spreadOver = 3
 )
@@ -250,6 +253,9 @@
 		all += r.load
 		slots += r.slots
 	}
+	if len(k.pieces) > piecesPerTarget*len(rooms) {
+		return
+	}
 	mean := all / slots
 	for range movesAtOnce {
 		if !k.move(sums, rooms, mean) {
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -57,6 +57,8 @@
 	Table func() *routing.Table
 	// Revisions returns how far this instance's copies go.
 	Revisions func() map[string]uint64
+	// Leads is told, with each sign of life, how many instances report.
+	Leads func(members int)
 	// Took is told of recorded changes, Missed of those too large to tell.
 	Took   func(n *peers.News)
 	Missed func()
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -53,8 +53,10 @@
 		return
 	}
 	l.beatAt = now.Add(beatEvery)
+	members := c.countMembers(now)
+	c.Leads(members)
 	c.Peers.Broadcast(&peers.Message{Revisions: c.Revisions(), Beat: &peers.Beat{
-		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: c.countMembers(now),
+		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: members,
 	}})
 }
 
@@ -193,6 +195,15 @@
 	}
 	l.writing = false
 	now := time.Now()
+	if s.invalid && len(records) > 0 {
+		// The lease must not be lost over it.
+		for name := range records {
+			if k := l.keepers[name]; k != nil {
+				k.Recorded(now, false)
+			}
+		}
+		return
+	}
 	if !s.ok {
 		c.observe(s.revision, s.present)
 		c.stepDown("the lease's row was changed by " + s.present.Holder)
@@ -202,7 +213,7 @@
 	if s.store > 0 {
 		for _, k := range l.keepers {
 			// At the answer's arrival it is later than told by the way at most.
-			k.SetClock(now, s.store+s.took)
+			k.SetClock(s.at, s.store+s.took)
 		}
 	}
 	l.goodUntil.Store(int64(sent + time.Duration(next.LeaseMs)*time.Millisecond - orderMargin))
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -92,8 +92,11 @@
 	// revision of the write, or of the row that stood in its way.
 	revision uint64
 	present  lease
-	// store is the store's clock at the write, if its answer came.
+	// invalid is set if the store does not take such a transaction at all.
+	invalid bool
+	// store is the store's clock at the write, if its answer came, at at.
 	store time.Duration
+	at    time.Time
 	took  time.Duration
 }
 
@@ -115,7 +118,7 @@
 			defer cancelTry()
 			done, err := c.Store.Transact(tryCtx, tx)
 			select {
-			case answers <- answer{done, err}:
+			case answers <- answer{done, err, time.Now()}:
 			case <-ctx.Done():
 			}
 			return nil
@@ -144,15 +147,21 @@
 type answer struct {
 	done platform.Rows
 	err  error
+	at   time.Time
 }
 
 // judge tells what an answer proves. A row with this write's own number shows
 // that an earlier try took effect though its answer was lost.
 func (c *Coordinator) judge(mine *lease, a answer) (s settled, final bool) {
 	if a.err == nil {
-		return settled{ok: true, revision: a.done.Revision, store: time.Duration(a.done.Now)}, true
+		return settled{ok: true, revision: a.done.Revision, store: time.Duration(a.done.Now), at: a.at}, true
 	}
 	var conflict *platform.ConflictError
+	var rejected *platform.RejectedError
+	if errors.As(a.err, &rejected) && rejected.Invalid() {
+		c.storeFailed("write lease", a.err)
+		return settled{invalid: true}, true
+	}
 	if !errors.As(a.err, &conflict) {
 		c.storeFailed("write lease", a.err)
 		return settled{}, false
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -133,13 +133,11 @@
 
 // receive takes in a datagram.
 func (i *Instance) receive(m *peers.Message) {
-	if i.broker.Receive(m) {
+	if i.broker.Receive(m) || i.sharer.receive(m) {
 		return
 	}
 	if m.Beat != nil && !m.Beat.Resigned {
-		from := m.From
-		i.lead.Store(&from)
-		i.members.Store(int64(m.Beat.Members))
+		i.noteLead(m.From, m.Beat.Members)
 	}
 	switch {
 	case m.News != nil:
@@ -155,6 +153,14 @@
 	i.coordinator.Hear(m)
 }
 
+// noteLead notes who coordinates, and how many instances report to it.
+func (i *Instance) noteLead(name string, members int) {
+	now := time.Now()
+	i.lead.Store(&name)
+	i.beatAt.Store(&now)
+	i.members.Store(int64(members))
+}
+
 // takeNews lays a recorded change over the assignment that it is a change of.
 func (i *Instance) takeNews(n *peers.News) {
 	next, known := i.state.changed(n)
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -79,6 +79,7 @@
 
 	state       state
 	mirrors     []*mirror.Mirror
+	sharer      *sharer
 	assignments *mirror.Mirror
 	instances   *mirror.Mirror
 	peers       *peers.Peers
@@ -93,6 +94,7 @@
 
 	members  atomic.Int64
 	lead     atomic.Pointer[string]
+	beatAt   atomic.Pointer[time.Time]
 	closing  atomic.Bool
 	wasReady atomic.Bool
 }
@@ -114,7 +116,7 @@
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store, Grants: &platform.Grants{HTTP: newClient(targetDialer)},
-		Took: i.takeNews, Missed: i.assignments.Again,
+		Leads: func(members int) { i.noteLead(s.Instance, members) }, Took: i.takeNews, Missed: i.assignments.Again,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: min(longHold, s.LongestHold-longMargin), Every: renewHolds},
 	})
@@ -157,8 +159,14 @@
 		i.mirrors = append(i.mirrors, m)
 		return m
 	}
-	add(&mirror.Mirror{Table: platform.OperatorTable, Pace: configPace, Changed: i.state.takeConfig})
-	add(&mirror.Mirror{Table: platform.TargetTable, Pace: targetPace, Changed: i.state.takeTargets})
+	i.sharer = &sharer{Instance: i, heard: map[string]time.Time{}, reached: map[string]uint64{}}
+	for _, m := range []*mirror.Mirror{
+		{Table: platform.OperatorTable, Pace: configPace, Changed: i.state.takeConfig},
+		{Table: platform.TargetTable, Pace: targetPace, Changed: i.state.takeTargets},
+	} {
+		m.Passed = func(p mirror.Passage) { i.sharer.pass(m.Table, p) }
+		i.sharer.tables = append(i.sharer.tables, add(m))
+	}
 	i.assignments = add(&mirror.Mirror{Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments})
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Changed: func(c mirror.Change) {
 		i.peers.Know(i.state.takeInstances(c))
@@ -246,6 +254,7 @@
 	root.Add(&introducer{i})
 	root.Add(&reporter{i})
 	root.Add(&catchUp{i})
+	root.Add(i.sharer)
 	root.Add(&housekeeper{i})
 	return root
 }
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -49,6 +49,9 @@
 	Log      *slog.Logger
 	// Changed is told of news, one call at a time.
 	Changed func(c Change)
+	// Passed, if set, is told of what the feed brought: the changes after one
+	// revision up to another.
+	Passed func(p Passage)
 
 	mu       sync.Mutex
 	rows     map[string]platform.Row
@@ -58,7 +61,9 @@
 	loaded   bool
 	failing  time.Time
 	interest chan struct{}
-	once     sync.Once
+	// listening is set while others pass the feed's news on.
+	listening bool
+	once      sync.Once
 }
 
 // Serve follows the table until the context ends.
@@ -105,7 +110,8 @@
 func (m *Mirror) next(ctx context.Context) (news bool, err error) {
 	m.init()
 	m.mu.Lock()
-	loaded, after := m.loaded, m.revision
+	loaded, after, wait := m.loaded, m.revision, feedWait
+	listening := m.listening
 	m.mu.Unlock()
 	if !loaded {
 		return true, m.read(ctx)
@@ -118,11 +124,21 @@
 			return false, ctx.Err()
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedGrace)
+	if listening {
+		select {
+		case <-m.interest:
+			wait = 0
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
 	defer cancel()
-	stop := m.wake(ctx, cancel)
-	defer stop()
-	got, err := m.Store.Feed(ctx, m.Table, after, feedWait)
+	if !listening {
+		stop := m.wake(ctx, cancel)
+		defer stop()
+	}
+	got, err := m.Store.Feed(ctx, m.Table, after, wait)
 	var compacted *platform.CompactedError
 	if errors.As(err, &compacted) {
 		event.HistoryLost.Log(m.Log, "table", m.Table, "after", after)
@@ -138,6 +154,9 @@
 		return false, nil
 	}
 	m.apply(Change{Rows: got.Rows, Revision: got.Revision})
+	if m.Passed != nil {
+		m.Passed(Passage{From: after, To: got.Revision, Rows: got.Rows})
+	}
 	return true, nil
 }
 
@@ -224,6 +243,47 @@
 	m.failing = time.Time{}
 }
 
+// Passage is all changes of a table after From up to To.
+type Passage struct {
+	From, To uint64
+	Rows     []platform.Row
+}
+
+// Listen stops following the feed, because others pass its news on, or begins
+// it again.
+func (m *Mirror) Listen(on bool) {
+	m.mu.Lock()
+	same := m.listening == on
+	m.listening = on
+	m.mu.Unlock()
+	if !same {
+		m.Again()
+	}
+}
+
+// Pass takes in what another instance's feed brought, and tells whether it
+// follows on what is known here.
+func (m *Mirror) Pass(p Passage) bool {
+	m.mu.Lock()
+	revision, loaded := m.revision, m.loaded
+	m.mu.Unlock()
+	switch {
+	case !loaded || revision < p.From:
+		return false
+	case revision >= p.To:
+		return true
+	}
+	m.apply(Change{Rows: p.Rows, Revision: p.To})
+	return true
+}
+
+// Reached returns how far the copy is complete.
+func (m *Mirror) Reached() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
 // State is a copy of a table at one moment.
 type State struct {
 	Table string
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -22,7 +22,37 @@
 	Reply     *Reply
 	Done      *Done
 	// Bye is set in the last message of an instance that ends.
-	Bye bool
+	Bye    bool
+	Reader *Reader
+	Rows   *Rows
+}
+
+// Reader is the sign of life of an instance that follows the store's feeds for
+// its zone.
+type Reader struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Reached is how far each table's copy is complete.
+	Reached map[string]uint64
+}
+
+// Rows is what a feed brought: the changes of a table after From up to To.
+type Rows struct {
+	_ struct{} `cbor:",toarray"`
+
+	Table    string
+	From, To uint64
+	Rows     []Row
+}
+
+// Row is a changed row.
+type Row struct {
+	_ struct{} `cbor:",toarray"`
+
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
 }
 
 // Ask asks for a place at a target.
