A restarted instance says hello before its row is written; retries shared by all known

Nobody told it of news, its first read hung for 3.2 s, and it served an old configuration 2.1 s after the acknowledgement. Ruled out: copies of others (taken at the start), the feed. Change: it greets all instances known in its first seconds, whatever the store does; reads and the row's write are given up after 1.5 s. A new coordinator had heard no reports, told of one member, and each instance took the whole slack. Change: shared by the instances known, if those are more.

--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -30,6 +30,8 @@
 	askTimeout = 800 * time.Millisecond
 	// introduceRetry is the pause after a row could not be written.
 	introduceRetry = 500 * time.Millisecond
+	// introduceTimeout bounds the write of that row.
+	introduceTimeout = 1500 * time.Millisecond
 )
 
 // introducer writes this instance's row, by which others find it.
@@ -45,7 +47,7 @@
 		Table: coordinator.InstanceTable, Key: i.peers.Self.Name, Value: text,
 	}}}
 	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, 4*askTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, introduceTimeout)
 		_, err := i.store.Transact(callCtx, tx)
 		cancel()
 		if err == nil {
@@ -54,23 +56,35 @@
 		event.StoreCallFailed.Log(i.log, "call", "introduce", "error", err)
 		sleep(ctx, introduceRetry/2+rand.N(introduceRetry))
 	}
-	// Whoever came before is read from the store, and told; whoever comes later
-	// does the same.
+	// Whoever came before is read from the store; whoever comes later does the
+	// same, and says hello.
 	i.instances.Again()
-	for range helloTries {
-		sleep(ctx, helloEvery)
-		i.peers.Broadcast(&peers.Message{Hello: &i.peers.Self})
-	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-// helloTries and helloEvery: datagrams may get lost.
+// greeter says hello to all instances known. Those forgot this one when it
+// ended the last time, and without them it hears of nothing while the store is
+// away, so it does not wait for its row to be written.
+type greeter struct{ *Instance }
+
+// helloTries and helloEvery: datagrams may get lost, and others become known
+// during the first seconds.
 const (
-	helloTries = 2
-	helloEvery = 300 * time.Millisecond
+	helloTries = 8
+	helloEvery = 400 * time.Millisecond
 )
 
+// Serve says hello a few times.
+func (g *greeter) Serve(ctx context.Context) error {
+	for range helloTries {
+		sleep(ctx, helloEvery)
+		g.peers.Broadcast(&peers.Message{Hello: &g.peers.Self})
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -183,11 +183,11 @@
 	return r
 }
 
+// countMembers returns among how many the fleet's retries are shared. A new
+// coordinator has heard few reports yet: taken alone, its count would give
+// each instance a large part of the whole budget at once.
 func (i *Instance) countMembers() int {
-	if n := int(i.members.Load()); n > 0 {
-		return n
-	}
-	return max(1, len(i.peers.All()))
+	return max(1, int(i.members.Load()), len(i.peers.All()))
 }
 
 // Ready tells whether callers should be sent here: it knows the configuration
@@ -252,6 +252,7 @@
 	root.Add(i.peers)
 	root.Add(i.coordinator)
 	root.Add(&introducer{i})
+	root.Add(&greeter{i})
 	root.Add(&reporter{i})
 	root.Add(&catchUp{i})
 	root.Add(i.sharer)
--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -294,3 +294,30 @@
 		assert.Equal(t, <-got, http.StatusOK)
 	}
 }
+
+// An instance ends and starts again while the store is away for it alone. The
+// others forgot it when it ended, so it must say hello without having written
+// its row: else it serves an old configuration until its first call times out.
+func TestRestartedInstanceHearsOfNewsWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.startTarget("m1", "menus", false)
+	f.startTarget("o1", "other", false)
+	one := f.start("one")
+	one.awaitReady(t)
+	var i struct{ Control string }
+	eventually(t, func() bool {
+		return json.Unmarshal(f.store.Row(coordinator.InstanceTable, "one").Value, &i) == nil
+	})
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	whole := f.address
+	f.address = silent.Addr().String()
+	two := f.start("two", i.Control)
+	f.address = whole
+	two.awaitReady(t)
+	f.answered(two, "/menus/x", 0, "m1")
+	f.configure(3, "other")
+	f.answered(two, "/menus/x", 0, "o1")
+}
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -21,8 +21,10 @@
 	feedWait = 25 * time.Second
 	// feedGrace is how much later than feedWait an answer may come.
 	feedGrace = 3 * time.Second
-	// readTimeout bounds the reading of a whole table.
-	readTimeout = 4 * time.Second
+	// readTimeout bounds the reading of a whole table. A call that the store
+	// took while it was silent is never answered; the store's slowest answers
+	// take half a second.
+	readTimeout = 1500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
