--- /dev/null
+++ b/gateway/front/metrics_test.go
@@ -0,0 +1,46 @@
+package front_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"basilcross.example/gateway/front"
+	"github.com/prometheus/client_golang/prometheus"
+	"gotest.tools/v3/assert"
+)
+
+// Every metric of the package stands in docs/METRICS.md.
+func TestMetricsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	registry := &names{}
+	front.NewMetrics(registry)
+	assert.Equal(t, len(registry.found), 2)
+	for _, name := range registry.found {
+		assert.Assert(t, strings.Contains(string(page), "`"+name+"`"), name)
+	}
+}
+
+// names registers nothing and notes what is registered.
+type names struct{ found []string }
+
+func (n *names) Register(c prometheus.Collector) error {
+	descriptions := make(chan *prometheus.Desc, 10)
+	c.Describe(descriptions)
+	close(descriptions)
+	for d := range descriptions {
+		_, rest, _ := strings.Cut(d.String(), `fqName: "`)
+		name, _, _ := strings.Cut(rest, `"`)
+		n.found = append(n.found, name)
+	}
+	return nil
+}
+
+func (n *names) MustRegister(list ...prometheus.Collector) {
+	for _, c := range list {
+		_ = n.Register(c)
+	}
+}
+
+func (n *names) Unregister(prometheus.Collector) bool { return false }
