--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -241,7 +241,8 @@
 		Term    int64
 		Holder  string
 		LeaseMs int64
-	}) {
+	},
+	) {
 		assert.NilError(t, json.Unmarshal(f.store.Row(coordinator.LeaseTable, "lease").Value, &l))
 		return l
 	}
--- a/gateway/instance/sharer.go
+++ b/gateway/instance/sharer.go
@@ -45,29 +45,31 @@
 	for ctx.Err() == nil {
 		sleep(ctx, readerBeat)
 		large := s.zoneSize() > smallZone
-		before, all := s.count()
-		// Readers may be refused by the store without a word. The coordinator's
-		// beats tell how far its copies go, and the lease proves its way to the
-		// store; without both, each instance reads for itself.
-		covered := large && all > 0 && s.hearsCoordinator()
-		switch {
-		case s.listens && !covered:
-			s.listen(false)
-		case !s.listens && covered && before >= readers && s.current() && !s.leads():
-			s.listen(true)
-		case s.listens && s.leads():
-			s.listen(false)
-		}
-		if large && !s.listens && s.current() {
-			s.beat()
+		if wanted := large && s.mayListen(); wanted != s.listens {
+			s.listen(wanted)
 		}
-		if s.listens {
+		switch {
+		case s.listens:
 			s.checkReached()
+		case large && s.current():
+			s.beat()
 		}
 	}
 	return ctx.Err()
 }
 
+// mayListen tells whether others follow the feeds for this instance. Readers
+// may be refused by the store without a word; the coordinator's beats tell how
+// far its copies go, and its lease proves its way to the store. Without both,
+// and while it coordinates, an instance reads for itself.
+func (s *sharer) mayListen() bool {
+	before, all := s.count()
+	if all == 0 || s.leads() || !s.hearsCoordinator() {
+		return false
+	}
+	return s.listens || before >= readers && s.current()
+}
+
 func (s *sharer) hearsCoordinator() bool {
 	at := s.beatAt.Load()
 	return at != nil && time.Since(*at) < readerFor
