--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -32,7 +32,7 @@
 	// Loads is told of each key's work.
 	Loads *Loads
 	// Retries limits repetitions over all instances.
-	Retries Retries
+	Retries func() Retries
 	Metrics *Metrics
 	Log     *slog.Logger
 }
@@ -42,8 +42,8 @@
 	// Ratio of the requests, and Slack on top of it in each window.
 	Ratio float64
 	Slack float64
-	// Members returns how many instances share the slack.
-	Members func() int
+	// Members is how many instances share the slack.
+	Members int
 }
 
 // Front is the handler of callers' requests. Create it with New.
@@ -105,8 +105,8 @@
 		b = &retry.Budget{}
 		f.budgets[service] = b
 	}
-	n := float64(max(1, f.Retries.Members()))
-	b.Set(f.Retries.Ratio*safeShare, max(1, f.Retries.Slack*safeShare/n))
+	r := f.Retries()
+	b.Set(r.Ratio*safeShare, max(1, r.Slack*safeShare/float64(max(1, r.Members))))
 	return b
 }
 
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -51,7 +51,7 @@
 		Roster: b.roster, Lanes: &front.Lanes{}, Table: b.table.Load,
 		Owners:  func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		Loads:   &front.Loads{},
-		Retries: front.Retries{Ratio: 0.2, Slack: 60, Members: func() int { return 1 }},
+		Retries: func() front.Retries { return front.Retries{Ratio: 0.2, Slack: 60, Members: 1} },
 		Metrics: front.NewMetrics(prometheus.NewRegistry()), Log: log,
 	})
 	b.server = httptest.NewServer(b.front)
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -286,7 +286,7 @@
 		return all[t.from].Control
 	}
 	var addresses []string
-	for _, s := range c.settings.Seeds {
+	for _, s := range c.tunable.Load().Seeds {
 		if s != c.settings.ControlListen {
 			addresses = append(addresses, s)
 		}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -92,6 +92,8 @@
 	store       *platform.Store
 	calls       *http.Client
 
+	// tunable are the settings last read; only some may change while running.
+	tunable  atomic.Pointer[Settings]
 	members  atomic.Int64
 	lead     atomic.Pointer[string]
 	beatAt   atomic.Pointer[time.Time]
@@ -103,6 +105,7 @@
 func New(s Settings, log *slog.Logger, sink *logsink.Sink) *Instance {
 	i := &Instance{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), loads: &front.Loads{}}
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	i.tunable.Store(&s)
 	i.state.log = log
 	i.state.roster = &roster.Roster{}
 	i.state.zone = s.Zone
@@ -128,7 +131,10 @@
 	i.front = front.New(front.Options{
 		Wire: platform.Wire(), Broker: i.broker, Roster: i.state.roster, Lanes: i.lanes, Table: i.state.table.Load,
 		Owners: i.state.owners, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
-		Retries: front.Retries{Ratio: s.RetryRatio, Slack: s.RetrySlack, Members: i.countMembers},
+		Retries: func() front.Retries {
+			now := i.tunable.Load()
+			return front.Retries{Ratio: now.RetryRatio, Slack: now.RetrySlack, Members: i.countMembers()}
+		},
 	})
 	return i
 }
@@ -257,6 +263,7 @@
 	root.Add(&catchUp{i})
 	root.Add(i.sharer)
 	root.Add(&housekeeper{i})
+	root.Add(&reloader{i})
 	return root
 }
 
--- a/gateway/instance/settings.go
+++ b/gateway/instance/settings.go
@@ -37,6 +37,10 @@
 	RetrySlack     float64
 	LogLevel       string
 	Pprof          bool
+	// File is where some of the settings stand, and Reload reads all anew;
+	// both may be unset.
+	File   string
+	Reload func() (Settings, error)
 }
 
 // Defaults returns settings that lack only the addresses.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
 	"basilcross.example/gateway/instance"
 	"basilcross.example/gateway/logsink"
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 )
 
 const usageServe = `Start a gateway on the users' platform.
@@ -44,24 +47,45 @@
 	c.Flags().StringVar(&file, "settings", os.Getenv(instance.EnvPrefix+"SETTINGS"), "file with further settings")
 	s.Bind(c.Flags())
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		if err := instance.Load(c.Flags(), file, os.LookupEnv); err != nil {
-			return err
-		}
-		if err := s.Validate(); err != nil {
+		read := func() (instance.Settings, error) { return readSettings(c.Flags(), file) }
+		s, err := read()
+		if err != nil {
 			return err
 		}
+		s.File, s.Reload = file, read
 		return serve(s)
 	}
 	return c
 }
 
+// readSettings reads all settings anew; flags given stay as they are.
+func readSettings(given *pflag.FlagSet, file string) (instance.Settings, error) {
+	s := instance.Defaults()
+	flags := pflag.NewFlagSet("settings", pflag.ContinueOnError)
+	s.Bind(flags)
+	var faults []error
+	given.Visit(func(f *pflag.Flag) {
+		if flags.Lookup(f.Name) != nil {
+			// Lists print with brackets and are set without.
+			faults = append(faults, flags.Set(f.Name, strings.Trim(f.Value.String(), "[]")))
+		}
+	})
+	faults = append(faults, instance.Load(flags, file, os.LookupEnv))
+	if err := errors.Join(faults...); err != nil {
+		return s, err
+	}
+	return s, s.Validate()
+}
+
 func serve(s instance.Settings) error {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(memoryLimit)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// Unhandled, this signal would end the process.
-	signal.Ignore(syscall.SIGHUP)
+	// The reloader takes this signal; until it runs, it must not end the process.
+	early := make(chan os.Signal, 1)
+	signal.Notify(early, syscall.SIGHUP)
+	defer signal.Stop(early)
 	var level slog.Level
 	// Validate has checked the level's name.
 	_ = level.UnmarshalText([]byte(s.LogLevel))
