Trace of a request from several logs; metrics of what an instance believes

basilcross trace puts the lines of one request into order, also of lines with a prefix and of files cut off; golden files. Seven metrics more, checked against docs/METRICS.md. Unused parts of the coordinator went.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -106,7 +106,7 @@
 	root.AddCommand(
 		statusCommand(s), ownerCommand(s), shardsCommand(s), targetsCommand(s),
 		configCommand(s), exceptionCommand(s), drainCommand(s), undrainCommand(s),
-		auditCommand(s), eventsCommand(),
+		auditCommand(s), eventsCommand(), traceCommand(s),
 	)
 	return root
 }
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -51,6 +51,8 @@
 func TestOutput(t *testing.T) {
 	for name, args := range map[string][]string{
 		"status":          {"status"},
+		"trace":           {"trace", "5b6f", "testdata/two.log", "testdata/one.log"},
+		"trace-json":      {"trace", "5b6f", "testdata/one.log", "--output", "json"},
 		"status-json":     {"status", "--output", "json"},
 		"owner":           {"owner", "graz-7", "--service", "menus"},
 		"shards":          {"shards", "--service", "menus"},
@@ -94,3 +96,12 @@
 	assert.Equal(t, exit.Code, command.ExitInvalid)
 	assert.ErrorContains(t, err, "exceptions[1].set.priority")
 }
+
+func TestTraceFaults(t *testing.T) {
+	var exit *command.ExitError
+	_, err := run(t, "trace", "unknown", "testdata/one.log")
+	assert.Assert(t, errors.As(err, &exit))
+	assert.Equal(t, exit.Code, command.ExitNotFound)
+	_, err = run(t, "trace", "5b6f", "testdata/missing.log")
+	assert.ErrorContains(t, err, "missing.log")
+}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -74,13 +74,12 @@
 	group  errgroup.Group
 
 	// The rest belongs to the duty's goroutine.
-	seen      seenLease
-	heard     time.Time
-	heardFrom string
-	lookAt    time.Time
-	looking   bool
-	leading   *leading
-	members   map[string]time.Time
+	seen    seenLease
+	heard   time.Time
+	lookAt  time.Time
+	looking bool
+	leading *leading
+	members map[string]time.Time
 }
 
 // leading is the state of a term. Another term has another one, so answers to
@@ -175,7 +174,7 @@
 	if m.Beat.Term < c.seen.lease.Term {
 		return
 	}
-	c.heard, c.heardFrom = now, m.From
+	c.heard = now
 	c.observe(m.Beat.Lease, lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life, LeaseMs: m.Beat.LeaseMs})
 }
 
@@ -329,21 +328,3 @@
 	}
 	event.StoreCallFailed.Log(c.Log, "call", call, "error", err)
 }
-
-// Leading tells this instance's term, or 0.
-func (c *Coordinator) Leading(ctx context.Context) int64 {
-	got := make(chan int64, 1)
-	c.post(ctx, func() {
-		if c.leading == nil {
-			got <- 0
-			return
-		}
-		got <- c.leading.lease.Term
-	})
-	select {
-	case term := <-got:
-		return term
-	case <-ctx.Done():
-		return 0
-	}
-}
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -225,11 +225,14 @@
 		}
 	}
 	for name, r := range records {
-		event.KeysRecorded.Log(c.Log, "service", name, "term", next.Term, "revision", s.revision,
-			"pieces", len(r.Assignment.Pieces), "tookMs", s.took.Milliseconds())
+		moved := ownership.Moved{}
 		if k := l.keepers[name]; k != nil {
+			moved = k.Moved
 			k.Recorded(now, true)
 		}
+		event.KeysRecorded.Log(c.Log, "service", name, "term", next.Term, "revision", s.revision,
+			"pieces", len(r.Assignment.Pieces), "tookMs", s.took.Milliseconds(),
+			"movedLeaving", moved.Leaving, "movedLost", moved.Lost, "movedBalance", moved.Balance)
 		c.spread(l, name, r.Assignment, s.revision)
 	}
 }
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -136,6 +136,7 @@
 			return front.Retries{Ratio: now.RetryRatio, Slack: now.RetrySlack, Members: i.countMembers()}
 		},
 	})
+	i.registerMetrics(i.registry)
 	return i
 }
 
--- /dev/null
+++ b/gateway/instance/metrics.go
@@ -0,0 +1,51 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// registerMetrics adds what the instance believes, read when it is asked for.
+func (i *Instance) registerMetrics(r prometheus.Registerer) {
+	gauge := func(name, help string, value func() float64) {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("basilcross_config_version", "Version of the configuration in force; 0 for none.", func() float64 {
+		if table := i.state.table.Load(); table != nil {
+			return float64(table.Config.Version)
+		}
+		return 0
+	})
+	gauge("basilcross_targets", "Targets that the platform names.", func() float64 {
+		return float64(len(i.state.roster.Load().Targets))
+	})
+	gauge("basilcross_instances", "Instances among which retries are shared.", func() float64 {
+		return float64(i.countMembers())
+	})
+	gauge("basilcross_leading", "1 if this instance coordinates, as far as it knows.", func() float64 {
+		if i.sharer.leads() {
+			return 1
+		}
+		return 0
+	})
+	gauge("basilcross_coordinator_silence_seconds", "Time since the coordinator's last sign of life; -1 if none was heard.", func() float64 {
+		at := i.beatAt.Load()
+		if at == nil {
+			return -1
+		}
+		return time.Since(*at).Seconds()
+	})
+	gauge("basilcross_tables_failing", "Tables of the store that cannot be kept up from it.", func() float64 {
+		n := 0.0
+		for _, m := range i.mirrors {
+			if m.Failing() {
+				n++
+			}
+		}
+		return n
+	})
+	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "basilcross_log_bytes_total", Help: "Bytes of log lines written.",
+	}, func() float64 { return float64(i.sink.Written.Load()) }))
+}
--- /dev/null
+++ b/gateway/instance/metrics_test.go
@@ -0,0 +1,31 @@
+package instance
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+
+	"basilcross.example/gateway/logsink"
+	"gotest.tools/v3/assert"
+)
+
+// Every metric of ours stands in docs/METRICS.md.
+func TestMetricsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/METRICS.md")
+	assert.NilError(t, err)
+	sink := logsink.New(io.Discard)
+	i := New(Defaults(), slog.New(slog.NewJSONHandler(sink, nil)), sink)
+	families, err := i.registry.Gather()
+	assert.NilError(t, err)
+	found := 0
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), "basilcross_") {
+			continue
+		}
+		found++
+		assert.Assert(t, strings.Contains(string(page), "`"+f.GetName()+"`"), f.GetName())
+	}
+	assert.Equal(t, found, 7)
+}
