A feed that the store took while it was silent is given up soon

Ruled out: keep-alive (the machine answers probes), hello before the row (done). Change: the first feed after a failure waits 0.3 s, so that it proves the store within 1.5 s; a copy that is behind begins its feed anew also while it fails; a coordinator begins its feeds anew at the start of a term and when the store is back, since others compare theirs with its.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -59,6 +59,10 @@
 	Revisions func() map[string]uint64
 	// Leads is told, with each sign of life, how many instances report.
 	Leads func(members int)
+	// Refresh begins the feeds of this instance's copies anew: others compare
+	// theirs with them, and feeds may hang that the store took while it did
+	// not answer.
+	Refresh func()
 	// Took is told of recorded changes, Missed of those too large to tell.
 	Took   func(n *peers.News)
 	Missed func()
@@ -308,6 +312,7 @@
 		ctx: termCtx, cancel: cancel, wroteAt: time.Now(),
 	}
 	c.leading.goodUntil.Store(int64(sent + leaseFor - orderMargin))
+	c.Refresh()
 	event.LeadGained.Log(c.Log, "term", mine.Term, "revision", s.revision)
 	c.lead(ctx)
 }
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -220,6 +220,7 @@
 	c.observe(s.revision, next)
 	if l.inDoubt && s.took < calmWithin {
 		l.inDoubt = false
+		c.Refresh()
 		for _, k := range l.keepers {
 			k.StoreInDoubt(now, false)
 		}
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -257,9 +257,9 @@
 func (c *catchUp) fetch(ctx context.Context, wanted []*mirror.Mirror) {
 	request := &fleet.StateRequest{}
 	for _, m := range wanted {
-		if !m.Failing() {
-			m.Again()
-		}
+		// Also while it fails: a call that the store took while it was silent
+		// is never answered, and is given up by this.
+		m.Again()
 		request.Tables = append(request.Tables, m.Table)
 	}
 	address := c.askWhom()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -119,7 +119,8 @@
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store, Grants: &platform.Grants{HTTP: newClient(targetDialer)},
-		Leads: func(members int) { i.noteLead(s.Instance, members) }, Took: i.takeNews, Missed: i.assignments.Again,
+		Refresh: i.sharer.refresh,
+		Leads:   func(members int) { i.noteLead(s.Instance, members) }, Took: i.takeNews, Missed: i.assignments.Again,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: min(longHold, s.LongestHold-longMargin), Every: renewHolds},
 	})
--- a/gateway/instance/sharer.go
+++ b/gateway/instance/sharer.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// refresh begins the feeds anew.
+func (s *sharer) refresh() {
+	for _, m := range s.tables {
+		m.Again()
+	}
+}
+
 // checkReached reads what no datagram brought.
 func (s *sharer) checkReached() {
 	s.mu.Lock()
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -25,6 +25,11 @@
 	// took while it was silent is never answered; the store's slowest answers
 	// take half a second.
 	readTimeout = 1500 * time.Millisecond
+	// proofWait is the same for the first feed after a failure: the store may
+	// have taken the call without ever answering it, and a long wait would not
+	// tell that from having no news.
+	proofWait  = 300 * time.Millisecond
+	proofGrace = 1200 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 800 * time.Millisecond
@@ -113,7 +118,7 @@
 	m.init()
 	m.mu.Lock()
 	loaded, after, wait := m.loaded, m.revision, feedWait
-	listening := m.listening
+	listening, failing := m.listening, !m.failing.IsZero()
 	m.mu.Unlock()
 	if !loaded {
 		return true, m.read(ctx)
@@ -134,7 +139,11 @@
 			return false, ctx.Err()
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
+	grace := feedGrace
+	if failing {
+		wait, grace = min(wait, proofWait), proofGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
 	if !listening {
 		stop := m.wake(ctx, cancel)
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -122,3 +122,36 @@
 	assert.Assert(t, !c.Offer(s))
 	assert.Equal(t, c.value("a"), "5")
 }
+
+// The store takes a feed's call while it is silent, and never answers it. It is
+// back soon, and a configuration is written: waiting for the feed's usual half
+// minute would leave the old one in force.
+func TestFeedTakenInSilenceIsGivenUp(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	fake.Refuse(http.StatusServiceUnavailable)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Failing() {
+			return poll.Success()
+		}
+		return poll.Continue("still well")
+	}, poll.WithTimeout(30*time.Second))
+	fake.Silence(true)
+	fake.Refuse(0)
+	calls := fake.Calls()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if fake.Calls() > calls {
+			return poll.Success()
+		}
+		return poll.Continue("no call in the silence yet")
+	}, poll.WithTimeout(30*time.Second), poll.WithDelay(5*time.Millisecond))
+	fake.Silence(false)
+	fake.Put("mine", "a", []byte("2"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.value("a") == "2" {
+			return poll.Success()
+		}
+		return poll.Continue("old")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
