--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -27,8 +27,8 @@
 	"gotest.tools/v3/assert"
 )
 
-// bench is a front with the targets of one service.
-type bench struct {
+// stage is a front with the targets of one service.
+type stage struct {
 	t       *testing.T
 	front   *front.Front
 	server  *httptest.Server
@@ -38,9 +38,9 @@
 	sent    int
 }
 
-func newBench(t *testing.T) *bench {
+func newStage(t *testing.T) *stage {
 	t.Helper()
-	b := &bench{t: t, roster: &roster.Roster{}}
+	b := &stage{t: t, roster: &roster.Roster{}}
 	log := slog.New(slog.DiscardHandler)
 	p := &peers.Peers{Self: peers.Instance{Name: "one", Zone: "z"}, Log: log}
 	b.front = front.New(front.Options{
@@ -60,7 +60,7 @@
 }
 
 // route puts a route in force: /safe/ is idempotent, /book/ is not.
-func (b *bench) route(timeout time.Duration) {
+func (b *stage) route(timeout time.Duration) {
 	share := []routing.Share{{Service: "s", Weight: 1}}
 	b.table.Store(routing.New(&routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "s"}}, Limits: routing.Limits{BodyBytes: 1000},
@@ -71,19 +71,19 @@
 	}))
 }
 
-func (b *bench) target(id, address string) {
+func (b *stage) target(id, address string) {
 	b.targets = append(b.targets, &roster.Target{ID: id, Born: 1, Service: "s", Zone: "z", Slots: 3, Address: address})
 	b.roster.Replace(time.Now(), b.targets, 1)
 }
 
-func (b *bench) handler(id string, h http.Handler) {
+func (b *stage) handler(id string, h http.Handler) {
 	server := httptest.NewServer(h)
 	b.t.Cleanup(server.Close)
 	b.target(id, strings.TrimPrefix(server.URL, "http://"))
 }
 
 // raw is a target that answers each request with fixed bytes.
-func (b *bench) raw(id string, answer func(request string) string) {
+func (b *stage) raw(id string, answer func(request string) string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(b.t, err)
 	b.t.Cleanup(func() { _ = l.Close() })
@@ -106,7 +106,7 @@
 	b.target(id, l.Addr().String())
 }
 
-func (b *bench) call(ctx context.Context, method, path, body string) (*http.Response, string) {
+func (b *stage) call(ctx context.Context, method, path, body string) (*http.Response, string) {
 	b.sent++
 	req, err := http.NewRequestWithContext(ctx, method, b.server.URL+path, strings.NewReader(body))
 	assert.NilError(b.t, err)
@@ -134,7 +134,7 @@
 // A process that knows no configuration cannot know what has no route: a 404
 // would be believed.
 func TestNoConfigurationIsNotARefusalForGood(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	res, _ := b.call(t.Context(), http.MethodGet, "/safe/x", "")
 	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
 	assert.Assert(t, res.Header.Get("Retry-After") != "")
@@ -144,7 +144,7 @@
 }
 
 func TestAnswerIsPassedOnWhole(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.handler("t1", &standin.Target{ID: "t1"})
 	res, body := b.call(t.Context(), http.MethodPost, "/book/a%2Fb/../c?x=1", "hello")
@@ -154,7 +154,7 @@
 }
 
 func TestBodyOverTheLimit(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(time.Second)
 	res, _ := b.call(t.Context(), http.MethodPost, "/book/x", strings.Repeat("x", 1001))
 	assert.Equal(t, res.StatusCode, http.StatusRequestEntityTooLarge)
@@ -162,7 +162,7 @@
 
 // The first target says that it did not run the request; the next one runs it.
 func TestShedRequestGoesToAnotherTarget(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.handler("a", http.HandlerFunc(shed))
 	next := &standin.Target{ID: "b"}
@@ -175,7 +175,7 @@
 // A target takes a booking and breaks the connection off. It may have run, so
 // nobody else may get it, and no status may promise that it did not run.
 func TestBookingInDoubtIsNotSentAgain(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.handler("a", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	next := &standin.Target{ID: "b"}
@@ -192,7 +192,7 @@
 }
 
 func TestReadsInDoubtAreSentAgain(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.handler("a", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	b.handler("b", &standin.Target{ID: "b"})
@@ -204,7 +204,7 @@
 
 // A plain 503 does not say that the request was not run. Passed on, it would.
 func TestPlain503IsNoPromise(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.raw("a", func(id string) string {
 		return "HTTP/1.1 503 Service Unavailable\r\n" + platform.RequestID + ": " + id + "\r\nContent-Length: 0\r\n\r\n"
@@ -221,7 +221,7 @@
 		"cut chunk": "HTTP/1.1 200 OK\r\n%s: %s\r\n" + platform.Signature + ": s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhel",
 	} {
 		t.Run(name, func(t *testing.T) {
-			b := newBench(t)
+			b := newStage(t)
 			b.route(5 * time.Second)
 			b.raw("a", func(id string) string { return fmt.Sprintf(answer, platform.RequestID, id) })
 			res, body := b.call(t.Context(), http.MethodPost, "/book/x", "")
@@ -233,7 +233,7 @@
 // A target sends a second answer to an earlier request before this one's. The
 // caller must get its own.
 func TestForeignAnswerIsDropped(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.raw("a", func(id string) string {
 		one := "HTTP/1.1 200 OK\r\n" + platform.RequestID + ": %s\r\n" + platform.Signature + ": s\r\nContent-Length: 4\r\n\r\n%s"
@@ -245,7 +245,7 @@
 }
 
 func TestTimeoutEndsTheWait(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(50 * time.Millisecond)
 	left := make(chan struct{})
 	b.handler("a", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -259,7 +259,7 @@
 
 // The caller goes away. The target must learn of it, or it works for nobody.
 func TestCallersEndReachesTheTarget(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(time.Minute)
 	arrived, left := make(chan struct{}), make(chan struct{})
 	b.handler("a", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -279,7 +279,7 @@
 // The process is about to end while a target still works. The caller gets an
 // answer that promises nothing instead of a closed connection.
 func TestEndAnswersWhatIsOpen(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(time.Minute)
 	arrived := make(chan struct{})
 	b.handler("a", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -299,7 +299,7 @@
 // An address was given to another target. That one says so and the request has
 // not run.
 func TestAnotherTargetAtTheAddress(t *testing.T) {
-	b := newBench(t)
+	b := newStage(t)
 	b.route(5 * time.Second)
 	b.handler("old", &standin.Target{ID: "new"})
 	res, _ := b.call(t.Context(), http.MethodPost, "/book/x", "")
