--- a/basilcross/roster/roster.go
+++ b/basilcross/roster/roster.go
@@ -2,9 +2,12 @@
 package roster
 
 import (
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Target is one lifetime of a server that runs requests.
@@ -45,6 +48,9 @@
 	Addresses map[string]*Target
 	// Revision is the store's revision up to which the view is complete.
 	Revision uint64
+	// Digest is the same for views that name the same targets in the same
+	// states.
+	Digest uint64
 }
 
 // Roster is the list as it changes. The zero value is empty.
@@ -141,10 +147,16 @@
 	return t.Seq < than.Seq
 }
 
+func (t *Target) digest() uint64 {
+	text := t.ID + "\x00" + t.Address + "\x00" + strconv.FormatInt(t.Born, 10) + strconv.FormatBool(t.Draining)
+	return xxhash.Sum64String(text)
+}
+
 func (r *Roster) publish(revision uint64) {
 	v := &View{Targets: make(map[string]*Target, len(r.targets)), Services: map[string][]*Target{}, Addresses: map[string]*Target{}, Revision: revision}
 	for id, t := range r.targets {
 		v.Targets[id] = t
+		v.Digest ^= t.digest()
 		v.Services[t.Service] = append(v.Services[t.Service], t)
 		if other := v.Addresses[t.Address]; other == nil || other.Born < t.Born {
 			v.Addresses[t.Address] = t
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -153,7 +153,7 @@
 
 // at asks the home of the ask's target, or of its zone.
 func (b *Broker) at(ctx context.Context, a dispatch.Ask) (*Place, error) {
-	home := b.home(&a)
+	home := b.Home(&a)
 	if home != "" && home != b.Self.Name {
 		p, err := b.remote(ctx, home, a)
 		var silent *SilentError
@@ -169,23 +169,29 @@
 	return &Place{Target: p.Target, release: p.Release}, nil
 }
 
-// home names the instance that decides, by rendezvous hashing: if one goes,
-// only what it decided moves.
-func (b *Broker) home(a *dispatch.Ask) string {
+// Home names the instance that decides, by rendezvous hashing: if one goes,
+// only what it decided moves. A zone's targets of a service are decided for by
+// one with the most of a processor, since all the zone's requests ask it.
+func (b *Broker) Home(a *dispatch.Ask) string {
 	key := a.Target
 	if key == "" {
 		key = a.Service
 	}
 	now := time.Now()
-	best, most := "", uint64(0)
+	best, most, cores := "", uint64(0), 0.0
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, i := range b.Peers.All() {
 		if i.Zone != a.Zone || now.Before(b.suspects[name].until) {
 			continue
 		}
-		if h := xxhash.Sum64String(name + "\x00" + key); best == "" || h > most {
-			best, most = name, h
+		strength := 0.0
+		if a.Target == "" {
+			strength = i.Cores
+		}
+		h := xxhash.Sum64String(name + "\x00" + key)
+		if best == "" || strength > cores || strength == cores && h > most {
+			best, most, cores = name, h, strength
 		}
 	}
 	return best
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -125,3 +125,22 @@
 		}, poll.WithTimeout(30*time.Second))
 	}
 }
+
+// All requests of a zone ask the home of a service. It is one of the instances
+// with the most of a processor; for single targets all take their part.
+func TestStrongInstanceIsHomeOfService(t *testing.T) {
+	all := map[string]peers.Instance{}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		all[name] = peers.Instance{Name: name, Zone: "z", Cores: 0.16, Datagram: "127.0.0.1:9"}
+	}
+	all["strong"] = peers.Instance{Name: "strong", Zone: "z", Cores: 0.8, Datagram: "127.0.0.1:9"}
+	p := &peers.Peers{Self: all["a"], Log: slog.New(slog.DiscardHandler)}
+	p.Know(all)
+	b := broker.New(broker.Options{Self: p.Self, Peers: p})
+	homes := map[string]bool{}
+	for _, id := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
+		assert.Equal(t, b.Home(&dispatch.Ask{Service: id, Zone: "z"}), "strong")
+		homes[b.Home(&dispatch.Ask{Service: "s", Zone: "z", Target: id})] = true
+	}
+	assert.Assert(t, len(homes) > 2)
+}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -29,8 +29,16 @@
 	// silence is when a coordinator that was heard before counts as silent,
 	// and its row is looked at.
 	silence = 900 * time.Millisecond
+	// firstLook is the longest wait after the start before the row is looked at:
+	// of a fleet that starts at once a few look, and the others hear the one
+	// that leads.
+	firstLook = 1200 * time.Millisecond
 	// lookEvery is the time between two looks at the row.
 	lookEvery = 400 * time.Millisecond
+	// lookShare is the mean time between two looks of the whole fleet while the
+	// store does not answer: each call is paid, and one that is answered is
+	// enough.
+	lookShare = 40 * time.Millisecond
 	// lookSeldom is the same while its holder is seen to renew it.
 	lookSeldom = 1500 * time.Millisecond
 	// spread is the random wait per member before trying to take over, so that
@@ -86,6 +94,8 @@
 	heard   time.Time
 	lookAt  time.Time
 	looking bool
+	// turn is the revision of the row for which this instance waits its turn.
+	turn    uint64
 	leading *leading
 	members map[string]time.Time
 }
@@ -106,6 +116,7 @@
 	reading   bool
 	writing   bool
 	wroteAt   time.Time
+	since     time.Time
 	pending   map[string]*ownership.Record
 	beatAt    time.Time
 	told      map[string]toldOf
@@ -133,6 +144,7 @@
 func (c *Coordinator) Serve(ctx context.Context) error {
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
+	c.lookAt = time.Now().Add(rand.N(firstLook))
 	for {
 		select {
 		case <-ctx.Done():
@@ -180,6 +192,7 @@
 func (c *Coordinator) hearBeat(now time.Time, m *peers.Message) {
 	if m.Beat.Resigned {
 		c.heard, c.lookAt = time.Time{}, now
+		c.observe(m.Beat.Lease, lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life})
 		return
 	}
 	if m.Beat.Term < c.seen.lease.Term {
@@ -225,12 +238,33 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) {
+	if now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) || !c.isDue(now) {
 		return
 	}
 	c.look(ctx)
 }
 
+// isDue tells whether a look at the row is worth its call: what is known of it
+// says that its holder's time has passed. Then each instance waits its turn, so
+// that most hear the next coordinator before they look.
+func (c *Coordinator) isDue(now time.Time) bool {
+	if !c.seen.known {
+		return true
+	}
+	if !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
+		return false
+	}
+	if c.turn == c.seen.revision {
+		return true
+	}
+	c.turn = c.seen.revision
+	c.lookAt = now
+	if c.seen.lease.Holder != c.Self.Name {
+		c.lookAt = now.Add(takeOverDelay(c.Self, c.Peers.All()))
+	}
+	return !now.Before(c.lookAt)
+}
+
 // look reads the lease's row and takes over if its holder's time has passed.
 func (c *Coordinator) look(ctx context.Context) {
 	c.looking = true
@@ -247,6 +281,7 @@
 	c.looking = false
 	c.lookAt = time.Now().Add(lookEvery/2 + rand.N(lookEvery))
 	if err != nil {
+		c.lookAt = time.Now().Add(lookEvery/2 + rand.N(max(lookEvery, 2*lookShare*time.Duration(len(c.Peers.All())))))
 		c.storeFailed("read lease", err)
 		return
 	}
@@ -266,21 +301,7 @@
 	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
 		return
 	}
-	delay := takeOverDelay(c.Self, c.Peers.All())
-	if c.seen.lease.Holder == c.Self.Name {
-		delay = 0
-	}
-	c.looking = true
-	c.group.Go(func() error {
-		timer := time.NewTimer(delay)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-		}
-		c.post(ctx, func() { c.acquire(ctx) })
-		return nil
-	})
+	c.acquire(ctx)
 }
 
 // takeOverDelay is the wait before an instance tries to take over. The wait is
@@ -305,10 +326,6 @@
 
 // acquire writes the lease's row for the next term.
 func (c *Coordinator) acquire(ctx context.Context) {
-	c.looking = false
-	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
-		return
-	}
 	c.looking = true
 	sent := boottime()
 	mine := lease{Term: c.seen.lease.Term + 1, Holder: c.Self.Name, Life: c.Self.Life, LeaseMs: leaseFor.Milliseconds(), Seq: 1}
@@ -341,7 +358,7 @@
 
 func newLeading(ctx context.Context, cancel context.CancelFunc, mine lease, revision uint64) *leading {
 	return &leading{
-		lease: mine, revision: revision, wroteAt: time.Now(),
+		lease: mine, revision: revision, wroteAt: time.Now(), since: time.Now(),
 		told:    map[string]toldOf{},
 		keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
 		lanes: semaphore.NewWeighted(grantsAtOnce), suspects: semaphore.NewWeighted(suspectsAtOnce),
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -38,6 +38,14 @@
 		c.keep(now) //nolint:contextcheck // orders end with the term, whose context is the term's own
 	}
 	c.noteDoubt(now)
+	if c.handsOver(now) {
+		l.resigning = true
+		c.group.Go(func() error {
+			c.giveUp(ctx, l, false)
+			return nil
+		})
+		return
+	}
 	gap := renewEvery
 	if len(l.pending) > 0 {
 		gap = recordEvery
@@ -47,6 +55,37 @@
 	}
 }
 
+const (
+	// handOverAfter is how long a term lasts before it is handed over to a
+	// stronger instance: by then all have been heard that started with it.
+	handOverAfter = 1500 * time.Millisecond
+	// muchStronger is how much more of a processor is worth a hand-over, after
+	// which all keys are granted anew.
+	muchStronger = 1.5
+)
+
+// handsOver tells whether a stronger instance is there to take over. When a
+// fleet starts, nobody knows yet who is strong; a small instance that went on
+// would lose its lease behind its own renewals as soon as many keys move.
+func (c *Coordinator) handsOver(now time.Time) bool {
+	l := c.leading
+	if l.recorded == nil || l.inDoubt || l.writing || len(l.pending) > 0 || now.Sub(l.since) < handOverAfter {
+		return false
+	}
+	for _, k := range l.keepers {
+		if !k.Settled(now) {
+			return false
+		}
+	}
+	all := c.Peers.All()
+	for name, at := range c.members {
+		if now.Sub(at) < memberFor && all[name].Cores > muchStronger*c.Self.Cores {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Coordinator) beat(now time.Time) {
 	l := c.leading
 	if now.Before(l.beatAt) {
@@ -56,7 +95,7 @@
 	members := c.countMembers(now)
 	c.Leads(members)
 	c.Peers.Broadcast(&peers.Message{Revisions: c.Revisions(), Beat: &peers.Beat{
-		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: members,
+		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: members, InDoubt: l.inDoubt,
 	}})
 }
 
@@ -83,7 +122,7 @@
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(l.ctx, attemptTimeout)
 		defer cancel()
-		recorded, store, err := c.allRecorded(callCtx) //nolint:contextcheck // as above
+		recorded, told, store, err := c.allRecorded(callCtx) //nolint:contextcheck // as above
 		c.post(ctx, func() {
 			l.reading = false
 			if err != nil {
@@ -91,6 +130,8 @@
 				return
 			}
 			l.recorded, l.store, l.storeAt = recorded, store, time.Now()
+			// Others know these rows: changes can be told as differences to them.
+			l.told = told
 		})
 		return nil
 	})
@@ -102,24 +143,24 @@
 	return l.store + now.Sub(l.storeAt)
 }
 
-func (c *Coordinator) allRecorded(ctx context.Context) (map[string]*ownership.Assignment, time.Duration, error) {
-	recorded := map[string]*ownership.Assignment{}
+func (c *Coordinator) allRecorded(ctx context.Context) (map[string]*ownership.Assignment, map[string]toldOf, time.Duration, error) {
+	recorded, told := map[string]*ownership.Assignment{}, map[string]toldOf{}
 	after := ""
 	for {
 		rows, err := c.Store.Range(ctx, AssignmentTable, "", after)
 		if err != nil {
-			return nil, 0, err
+			return nil, nil, 0, err
 		}
 		for _, r := range rows.Rows {
 			a, err := ownership.Parse(r.Value)
 			if err != nil {
-				return nil, 0, fmt.Errorf("service %s: %w", r.Key, err)
+				return nil, nil, 0, fmt.Errorf("service %s: %w", r.Key, err)
 			}
-			recorded[r.Key] = a
+			recorded[r.Key], told[r.Key] = a, toldOf{a, r.Revision}
 			after = r.Key
 		}
 		if !rows.More {
-			return recorded, time.Duration(rows.Now), nil
+			return recorded, told, time.Duration(rows.Now), nil
 		}
 	}
 }
@@ -158,6 +199,8 @@
 		return
 	}
 	l.inDoubt = true
+	// Others that rely on its way to the store must not do so any longer.
+	l.beatAt = time.Time{}
 	event.StoreInDoubt.Log(c.Log, "term", l.lease.Term, "waitedMs", now.Sub(l.wroteAt).Milliseconds())
 	for _, k := range l.keepers {
 		k.StoreInDoubt(now, true)
@@ -244,7 +287,7 @@
 	recordEvery = 100 * time.Millisecond
 	// newsPieces bounds the pieces in one datagram, newsParts the datagrams of
 	// one change; larger ones are read from the store.
-	newsPieces = 10
+	newsPieces = 22
 	newsParts  = 8
 )
 
@@ -287,7 +330,7 @@
 		l.resigning = true
 		c.group.Go(func() error {
 			defer close(done)
-			c.giveUp(ctx, l)
+			c.giveUp(ctx, l, true)
 			return nil
 		})
 	})
@@ -300,7 +343,9 @@
 // resignPause lets orders and writes under way end; new ones are not sent.
 const resignPause = 150 * time.Millisecond
 
-func (c *Coordinator) giveUp(ctx context.Context, l *leading) {
+// giveUp writes that the lease is over. For good: this instance does not look
+// at it again.
+func (c *Coordinator) giveUp(ctx context.Context, l *leading, forGood bool) {
 	timer := time.NewTimer(resignPause)
 	defer timer.Stop()
 	select {
@@ -314,6 +359,7 @@
 			free <- l.revision
 			return
 		}
+		l.resigning = l.resigning && forGood
 		close(free)
 	})
 	select {
@@ -330,7 +376,10 @@
 		c.post(ctx, func() {
 			if c.leading == l {
 				c.stepDown("resigned")
-				c.heard = time.Now().Add(time.Hour)
+				c.heard = time.Now()
+				if forGood {
+					c.heard = c.heard.Add(time.Hour)
+				}
 			}
 		})
 	case <-ctx.Done():
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -142,3 +142,45 @@
 		assert.Equal(t, calls.most.Load(), int64(grantsAtOnce+suspectsAtOnce))
 	})
 }
+
+// A fleet has started, and chance has made a small instance the coordinator. It
+// hands over once a strong one has reported and all keys are in place.
+func TestSmallCoordinatorHandsOver(t *testing.T) {
+	now := time.Now()
+	p := &peers.Peers{Log: slog.New(slog.DiscardHandler)}
+	p.Know(map[string]peers.Instance{
+		"strong": {Name: "strong", Cores: 0.8, Datagram: "127.0.0.1:9"},
+		"alike":  {Name: "alike", Cores: 0.16, Datagram: "127.0.0.1:9"},
+	})
+	c := New(Options{Log: p.Log, Peers: p, Self: peers.Instance{Name: "small", Cores: 0.16}})
+	c.leading = newLeading(context.Background(), func() {}, lease{Term: 1}, 1)
+	c.leading.recorded = map[string]*ownership.Assignment{}
+	c.leading.since = now
+	c.members["alike"], c.members["strong"] = now, now
+	assert.Assert(t, !c.handsOver(now), "too early")
+	later := now.Add(handOverAfter)
+	assert.Assert(t, c.handsOver(later))
+	c.leading.inDoubt = true
+	assert.Assert(t, !c.handsOver(later), "the write could be lost")
+	c.leading.inDoubt = false
+	delete(c.members, "strong")
+	assert.Assert(t, !c.handsOver(later), "no strong one reports")
+}
+
+// The coordinator falls silent. What is known of its lease says that it cannot
+// be over yet, so nobody calls the store; when it is over, everybody waits its
+// turn, and hears of the next coordinator meanwhile.
+func TestNobodyLooksBeforeTheLeaseCanBeOver(t *testing.T) {
+	c := New(Options{Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Life: "a"}})
+	now := time.Now()
+	assert.Assert(t, c.isDue(now), "nothing is known")
+	c.observe(7, lease{Term: 1, Holder: "other", LeaseMs: 2000})
+	assert.Assert(t, !c.isDue(now))
+	c.seen.since -= 3 * time.Second
+	for !c.isDue(now) {
+		assert.Assert(t, c.turn == 7 && now.Before(c.lookAt))
+		now = c.lookAt
+	}
+	c.observe(8, lease{Term: 1, Holder: "other", LeaseMs: 2000})
+	assert.Assert(t, !c.isDue(now), "it was renewed")
+}
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -68,17 +68,15 @@
 // away, so it does not wait for its row to be written.
 type greeter struct{ *Instance }
 
-// helloTries and helloEvery: datagrams may get lost, and others become known
-// during the first seconds.
-const (
-	helloTries = 8
-	helloEvery = 400 * time.Millisecond
-)
+// helloAfter are the pauses between its words: datagrams may get lost, and
+// others become known during the first seconds. In a large fleet that starts at
+// once each word is a datagram from all to all, so there are few.
+var helloAfter = []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second}
 
 // Serve says hello a few times.
 func (g *greeter) Serve(ctx context.Context) error {
-	for range helloTries {
-		sleep(ctx, helloEvery)
+	for _, pause := range helloAfter {
+		sleep(ctx, pause)
 		g.peers.Broadcast(&peers.Message{Hello: &g.peers.Self})
 	}
 	<-ctx.Done()
@@ -152,6 +150,10 @@
 	}
 	if m.Beat != nil && !m.Beat.Resigned {
 		i.noteLead(m.From, m.Beat.Members)
+		if m.Beat.InDoubt {
+			// Whoever listens to readers must not rely on its way to the store.
+			i.beatAt.Store(nil)
+		}
 	}
 	switch {
 	case m.News != nil:
@@ -182,7 +184,10 @@
 		return
 	}
 	if next == nil {
-		i.assignments.Again()
+		if !i.sharer.listens.Load() {
+			i.assignments.Again()
+		}
+		// A listener asks a reader, once the next beat shows that it is behind.
 		return
 	}
 	text, err := json.Marshal(next)
@@ -212,35 +217,54 @@
 
 // Serve compares until the context ends.
 func (c *catchUp) Serve(ctx context.Context) error {
+	tick := time.NewTicker(catchUpEvery)
+	defer tick.Stop()
 	behind := map[string]time.Time{}
 	for ctx.Err() == nil {
-		sleep(ctx, catchUpEvery)
-		now := time.Now()
-		var wanted []*mirror.Mirror
-		for _, m := range c.mirrors {
-			if !c.isBehind(m) {
-				delete(behind, m.Table)
-				continue
+		select {
+		case <-ctx.Done():
+		case f := <-c.sharer.fetches:
+			c.ask(ctx, c.peers.All()[f.from].Control, []*mirror.Mirror{f.of})
+		case <-tick.C:
+			if wanted := c.wanted(time.Now(), behind); len(wanted) > 0 {
+				c.fetch(ctx, wanted)
 			}
-			since, ok := behind[m.Table]
-			if !ok {
-				behind[m.Table] = now
-				if m.OnDemand {
-					m.Again()
-				}
-				continue
-			}
-			if now.Sub(since) < behindFor {
-				continue
+		}
+	}
+	return ctx.Err()
+}
+
+// wanted returns the copies that are to be asked for. Behind is since when each
+// table's copy is behind.
+func (c *catchUp) wanted(now time.Time, behind map[string]time.Time) (wanted []*mirror.Mirror) {
+	for _, m := range c.mirrors {
+		if !c.isBehind(m) {
+			delete(behind, m.Table)
+			continue
+		}
+		since, ok := behind[m.Table]
+		switch {
+		case !ok:
+			behind[m.Table] = now
+			if m.OnDemand && !c.sharer.listens.Load() {
+				m.Again()
 			}
+		case now.Sub(since) >= behindFor, m.OnDemand && c.aheadOf(m) != "":
 			behind[m.Table] = now
 			wanted = append(wanted, m)
 		}
-		if len(wanted) > 0 {
-			c.fetch(ctx, wanted)
-		}
 	}
-	return ctx.Err()
+	return wanted
+}
+
+// aheadOf returns the address of a reader of the zone that has what others have
+// told of a table; empty if there is none, or if this instance does not listen.
+func (c *catchUp) aheadOf(m *mirror.Mirror) string {
+	t := c.state.told.Load()
+	if t == nil || !c.sharer.listens.Load() {
+		return ""
+	}
+	return c.peers.All()[c.sharer.readerAhead(m.Table, t.revisions[m.Table])].Control
 }
 
 // isBehind tells of a copy that was never read, or that another instance has
@@ -253,19 +277,34 @@
 	return t != nil && t.revisions[m.Table] > m.Newest()
 }
 
-// fetch begins the feeds of copies anew and asks another instance for its own.
+// fetch asks another instance for its copies. A reader of the zone that has them
+// goes first: nothing is paid then. Without one the feeds are begun anew too.
 func (c *catchUp) fetch(ctx context.Context, wanted []*mirror.Mirror) {
-	request := &fleet.StateRequest{}
+	var rest []*mirror.Mirror
 	for _, m := range wanted {
+		if near := c.aheadOf(m); near != "" {
+			c.ask(ctx, near, []*mirror.Mirror{m})
+			continue
+		}
 		// Also while it fails: a call that the store took while it was silent
 		// is never answered, and is given up by this.
 		m.Again()
-		request.Tables = append(request.Tables, m.Table)
+		rest = append(rest, m)
+	}
+	if len(rest) > 0 {
+		c.ask(ctx, c.askWhom(), rest)
 	}
-	address := c.askWhom()
+}
+
+// ask asks the instance at an address for its copies.
+func (c *catchUp) ask(ctx context.Context, address string, wanted []*mirror.Mirror) {
 	if address == "" {
 		return
 	}
+	request := &fleet.StateRequest{}
+	for _, m := range wanted {
+		request.Tables = append(request.Tables, m.Table)
+	}
 	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	answer, err := fleet.NewFleetProtobufClient("http://"+address, c.calls).State(callCtx, request)
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -60,6 +60,9 @@
 	// warms up; the users allow 2 s for one that leaves.
 	configPace = 60 * time.Millisecond
 	targetPace = 400 * time.Millisecond
+	// quietPace is the pause after news that only tell how far targets have
+	// warmed up. Half of the time allowed for one that leaves.
+	quietPace = time.Second
 	// idleTimeout closes callers' connections: longer than the operators'
 	// limits, so that no caller's request crosses the close.
 	idleTimeout = 2 * time.Minute
@@ -168,16 +171,19 @@
 		i.mirrors = append(i.mirrors, m)
 		return m
 	}
-	i.sharer = &sharer{Instance: i, heard: map[string]time.Time{}, reached: map[string]uint64{}}
+	i.sharer = newSharer(i)
 	for _, m := range []*mirror.Mirror{
-		{Table: platform.OperatorTable, Pace: configPace, Changed: i.state.takeConfig},
-		{Table: platform.TargetTable, Pace: targetPace, Changed: i.state.takeTargets},
+		{Table: platform.OperatorTable, Pace: configPace, QuietPace: configPace, Changed: i.state.takeConfig},
+		{
+			Table: platform.TargetTable, Pace: targetPace, QuietPace: quietPace, Changed: i.state.takeTargets,
+			Minor: minorOfTarget,
+		},
 	} {
 		m.Passed = func(p mirror.Passage) { i.sharer.pass(m.Table, p) }
 		i.sharer.tables = append(i.sharer.tables, add(m))
 	}
 	i.assignments = add(&mirror.Mirror{Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments})
-	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Changed: func(c mirror.Change) {
+	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Late: introduceTimeout, Changed: func(c mirror.Change) {
 		i.peers.Know(i.state.takeInstances(c))
 	}})
 }
--- a/gateway/instance/sharer.go
+++ b/gateway/instance/sharer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -36,8 +37,23 @@
 
 	mu      sync.Mutex
 	heard   map[string]time.Time
-	reached map[string]uint64
-	listens bool
+	reached map[string]map[string]uint64
+	// behind are the listener's copies that are behind a reader's.
+	behind  map[string]gap
+	listens atomic.Bool
+	// unlike counts the signs of life of readers in a row that know other
+	// targets than this instance.
+	unlike int
+
+	again   again
+	fetches chan fetch
+}
+
+func newSharer(i *Instance) *sharer {
+	return &sharer{
+		Instance: i, heard: map[string]time.Time{}, reached: map[string]map[string]uint64{}, behind: map[string]gap{},
+		fetches: make(chan fetch, fetchRoom),
+	}
 }
 
 // Serve sees to it that there are readers until the context ends.
@@ -45,12 +61,12 @@
 	for ctx.Err() == nil {
 		sleep(ctx, readerBeat)
 		large := s.zoneSize() > smallZone
-		if wanted := large && s.mayListen(); wanted != s.listens {
+		if wanted := large && s.mayListen(); wanted != s.listens.Load() {
 			s.listen(wanted)
 		}
 		switch {
-		case s.listens:
-			s.checkReached()
+		case s.listens.Load():
+			s.checkReached(time.Now())
 		case large && s.current():
 			s.beat()
 		}
@@ -67,7 +83,9 @@
 	if all == 0 || s.leads() || !s.hearsCoordinator() {
 		return false
 	}
-	return s.listens || before >= readers && s.current()
+	// Whoever is refused by the store itself is better off listening, and does
+	// not press the store.
+	return s.listens.Load() || before >= readers || !s.current()
 }
 
 func (s *sharer) hearsCoordinator() bool {
@@ -91,12 +109,20 @@
 	return n
 }
 
-// rank orders instances by chance, but for all in the same way.
-func rank(name string) uint64 { return xxhash.Sum64String("reader\x00" + name) }
+// goesBefore orders instances as readers: those with more of a processor first,
+// since a reader sends each change to its whole zone; alike ones by chance, but
+// for all in the same way.
+func goesBefore(a, b peers.Instance) bool {
+	if a.Cores != b.Cores {
+		return a.Cores > b.Cores
+	}
+	return xxhash.Sum64String("reader\x00"+a.Name) < xxhash.Sum64String("reader\x00"+b.Name)
+}
 
 // count returns how many readers that go before this instance were heard, and
 // how many in all.
 func (s *sharer) count() (before, all int) {
+	known := s.peers.All()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -106,7 +132,9 @@
 			continue
 		}
 		all++
-		if rank(name) < rank(s.settings.Instance) {
+		other := known[name]
+		other.Name = name
+		if goesBefore(other, s.peers.Self) {
 			before++
 		}
 	}
@@ -124,7 +152,7 @@
 }
 
 func (s *sharer) listen(on bool) {
-	s.listens = on
+	s.listens.Store(on)
 	event.Reading.Log(s.log, "listens", on)
 	for _, m := range s.tables {
 		m.Listen(on)
@@ -132,10 +160,11 @@
 }
 
 func (s *sharer) beat() {
-	r := &peers.Reader{Reached: map[string]uint64{}}
+	r := &peers.Reader{Reached: map[string]uint64{}, Targets: s.state.roster.Load().Digest}
 	for _, m := range s.tables {
 		r.Reached[m.Table] = m.Reached()
 	}
+	r.Reached[s.assignments.Table] = s.assignments.Newest()
 	s.tell(&peers.Message{Reader: r})
 }
 
@@ -155,45 +184,132 @@
 	}
 }
 
-// checkReached reads what no datagram brought.
-func (s *sharer) checkReached() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// gapFor is how long a listener is behind a reader before it asks for its copy:
+// the rows are told once more with the next ones, and come a moment later than
+// the reader's sign of life if its processor is busy. After as long again it
+// calls the store.
+const gapFor = 400 * time.Millisecond
+
+// gap is a copy that is behind a reader's.
+type gap struct {
+	since time.Time
+	asked bool
+}
+
+// checkReached sees to what no datagram brought.
+func (s *sharer) checkReached(now time.Time) {
 	for _, m := range s.tables {
-		if m.Reached() < s.reached[m.Table] {
+		ahead := s.readerAhead(m.Table, m.Reached()+1)
+		if ahead == "" {
+			delete(s.behind, m.Table)
+			continue
+		}
+		g, ok := s.behind[m.Table]
+		switch {
+		case !ok:
+			s.behind[m.Table] = gap{since: now}
+		case now.Sub(g.since) < gapFor:
+		case !g.asked:
+			s.behind[m.Table] = gap{since: now, asked: true}
+			s.askFor(ahead, m)
+		default:
+			delete(s.behind, m.Table)
 			m.Again()
 		}
 	}
 }
 
-// pass tells the zone what the feed brought. Rows too large for a datagram are
-// read from the store by everybody.
+// readerAhead names a reader of the zone whose copy of a table goes as far as
+// the revision; empty if none does.
+func (s *sharer) readerAhead(table string, revision uint64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, at := range s.heard {
+		if time.Since(at) <= readerFor && s.reached[name][table] >= revision {
+			return name
+		}
+	}
+	return ""
+}
+
+// pass tells the zone what the feed brought, and the last changes before it
+// once more: datagrams get lost, and a gap costs each listener a call. Rows too
+// large for a datagram are asked for.
 func (s *sharer) pass(table string, p mirror.Passage) {
 	if s.zoneSize() <= smallZone {
 		return
 	}
-	from := p.From
-	part := &peers.Rows{Table: table, From: from}
+	parts := datagrams(table, s.again.with(table, p))
+	if parts == nil {
+		parts = []*peers.Rows{{Table: table, From: p.From, To: p.To, Newest: p.Newest, Fetch: true}}
+	}
+	for _, m := range parts {
+		s.tell(&peers.Message{Rows: m})
+	}
+}
+
+// datagrams cuts a passage into pieces that fit; none if a row does not.
+func datagrams(table string, p mirror.Passage) []*peers.Rows {
+	var parts []*peers.Rows
+	part := &peers.Rows{Table: table, From: p.From}
 	size := 0
-	flush := func(to uint64) {
-		part.To = to
-		s.tell(&peers.Message{Rows: part})
+	flush := func(to, newest uint64) {
+		part.To, part.Newest = to, newest
+		parts = append(parts, part)
 		part = &peers.Rows{Table: table, From: to}
 		size = 0
 	}
 	for i, r := range p.Rows {
 		n := len(r.Key) + len(r.Value)
 		if n > passBytes {
-			return
+			return nil
 		}
 		// Rows of one revision belong together.
 		if size > 0 && size+n > passBytes && r.Revision != p.Rows[i-1].Revision {
-			flush(p.Rows[i-1].Revision)
+			flush(p.Rows[i-1].Revision, p.Rows[i-1].Revision)
 		}
 		part.Rows = append(part.Rows, peers.Row{Key: r.Key, Value: r.Value, Revision: r.Revision, Removed: r.Removed})
 		size += n
 	}
-	flush(p.To)
+	flush(p.To, p.Newest)
+	return parts
+}
+
+// againRows is how many rows are told once more at most: four datagrams' worth.
+const againRows = 20
+
+// again keeps the last passages of each table that follow on each other.
+type again struct {
+	mu   sync.Mutex
+	last map[string][]mirror.Passage
+}
+
+// with returns a passage together with the last ones before it.
+func (a *again) with(table string, p mirror.Passage) mirror.Passage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.last == nil {
+		a.last = map[string][]mirror.Passage{}
+	}
+	list := a.last[table]
+	if n := len(list); n > 0 && list[n-1].To != p.From {
+		list = nil
+	}
+	rows := len(p.Rows)
+	for i := len(list) - 1; i >= 0; i-- {
+		if rows += len(list[i].Rows); rows > againRows {
+			list = list[i+1:]
+			break
+		}
+	}
+	list = append(list, p)
+	list = list[max(0, len(list)-againRows):]
+	a.last[table] = list
+	whole := mirror.Passage{From: list[0].From, To: p.To, Newest: p.Newest}
+	for _, l := range list {
+		whole.Rows = append(whole.Rows, l.Rows...)
+	}
+	return whole
 }
 
 // receive takes in a datagram about feeds, and tells whether it was one.
@@ -203,17 +319,50 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.heard[m.From] = time.Now()
-		s.reached = m.Reader.Reached
+		s.reached[m.From] = m.Reader.Reached
+		s.compare(m.Reader)
 	case m.Rows != nil:
-		s.take(m.Rows)
+		s.take(m.From, m.Rows)
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *sharer) take(r *peers.Rows) {
-	passage := mirror.Passage{From: r.From, To: r.To}
+// unlikeTries is how many signs of life of readers in a row must tell of other
+// targets than are known here: news may be on their way.
+const unlikeTries = 6
+
+// compare reads all targets if they are not those of the zone's readers. A
+// reader passes on what is new to itself, and its feed tells only the last of
+// several changes: a target that left and came back between two answers is
+// nothing new, while a listener had its leaving from the other reader.
+func (s *sharer) compare(r *peers.Reader) {
+	alike := r.Targets == 0 || r.Targets == s.state.roster.Load().Digest
+	for _, m := range s.tables {
+		alike = alike || m.Table == platform.TargetTable && m.Reached() < r.Reached[m.Table]
+	}
+	if alike || !s.listens.Load() {
+		s.unlike = 0
+		return
+	}
+	if s.unlike++; s.unlike < unlikeTries {
+		return
+	}
+	s.unlike = 0
+	for _, m := range s.tables {
+		if m.Table == platform.TargetTable {
+			m.Reload()
+		}
+	}
+}
+
+func (s *sharer) take(from string, r *peers.Rows) {
+	if r.Fetch {
+		s.fetchFrom(from, r)
+		return
+	}
+	passage := mirror.Passage{From: r.From, To: r.To, Newest: r.Newest}
 	for _, row := range r.Rows {
 		passage.Rows = append(passage.Rows, platform.Row{
 			Table: r.Table, Key: row.Key, Value: row.Value, Revision: row.Revision, Removed: row.Removed,
@@ -223,8 +372,38 @@
 		if m.Table != r.Table {
 			continue
 		}
-		if !m.Pass(passage) && s.listens {
-			m.Again()
+		// What does not follow on what is known is told again, or found out by
+		// the readers' signs of life.
+		_ = m.Pass(passage)
+	}
+}
+
+// fetchFrom has a reader asked for its copy.
+func (s *sharer) fetchFrom(from string, r *peers.Rows) {
+	if !s.listens.Load() {
+		return
+	}
+	for _, m := range s.tables {
+		if m.Table == r.Table && m.Reached() < r.To {
+			s.askFor(from, m)
 		}
 	}
 }
+
+// askFor has an instance asked for its copy. If others wait to be asked for, the
+// readers' signs of life will tell again.
+func (s *sharer) askFor(from string, m *mirror.Mirror) {
+	select {
+	case s.fetches <- fetch{from, m}:
+	default:
+	}
+}
+
+// fetch is a copy to be asked for.
+type fetch struct {
+	from string
+	of   *mirror.Mirror
+}
+
+// fetchRoom bounds the copies that wait to be asked for.
+const fetchRoom = 8
--- a/gateway/instance/sharer_test.go
+++ b/gateway/instance/sharer_test.go
@@ -1,14 +1,23 @@
 package instance
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"net/http/httptest"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"basilcross.example/gateway/logsink"
+	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // The store refuses both readers of a zone without a word. Their signs of life
@@ -17,7 +26,7 @@
 	sink := logsink.New(io.Discard)
 	i := New(Defaults(), slog.New(slog.NewJSONHandler(sink, nil)), sink)
 	s := i.sharer
-	s.listens = true
+	s.listens.Store(true)
 	hear := func(m *peers.Message) { assert.Assert(t, s.receive(m)) }
 	hear(&peers.Message{From: "a", Reader: &peers.Reader{}})
 	hear(&peers.Message{From: "b", Reader: &peers.Reader{}})
@@ -33,3 +42,161 @@
 	s.heard = map[string]time.Time{"a": long}
 	assert.Assert(t, !s.mayListen(), "the readers fell silent")
 }
+
+func testInstance() *Instance {
+	sink := logsink.New(io.Discard)
+	return New(Defaults(), slog.New(slog.NewJSONHandler(sink, nil)), sink)
+}
+
+func targetRow(id, state, warm string, revision uint64) platform.Row {
+	text := `{"address":"10.0.0.9:80","born":1700,"info":{"service":"s","version":"v1","zone":"z","slots":3},"status":{"state":"` +
+		state + `","seq":` + strconv.FormatUint(revision, 10) + `,"warmup_left":"` + warm + `"}}`
+	return platform.Row{Table: platform.TargetTable, Key: id, Value: []byte(text), Revision: revision}
+}
+
+// All targets of a fleet start together and report how far they have warmed up.
+// Passed on to every instance, that filled the small links, and readers' words
+// were lost behind it; a target that leaves must still be told at once.
+func TestWarmingUpIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		old, next platform.Row
+		minor     bool
+	}{
+		{"warms up", targetRow("a", "ready", "4s", 1), targetRow("a", "ready", "3s", 2), true},
+		{"leaves", targetRow("a", "ready", "4s", 1), targetRow("a", "draining", "4s", 2), false},
+		{"is gone", targetRow("a", "ready", "4s", 1), platform.Row{Key: "a", Removed: true}, false},
+		{"cannot be read any more", targetRow("a", "ready", "4s", 1), platform.Row{Key: "a", Value: []byte("{")}, false},
+		{"could not be read", platform.Row{Key: "a", Value: []byte("{")}, targetRow("a", "ready", "4s", 1), false},
+	} {
+		assert.Equal(t, minorOfTarget(c.old, c.next), c.minor, c.name)
+	}
+}
+
+// One datagram of a series is lost. The next one tells its rows once more, so
+// the listeners need not call the store, all at the same moment.
+func TestLostPassageIsToldAgain(t *testing.T) {
+	var a again
+	first := mirror.Passage{From: 10, To: 12, Newest: 12, Rows: []platform.Row{targetRow("a", "ready", "0s", 12)}}
+	second := mirror.Passage{From: 12, To: 15, Newest: 14, Rows: []platform.Row{targetRow("b", "ready", "0s", 14)}}
+	a.with("t", first)
+	both := a.with("t", second)
+	assert.Equal(t, both.From, uint64(10))
+	assert.Equal(t, both.To, uint64(15))
+	assert.Equal(t, both.Newest, uint64(14))
+	assert.Equal(t, len(both.Rows), 2)
+	parts := datagrams("t", both)
+	assert.Equal(t, parts[0].From, uint64(10))
+	assert.Equal(t, parts[len(parts)-1].To, uint64(15))
+	// What follows on nothing stands alone: the reader has read the table anew.
+	alone := mirror.Passage{From: 20, To: 21}
+	assert.DeepEqual(t, a.with("t", alone), alone)
+}
+
+// A target leaves and comes back. One reader passes the leaving on; the other
+// one's feed tells only that it is there, which is nothing new to it. Whoever
+// listens would go on without the target for good.
+func TestListenerUnlikeItsReadersReadsAnew(t *testing.T) {
+	fake := &standin.Store{}
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	i := testInstance()
+	i.store.Address = strings.TrimPrefix(server.URL, "http://")
+	fake.Put(platform.TargetTable, "a", targetRow("a", "ready", "0s", 1).Value)
+	targets := i.sharer.tables[1]
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return targets.Serve(ctx) })
+	defer func() { cancel(); server.CloseClientConnections(); _ = group.Wait() }()
+	knows := func(n int) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			if got := len(i.state.roster.Load().Targets); got != n {
+				return poll.Continue("%d targets", got)
+			}
+			return poll.Success()
+		}
+	}
+	poll.WaitOn(t, knows(1))
+	readers := i.state.roster.Load().Digest
+	i.sharer.listen(true)
+	reached := targets.Reached()
+	assert.Assert(t, i.sharer.receive(&peers.Message{Rows: &peers.Rows{
+		Table: platform.TargetTable, From: reached, To: reached + 1, Newest: reached + 1,
+		Rows: []peers.Row{{Key: "a", Revision: reached + 1, Removed: true}},
+	}}))
+	poll.WaitOn(t, knows(0))
+	for range unlikeTries {
+		beat := &peers.Reader{Targets: readers, Reached: map[string]uint64{platform.TargetTable: reached + 1}}
+		assert.Assert(t, i.sharer.receive(&peers.Message{From: "r", Reader: beat}))
+	}
+	fake.Put("other", "x", nil)
+	fake.Put("other", "y", nil)
+	poll.WaitOn(t, knows(1))
+}
+
+// A configuration is too large for a datagram. Its reader says so, and each
+// listener asks for its copy, once, instead of calling the store: there would be
+// a call of each instance for each configuration.
+func TestLargeRowsAreAskedFor(t *testing.T) {
+	large := mirror.Passage{From: 3, To: 5, Newest: 5, Rows: []platform.Row{{Key: "config", Value: make([]byte, 3*passBytes), Revision: 5}}}
+	assert.Assert(t, datagrams("op", large) == nil)
+	i := testInstance()
+	s := i.sharer
+	said := &peers.Message{From: "reader", Rows: &peers.Rows{Table: platform.OperatorTable, From: 3, To: 5, Fetch: true}}
+	assert.Assert(t, s.receive(said))
+	assert.Equal(t, len(s.fetches), 0, "it follows the feed itself")
+	s.listen(true)
+	assert.Assert(t, s.receive(said))
+	assert.DeepEqual(t, (<-s.fetches).from, "reader")
+}
+
+// A listener missed a datagram. It asks a reader for its copy, and calls the
+// store only if that brings nothing.
+func TestGapIsFilledByAReader(t *testing.T) {
+	i := testInstance()
+	s := i.sharer
+	s.listen(true)
+	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{Reached: map[string]uint64{platform.TargetTable: 7}}})
+	now := time.Now()
+	s.checkReached(now)
+	assert.Equal(t, len(s.fetches), 0, "its rows may be on their way")
+	s.checkReached(now.Add(gapFor))
+	assert.Equal(t, (<-s.fetches).from, "reader")
+	s.checkReached(now.Add(2 * gapFor))
+	assert.Equal(t, len(s.fetches), 0, "asked once")
+}
+
+// A reader sends each change to its whole zone: 52 new targets filled the link
+// of a small one, and what homes said was lost behind it.
+func TestStrongInstancesReadFirst(t *testing.T) {
+	small, other, strong := peers.Instance{Name: "a", Cores: 0.16}, peers.Instance{Name: "b", Cores: 0.16}, peers.Instance{Name: "c", Cores: 0.8}
+	assert.Assert(t, goesBefore(strong, small) && goesBefore(strong, other))
+	assert.Assert(t, !goesBefore(small, strong))
+	assert.Assert(t, goesBefore(small, other) != goesBefore(other, small))
+}
+
+// The coordinator's writes are not answered any more. Its signs of life go on
+// for the rest of its lease, and those who listen would hear of no
+// configuration as long as the store refuses the readers too.
+func TestCoordinatorInDoubtProvesNothing(t *testing.T) {
+	i := testInstance()
+	s := i.sharer
+	s.listen(true)
+	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
+	i.receive(&peers.Message{From: "c", Beat: &peers.Beat{Term: 1, Lease: 7, LeaseMs: 2000, Members: 3}})
+	assert.Assert(t, s.mayListen())
+	i.receive(&peers.Message{From: "c", Beat: &peers.Beat{Term: 1, Lease: 7, LeaseMs: 2000, Members: 3, InDoubt: true}})
+	assert.Assert(t, !s.mayListen())
+}
+
+// The store refuses this instance alone. It listens to its zone's readers,
+// though it is strong enough to be one.
+func TestRefusedInstanceListens(t *testing.T) {
+	i := testInstance()
+	s := i.sharer
+	i.noteLead("c", 3)
+	assert.Assert(t, !s.current(), "nothing was read yet")
+	assert.Assert(t, !s.mayListen(), "there is no reader")
+	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
+	assert.Assert(t, s.mayListen())
+}
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -99,6 +99,25 @@
 	return t
 }
 
+// minorOfTarget tells of a target's row that nobody has to act on: only how far
+// it has warmed up, which every instance counts down by itself. All targets of
+// a fleet warm up together, each with a change at every report.
+func minorOfTarget(old, next platform.Row) bool {
+	if old.Removed || next.Removed {
+		return false
+	}
+	a, err := platform.ParseTarget(old.Key, old.Value)
+	if err != nil {
+		return false
+	}
+	b, err := platform.ParseTarget(next.Key, next.Value)
+	if err != nil {
+		return false
+	}
+	return a.Life() == b.Life() && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Slots == b.Slots && a.Draining == b.Draining
+}
+
 func (s *state) takeAssignments(c mirror.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -32,7 +32,7 @@
 	proofGrace = 1200 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
-	lastRetry  = 800 * time.Millisecond
+	lastRetry  = 1600 * time.Millisecond
 )
 
 // Change is news of a table.
@@ -49,11 +49,18 @@
 	// Pace is the pause after an answer with news, so that a series of changes
 	// costs one call instead of one each. It adds to the age of news.
 	Pace time.Duration
+	// QuietPace is the pause after news that Minor says nobody waits for.
+	QuietPace time.Duration
+	// Minor, if set, tells of a change that others need not hear of, and that
+	// can wait.
+	Minor func(old, next platform.Row) bool
 	// OnDemand tables are not followed: they are read at the start, and when
 	// Again is called. Others bring their news.
 	OnDemand bool
-	Store    *platform.Store
-	Log      *slog.Logger
+	// Late is how long the first read waits for Again.
+	Late  time.Duration
+	Store *platform.Store
+	Log   *slog.Logger
 	// Changed is told of news, one call at a time.
 	Changed func(c Change)
 	// Passed, if set, is told of what the feed brought: the changes after one
@@ -70,14 +77,17 @@
 	interest chan struct{}
 	// listening is set while others pass the feed's news on.
 	listening bool
-	once      sync.Once
+	// passed is set if others passed on changes since the table was read whole,
+	// and reload if it is to be read so.
+	passed, reload bool
+	once           sync.Once
 }
 
 // Serve follows the table until the context ends.
 func (m *Mirror) Serve(ctx context.Context) error {
 	retry := firstRetry
 	for ctx.Err() == nil {
-		news, err := m.next(ctx)
+		pace, err := m.next(ctx)
 		if err != nil {
 			m.failed(err)
 			m.pause(ctx, retry/2+rand.N(retry))
@@ -86,8 +96,8 @@
 		}
 		retry = firstRetry
 		m.answered()
-		if news {
-			m.pause(ctx, m.Pace)
+		if pace > 0 {
+			m.pause(ctx, pace)
 		}
 	}
 	return ctx.Err()
@@ -102,6 +112,24 @@
 	}
 }
 
+// Reload reads the whole table, because the copy is not like others.
+func (m *Mirror) Reload() {
+	m.mu.Lock()
+	m.reload = true
+	m.mu.Unlock()
+	m.Again()
+}
+
+// takeReload tells once that the whole table is to be read: if that was asked
+// for, or before a copy that others kept up is followed by the feed again.
+func (m *Mirror) takeReload() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	reload := m.reload || m.passed && !m.listening && !m.OnDemand
+	m.reload = false
+	return reload
+}
+
 func (m *Mirror) init() { m.once.Do(func() { m.interest = make(chan struct{}, 1) }) }
 
 func (m *Mirror) pause(ctx context.Context, d time.Duration) {
@@ -113,32 +141,34 @@
 	}
 }
 
-// next reads the table, or waits for its next change.
-func (m *Mirror) next(ctx context.Context) (news bool, err error) {
+// next reads the table, or waits for its next change. It returns the pause that
+// is due then.
+func (m *Mirror) next(ctx context.Context) (pace time.Duration, err error) {
 	m.init()
-	m.mu.Lock()
-	loaded, after, wait := m.loaded, m.revision, feedWait
-	listening, failing := m.listening, !m.failing.IsZero()
-	m.mu.Unlock()
-	if !loaded {
-		return true, m.read(ctx)
+	loaded := m.isLoaded()
+	if !loaded && m.Late > 0 {
+		m.await(ctx)
 	}
-	if m.OnDemand {
+	whole, wait := m.takeReload() || !loaded, feedWait
+	if !whole && (m.OnDemand || m.listens()) {
 		select {
 		case <-m.interest:
-			return false, m.read(ctx)
 		case <-ctx.Done():
-			return false, ctx.Err()
+			return 0, ctx.Err()
 		}
+		whole, wait = m.OnDemand || m.takeReload(), 0
 	}
-	if listening {
-		select {
-		case <-m.interest:
-			wait = 0
-		case <-ctx.Done():
-			return false, ctx.Err()
-		}
+	if whole {
+		return m.Pace, m.read(ctx)
 	}
+	return m.follow(ctx, wait)
+}
+
+// follow asks the feed for what has changed, and waits for it.
+func (m *Mirror) follow(ctx context.Context, wait time.Duration) (pace time.Duration, err error) {
+	m.mu.Lock()
+	after, listening, failing := m.revision, m.listening, !m.failing.IsZero()
+	m.mu.Unlock()
 	grace := feedGrace
 	if failing {
 		wait, grace = min(wait, proofWait), proofGrace
@@ -153,22 +183,66 @@
 	var compacted *platform.CompactedError
 	if errors.As(err, &compacted) {
 		event.HistoryLost.Log(m.Log, "table", m.Table, "after", after)
-		return true, m.read(ctx)
+		return m.Pace, m.read(ctx)
 	}
 	if err != nil {
-		return false, err
-	}
-	if len(got.Rows) == 0 {
-		m.mu.Lock()
-		m.revision = max(m.revision, got.Revision)
-		m.mu.Unlock()
-		return false, nil
+		return 0, err
 	}
+	major := m.major(got.Rows)
 	m.apply(Change{Rows: got.Rows, Revision: got.Revision})
-	if m.Passed != nil {
-		m.Passed(Passage{From: after, To: got.Revision, Rows: got.Rows})
+	if m.Passed != nil && !listening {
+		// Also without rows: who listens must know that there was nothing.
+		m.Passed(Passage{From: after, To: got.Revision, Newest: m.Newest(), Rows: major})
 	}
-	return true, nil
+	switch {
+	case len(got.Rows) == 0:
+		return 0, nil
+	case len(major) == 0:
+		return m.QuietPace, nil
+	}
+	return m.Pace, nil
+}
+
+func (m *Mirror) isLoaded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.loaded
+}
+
+func (m *Mirror) listens() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listening
+}
+
+// major returns the changes that others must hear of.
+func (m *Mirror) major(rows []platform.Row) []platform.Row {
+	if m.Minor == nil {
+		return rows
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var major []platform.Row
+	told := map[string]bool{}
+	for _, r := range rows {
+		if old, known := m.rows[r.Key]; told[r.Key] || !known || !m.Minor(old, r) {
+			major = append(major, r)
+			told[r.Key] = true
+		}
+	}
+	return major
+}
+
+// await waits for the first Again, but not for long.
+func (m *Mirror) await(ctx context.Context) {
+	timer := time.NewTimer(m.Late)
+	defer timer.Stop()
+	select {
+	case <-m.interest:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	m.Late = 0
 }
 
 // wake cancels the feed on Again.
@@ -230,8 +304,11 @@
 		m.rows[r.Key] = r
 	}
 	m.loaded = true
+	m.passed = m.passed && !c.Whole
 	m.revision = max(m.revision, c.Revision)
-	m.Changed(c)
+	if c.Whole || len(c.Rows) > 0 {
+		m.Changed(c)
+	}
 }
 
 func (m *Mirror) failed(err error) {
@@ -254,9 +331,11 @@
 	m.failing = time.Time{}
 }
 
-// Passage is all changes of a table after From up to To.
+// Passage is all changes of a table after From up to To that others must hear
+// of. Newest is the revision of the newest change, told or not.
 type Passage struct {
 	From, To uint64
+	Newest   uint64
 	Rows     []platform.Row
 }
 
@@ -273,18 +352,28 @@
 }
 
 // Pass takes in what another instance's feed brought, and tells whether it
-// follows on what is known here.
+// follows on what is known here. A copy that follows the feed itself takes
+// nothing from others: a feed that is read in parts tells of each row only its
+// newest state, so what is new here may be nothing new to the one that passes
+// it on, and would be missing for good.
 func (m *Mirror) Pass(p Passage) bool {
 	m.mu.Lock()
 	revision, loaded := m.revision, m.loaded
+	follows := !m.listening && m.failing.IsZero()
 	m.mu.Unlock()
 	switch {
+	case follows && loaded:
+		return true
 	case !loaded || revision < p.From:
 		return false
 	case revision >= p.To:
 		return true
 	}
 	m.apply(Change{Rows: p.Rows, Revision: p.To})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.newest = max(m.newest, p.Newest)
+	m.passed = true
 	return true
 }
 
@@ -343,5 +432,8 @@
 		return false
 	}
 	m.apply(Change{Rows: s.Rows, Whole: true, Revision: s.Revision})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.passed = true
 	return true
 }
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -155,3 +155,57 @@
 		return poll.Continue("old")
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// Two readers pass on what their feeds bring. A feed read in parts tells of a
+// row only its newest state, so a reader may not know yet what is nothing new
+// to the other one. It must not take its word, or some targets stay unknown to
+// it and to all who listen to it.
+func TestFollowerTakesNothingFromOthers(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	reached := c.Reached()
+	assert.Assert(t, c.Pass(mirror.Passage{From: reached, To: reached + 100}))
+	assert.Equal(t, c.Reached(), reached)
+	fake.Put("mine", "b", []byte("2"))
+	await(t, c, "b", "2")
+}
+
+// Whoever listened and follows the feed again reads the whole table first,
+// since others left out what was nothing new to them.
+func TestListenerReadsAllBeforeItFollows(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	c.Listen(true)
+	fake.Put("mine", "b", []byte("2"))
+	to := fake.Put("other", "x", nil)
+	assert.Assert(t, c.Pass(mirror.Passage{From: c.Reached(), To: to}))
+	assert.Equal(t, c.value("b"), "")
+	c.Listen(false)
+	await(t, c, "b", "2")
+}
+
+// A listener asks the feed for a gap long after its last call. It must ask from
+// where the others' passages have brought it, not from where it stood when it
+// began to listen: that history may be gone.
+func TestListenerAsksFromWhereItIs(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	c.Listen(true)
+	c.Again()
+	to := fake.Put("mine", "b", []byte("2"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.Pass(mirror.Passage{From: c.Reached(), To: to}) && c.Reached() == to {
+			return poll.Success()
+		}
+		return poll.Continue("not listening yet")
+	})
+	fake.Compact()
+	fake.Put("mine", "c", []byte("3"))
+	reads := fake.Reads("mine")
+	c.Again()
+	await(t, c, "c", "3")
+	assert.Equal(t, fake.Reads("mine"), reads, "the whole table was read again")
+}
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -34,15 +34,22 @@
 
 	// Reached is how far each table's copy is complete.
 	Reached map[string]uint64
+	// Targets is the digest of the targets that it knows.
+	Targets uint64
 }
 
-// Rows is what a feed brought: the changes of a table after From up to To.
+// Rows is what a feed brought: the changes of a table after From up to To that
+// others must hear of. Newest is the revision of the newest change, told or not.
 type Rows struct {
 	_ struct{} `cbor:",toarray"`
 
 	Table    string
 	From, To uint64
+	Newest   uint64
 	Rows     []Row
+	// Fetch is set if the rows do not fit into a datagram: the sender gives
+	// its copy to who asks for it.
+	Fetch bool
 }
 
 // Row is a changed row.
@@ -103,6 +110,8 @@
 	Members int
 	// Resigned is set in the last beat of a coordinator that gives up.
 	Resigned bool
+	// InDoubt is set while the store does not answer it.
+	InDoubt bool
 }
 
 // News is a change of a service's assignment that was recorded in the store.
