--- a/basilcross/ownership/balance_test.go
+++ b/basilcross/ownership/balance_test.go
@@ -126,3 +126,24 @@
 		})
 	}
 }
+
+// Busy keys change again and again, and each time pieces are cut off. Pieces
+// that nobody asks for any more go back to their neighbours' owners; otherwise
+// none is left to cut after a while, and busy keys stay where they are.
+func TestPiecesAreMergedAgain(t *testing.T) {
+	s := newShift(60)
+	total := 0.5 * 3 * 60
+	s.play(time.Second)
+	for i := range 8 {
+		s.spread(total, 0.4, 3000+7000*i, 100)
+		s.play(4 * time.Second)
+		pieces := len(s.keeper.Assignment().Pieces)
+		t.Logf("shift %d: %d pieces, unserved %.3f, moved %d", i, pieces, s.unserved(), s.keeper.Moved.Balance)
+		assert.Assert(t, s.unserved() < 0.1)
+		assert.Assert(t, pieces < 4*60)
+	}
+	s.spread(total, 0, 0, 0)
+	s.play(20 * time.Second)
+	t.Logf("calm: %d pieces, moved %d", len(s.keeper.Assignment().Pieces), s.keeper.Moved.Balance)
+	assert.Assert(t, len(s.keeper.Assignment().Pieces) <= 3*60)
+}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -34,6 +34,15 @@
 	// piecesPerTarget bounds the pieces by which balance divides the keys: each
 	// is renewed by a call of its own, and takes room in a row.
 	piecesPerTarget = 4
+	// mergeAbove is how many pieces a target on average are left alone. Above,
+	// the least busy ones go to a neighbour's owner: otherwise a day of moves
+	// would use up all pieces, and no busy key could be moved any more.
+	mergeAbove = 2
+	// mergesAtOnce is the number of targets to one such move at a time.
+	mergesAtOnce = 16
+	// mergeRoom is how far above the mean, in shares of its slots, a target is
+	// filled by such moves.
+	mergeRoom = 0.1
 	// spreadOver is how many targets a lost one's keys are spread over at least.
 	spreadOver = 3
 )
@@ -48,6 +57,7 @@
 	moving int
 	stuck  bool
 	holds  bool
+	pieces int
 }
 
 func (r *room) use() float64 { return r.load / r.slots }
@@ -103,6 +113,7 @@
 		}
 		if r := rooms[to]; r != nil {
 			r.holds = true
+			r.pieces++
 			r.load += work(sums, p.First, p.Last)
 		}
 	}
@@ -261,10 +272,13 @@
 		all += r.load
 		slots += r.slots
 	}
+	mean := all / slots
+	if len(k.pieces) > mergeAbove*len(rooms) {
+		k.merge(sums, rooms, mean)
+	}
 	if len(k.pieces) > piecesPerTarget*len(rooms) {
 		return
 	}
-	mean := all / slots
 	for range max(leastMovesAtOnce, len(rooms)/movesAtOnce) {
 		if !k.move(sums, rooms, mean) {
 			return
@@ -272,6 +286,56 @@
 	}
 }
 
+// merge gives the least busy pieces to the owner of a neighbouring one.
+func (k *Keeper) merge(sums []float64, rooms map[string]*room, mean float64) {
+	type merging struct {
+		piece *piece
+		to    *room
+		work  float64
+	}
+	var list []merging
+	for i, p := range k.pieces {
+		if from := rooms[p.Owner]; from == nil || !p.still() {
+			continue
+		}
+		load := work(sums, p.First, p.Last)
+		for _, n := range []int{i - 1, i + 1} {
+			if n < 0 || n >= len(k.pieces) || k.pieces[n].Owner == p.Owner || !k.pieces[n].still() {
+				continue
+			}
+			if to := rooms[k.pieces[n].Owner]; to != nil {
+				list = append(list, merging{p, to, load})
+			}
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool { return list[a].work < list[b].work })
+	left := max(1, len(rooms)/mergesAtOnce)
+	used := map[*piece]bool{}
+	for _, m := range list {
+		if left == 0 {
+			return
+		}
+		from := rooms[m.piece.Owner]
+		full := m.to.load+m.work > (mean+mergeRoom)*m.to.slots
+		if full || used[m.piece] || from.pieces == 1 || from.moving >= movesFrom {
+			continue
+		}
+		left--
+		used[m.piece] = true
+		from.pieces--
+		from.load -= m.work
+		from.moving++
+		m.to.load += m.work
+		m.piece.leave(m.to.target.ID)
+	}
+}
+
+// still tells whether a piece may begin to move.
+func (p *piece) still() bool { return p.phase == held && !p.calling && p.confirmed == p.epoch }
+
+// leave begins the piece's move to a target.
+func (p *piece) leave(to string) { p.phase, p.cause, p.wanted, p.tries = leaving, ForBalance, to, 0 }
+
 // move begins one move, and tells whether there was one to make.
 func (k *Keeper) move(sums []float64, rooms map[string]*room, mean float64) bool {
 	from, to := extremes(rooms)
@@ -288,7 +352,7 @@
 		return true
 	}
 	p = k.cut(p, first, last)
-	p.phase, p.cause, p.wanted, p.tries = leaving, ForBalance, to.target.ID, 0
+	p.leave(to.target.ID)
 	moved := work(sums, first, last)
 	from.load -= moved
 	from.moving++
@@ -343,7 +407,7 @@
 	}
 	found := leastMove * amount
 	for _, p := range k.pieces {
-		if p.Owner != from.target.ID || p.phase != held || p.calling || p.confirmed != p.epoch {
+		if p.Owner != from.target.ID || !p.still() {
 			continue
 		}
 		for _, head := range []bool{true, false} {
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -29,10 +29,12 @@
 	// silence is when a coordinator that was heard before counts as silent,
 	// and its row is looked at.
 	silence = 900 * time.Millisecond
-	// firstLook is the longest wait after the start before the row is looked at:
-	// of a fleet that starts at once a few look, and the others hear the one
-	// that leads.
-	firstLook = 1200 * time.Millisecond
+	// firstLook is the longest wait after the start before the row is looked at,
+	// of an instance with a whole processor; others wait as much longer as they
+	// have less of one. Of a fleet that starts at once a few strong ones look,
+	// and the others hear the one that leads.
+	firstLook = 150 * time.Millisecond
+	mostLook  = 1200 * time.Millisecond
 	// lookEvery is the time between two looks at the row.
 	lookEvery = 400 * time.Millisecond
 	// lookShare is the mean time between two looks of the whole fleet while the
@@ -144,7 +146,7 @@
 func (c *Coordinator) Serve(ctx context.Context) error {
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
-	c.lookAt = time.Now().Add(rand.N(firstLook))
+	c.lookAt = time.Now().Add(rand.N(longestFirstLook(c.Self.Cores)))
 	for {
 		select {
 		case <-ctx.Done():
@@ -158,6 +160,13 @@
 	}
 }
 
+func longestFirstLook(cores float64) time.Duration {
+	if cores <= 0 {
+		return 2 * firstLook
+	}
+	return min(mostLook, time.Duration(float64(firstLook)/cores))
+}
+
 // post brings something to the duty's goroutine. Losing it could leave a call
 // open for ever, so it waits; the duty never waits for its callers.
 func (c *Coordinator) post(ctx context.Context, f func()) {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -281,9 +281,11 @@
 	// an instance out after two misses, sends no new connections any more.
 	outOfRotation = 2600 * time.Millisecond
 	// endMargin is left of the stop timeout for the process's own end, and
-	// giveUpMargin for the answers to requests that are given up before it.
+	// giveUpMargin for the answers to requests that are given up before it: a
+	// small instance needs some milliseconds of its processor for each of a
+	// hundred. The users allow a sixth of the stop timeout.
 	endMargin    = 200 * time.Millisecond
-	giveUpMargin = 500 * time.Millisecond
+	giveUpMargin = 900 * time.Millisecond
 	// resignTimeout bounds the write by which a coordinator gives up.
 	resignTimeout = time.Second
 )
