check-settings, and the settings of serve on their page; balance in a file of its own

Cause: faults of the settings file showed only when the gateway started, and the flags of serve stood on no page. No decision changes.

--- /dev/null
+++ b/basilcross/ownership/balance.go
@@ -0,0 +1,234 @@
+package ownership
+
+import (
+	"sort"
+	"time"
+
+	"basilcross.example/basilcross/roster"
+)
+
+const (
+	// busyAt is the share of a target's slots in use from which moving keys
+	// away is worth their pause.
+	busyAt = 0.5
+	// uneven is the difference between the fullest and the emptiest target, in
+	// shares of their slots, that is left alone.
+	uneven = 0.25
+	// movesAtOnce bounds the pieces that balance begins to move at a time, as a
+	// divisor of the targets' number and at least: each is a release and a
+	// grant. A busy neighbourhood of keys must be spread over most targets
+	// within a second or two, so it grows with their number.
+	movesAtOnce      = 2
+	leastMovesAtOnce = 6
+	// movesFrom bounds the pieces that are on the move from one target: each
+	// waits on a connection of its own until the work on its keys has ended.
+	movesFrom = 48
+	// piecesPerTarget bounds the pieces by which balance divides the keys: each
+	// is renewed by a call of its own, and takes room in a row.
+	piecesPerTarget = 4
+	// mergeAbove is how many pieces a target on average are left alone. Above,
+	// the least busy ones go to a neighbour's owner: otherwise a day of moves
+	// would use up all pieces, and no busy key could be moved any more.
+	mergeAbove = 2
+	// mergesAtOnce is the number of targets to one such move at a time.
+	mergesAtOnce = 16
+	// mergeRoom is how far above the mean, in shares of its slots, a target is
+	// filled by such moves.
+	mergeRoom = 0.1
+)
+
+// balance begins moves from the fullest targets to the emptiest.
+func (k *Keeper) balance(now time.Time, targets []*roster.Target) {
+	sums := k.Load.sums(now)
+	rooms := k.rooms(now, targets, sums)
+	if len(rooms) < 2 {
+		return
+	}
+	all, slots := 0.0, 0.0
+	for _, r := range rooms {
+		all += r.load
+		slots += r.slots
+	}
+	mean := all / slots
+	if len(k.pieces) > mergeAbove*len(rooms) {
+		k.merge(sums, rooms, mean)
+	}
+	if len(k.pieces) > piecesPerTarget*len(rooms) {
+		return
+	}
+	for range max(leastMovesAtOnce, len(rooms)/movesAtOnce) {
+		if !k.move(sums, rooms, mean) {
+			return
+		}
+	}
+}
+
+// merging is a piece that could go to the owner of a neighbouring one.
+type merging struct {
+	piece *piece
+	to    *room
+	work  float64
+}
+
+// mergings returns what could be merged, the least busy pieces first.
+func (k *Keeper) mergings(sums []float64, rooms map[string]*room) (list []merging) {
+	for i, p := range k.pieces {
+		if rooms[p.Owner] == nil || !p.still() {
+			continue
+		}
+		load := work(sums, p.First, p.Last)
+		for _, n := range []int{i - 1, i + 1} {
+			if n < 0 || n >= len(k.pieces) || k.pieces[n].Owner == p.Owner || !k.pieces[n].still() {
+				continue
+			}
+			if to := rooms[k.pieces[n].Owner]; to != nil {
+				list = append(list, merging{p, to, load})
+			}
+		}
+	}
+	sort.SliceStable(list, func(a, b int) bool { return list[a].work < list[b].work })
+	return list
+}
+
+// merge gives the least busy pieces to the owner of a neighbouring one.
+func (k *Keeper) merge(sums []float64, rooms map[string]*room, mean float64) {
+	left := max(1, len(rooms)/mergesAtOnce)
+	for _, m := range k.mergings(sums, rooms) {
+		if left == 0 {
+			return
+		}
+		from := rooms[m.piece.Owner]
+		full := m.to.load+m.work > (mean+mergeRoom)*m.to.slots
+		if full || m.piece.phase != held || from.pieces == 1 || from.moving >= movesFrom {
+			continue
+		}
+		left--
+		from.pieces--
+		from.load -= m.work
+		from.moving++
+		m.to.load += m.work
+		m.piece.leave(m.to.target.ID)
+	}
+}
+
+// still tells whether a piece may begin to move.
+func (p *piece) still() bool { return p.phase == held && !p.calling && p.confirmed == p.epoch }
+
+// leave begins the piece's move to a target.
+func (p *piece) leave(to string) { p.phase, p.cause, p.wanted, p.tries = leaving, ForBalance, to, 0 }
+
+// move begins one move, and tells whether there was one to make.
+func (k *Keeper) move(sums []float64, rooms map[string]*room, mean float64) bool {
+	from, to := extremes(rooms)
+	if from == nil || to == nil || from == to {
+		return false
+	}
+	worth := from.use() > busyAt && from.use()-to.use() > uneven || !to.holds
+	if !worth {
+		return false
+	}
+	p, first, last := k.pick(sums, from, to, mean)
+	if p == nil {
+		from.stuck = true
+		return true
+	}
+	p = k.cut(p, first, last)
+	p.leave(to.target.ID)
+	moved := work(sums, first, last)
+	from.load -= moved
+	from.moving++
+	to.load += moved
+	to.holds = true
+	return true
+}
+
+// extremes returns the fullest target of which more can go, and the emptiest. A
+// target that has nothing goes before one that has little.
+func extremes(rooms map[string]*room) (from, to *room) {
+	for _, r := range rooms {
+		can := !r.stuck && r.holds && r.moving < movesFrom
+		if can && (from == nil || r.use() > from.use() || r.use() == from.use() && r.target.ID < from.target.ID) {
+			from = r
+		}
+		if to == nil || emptier(r, to) {
+			to = r
+		}
+	}
+	return from, to
+}
+
+func emptier(a, b *room) bool {
+	if a.holds != b.holds {
+		return !a.holds
+	}
+	if a.use() != b.use() {
+		return a.use() < b.use()
+	}
+	return a.target.ID < b.target.ID
+}
+
+const (
+	// overfill is how far a move may go beyond what brings the nearer of both
+	// targets to the mean.
+	overfill = 1.2
+	// leastMove is the share of that amount below which a move is not worth
+	// its pause.
+	leastMove = 0.1
+)
+
+// pick returns the range at one end of one of the source's pieces whose load
+// comes nearest to what brings either target to the mean. A key that is busier
+// than that goes all the same if it leaves both less full than the source is
+// now; with one that does not, its neighbours go.
+func (k *Keeper) pick(sums []float64, from, to *room, mean float64) (best *piece, first, last int) {
+	amount := min(from.load-mean*from.slots, mean*to.slots-to.load)
+	most := (from.use()-uneven)*to.slots - to.load
+	if amount <= 0 || most <= 0 {
+		return nil, 0, 0
+	}
+	found := leastMove * amount
+	for _, p := range k.pieces {
+		if p.Owner != from.target.ID || !p.still() {
+			continue
+		}
+		for _, head := range []bool{true, false} {
+			f, l := end(sums, p, head, overfill*amount, most)
+			if f > l || f == p.First && l == p.Last && !from.spare(work(sums, f, l)) {
+				continue
+			}
+			if got := work(sums, f, l); found < got {
+				found, best, first, last = got, p, f, l
+			}
+		}
+	}
+	return best, first, last
+}
+
+// spare tells whether the target keeps some load if it gives up that much.
+func (r *room) spare(load float64) bool { return r.load > 1.01*load }
+
+// end returns the longest range at an end of a piece whose load is at most
+// limit; if that is next to nothing, because a busy key follows, the range goes
+// on to that key if its load is at most most. It is empty if there is none.
+func end(sums []float64, p *piece, head bool, limit, most float64) (first, last int) {
+	at := func(n int) (int, int) {
+		if head {
+			return p.First, p.First + n - 1
+		}
+		return p.Last - n + 1, p.Last
+	}
+	size := p.Last - p.First + 1
+	n := sort.Search(size, func(i int) bool {
+		f, l := at(i + 1)
+		return work(sums, f, l) > limit
+	})
+	if n < size {
+		f, l := at(n + 1)
+		with := work(sums, f, l)
+		f, l = at(n)
+		if with <= most && (n == 0 || work(sums, f, l) < with/2) {
+			n++
+		}
+	}
+	return at(n)
+}
--- /dev/null
+++ b/gateway/checksettings.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"basilcross.example/gateway/instance"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+)
+
+const usageCheckSettings = `Read the settings as serve would, and print what is in force or every fault.
+
+Nothing is started and nobody is called. The exit status is 1 if there is a fault.
+
+Examples:
+  basilcross-gateway check-settings --settings /etc/basilcross/settings.conf
+  BASILCROSS_STORE=10.0.0.1 basilcross-gateway check-settings
+      basilcross-gateway: --store = "10.0.0.1": want host:port`
+
+func checkSettingsCommand() *cobra.Command {
+	s := instance.Defaults()
+	var file string
+	c := &cobra.Command{
+		Use:   "check-settings",
+		Short: "Check the settings of serve",
+		Long:  usageCheckSettings,
+		Args:  cobra.NoArgs,
+	}
+	c.Flags().StringVar(&file, "settings", os.Getenv(instance.EnvPrefix+"SETTINGS"), "file with further settings")
+	s.Bind(c.Flags())
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		s, err := readSettings(c.Flags(), file)
+		if err != nil {
+			return err
+		}
+		flags := pflag.NewFlagSet("settings", pflag.ContinueOnError)
+		s.Bind(flags)
+		flags.VisitAll(func(f *pflag.Flag) {
+			fmt.Fprintf(c.OutOrStdout(), "%s=%s\n", f.Name, f.DefValue)
+		})
+		return nil
+	}
+	return c
+}
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -46,7 +46,7 @@
 		SilenceErrors: true,
 	}
 	s.Bind(c.Flags())
-	c.AddCommand(serveCommand())
+	c.AddCommand(serveCommand(), checkSettingsCommand())
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		if err := settings.FromEnvironment(c.Flags(), os.LookupEnv); err != nil {
 			return err
--- a/gateway/settings/settings_test.go
+++ b/gateway/settings/settings_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"basilcross.example/gateway/instance"
 	"basilcross.example/gateway/settings"
 	"github.com/spf13/pflag"
 	"gotest.tools/v3/assert"
@@ -45,9 +46,14 @@
 func TestPageMatchesFlags(t *testing.T) {
 	s := settings.Defaults()
 	s.Instance = "the host's name"
-	f := pflag.NewFlagSet("gateway", pflag.ContinueOnError)
-	s.Bind(f)
+	own := pflag.NewFlagSet("gateway", pflag.ContinueOnError)
+	s.Bind(own)
+	onPlatform := instance.Defaults()
+	serve := pflag.NewFlagSet("serve", pflag.ContinueOnError)
+	onPlatform.Bind(serve)
 	page := "# Settings of basilcross-gateway\n\nEvery flag can also be set by an environment variable: --callers-listen is\n" +
-		"BASILCROSS_CALLERS_LISTEN. Flags go before the environment. Made by a test.\n\n```\n" + f.FlagUsages() + "```\n"
+		"BASILCROSS_CALLERS_LISTEN. Flags go before the environment. Made by a test.\n\n```\n" + own.FlagUsages() + "```\n" +
+		"\n## Settings of `basilcross-gateway serve`\n\nOn the users' platform. A file with lines NAME=value of the same names goes last;\n" +
+		"`basilcross-gateway check-settings` reads all three and names every fault.\n\n```\n" + serve.FlagUsages() + "```\n"
 	golden.Assert(t, page, "../../../docs/SETTINGS.md")
 }
