basilcross fleet: status, owner, targets, pieces and routes from the platform's store

Cause: the command line could not look at a fleet on the users' platform at all; after a failure an operator had only logs. Change: a group of commands that read the tables in the store and write nothing, so they also work while no gateway answers; text and JSON. The lease's row has an exported type for it. No decision changes.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -60,8 +60,9 @@
 
 const usageRoot = `Operate a basilcross fleet by its defaults and exceptions.
 
-Every command asks one gateway's admin address; which one makes no difference,
-since all of them hold the same. Give it by --server or BASILCROSS_SERVER.
+Commands ask one gateway's admin address; which one makes no difference, since
+all of them hold the same. Give it by --server or BASILCROSS_SERVER. On the
+users' platform, "fleet" has the commands that read the platform's store.
 
 Exit codes: 0 done, 1 usage, 2 unreachable or not possible now, 3 conflict with
 another operator's change, 4 invalid, 5 not found, 6 not reached in time.`
@@ -104,6 +105,7 @@
 		return nil
 	}
 	root.AddCommand(
+		fleetCommand(s, os.LookupEnv),
 		statusCommand(s), ownerCommand(s), shardsCommand(s), targetsCommand(s),
 		configCommand(s), exceptionCommand(s), drainCommand(s), undrainCommand(s),
 		auditCommand(s), eventsCommand(), traceCommand(s),
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -105,7 +105,7 @@
 // leading is the state of a term. Another term has another one, so answers to
 // orders of a former term are known by it.
 type leading struct {
-	lease    lease
+	lease    Lease
 	revision uint64
 	// goodUntil is the end of the authority, by the boot-time clock.
 	goodUntil atomic.Int64
@@ -201,18 +201,18 @@
 func (c *Coordinator) hearBeat(now time.Time, m *peers.Message) {
 	if m.Beat.Resigned {
 		c.heard, c.lookAt = time.Time{}, now
-		c.observe(m.Beat.Lease, lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life})
+		c.observe(m.Beat.Lease, Lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life})
 		return
 	}
 	if m.Beat.Term < c.seen.lease.Term {
 		return
 	}
 	c.heard = now
-	c.observe(m.Beat.Lease, lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life, LeaseMs: m.Beat.LeaseMs})
+	c.observe(m.Beat.Lease, Lease{Term: m.Beat.Term, Holder: m.From, Life: m.Life, LeaseMs: m.Beat.LeaseMs})
 }
 
 // observe notes a row of the lease.
-func (c *Coordinator) observe(revision uint64, l lease) {
+func (c *Coordinator) observe(revision uint64, l Lease) {
 	if c.seen.known && revision <= c.seen.revision && revision != 0 {
 		return
 	}
@@ -280,7 +280,7 @@
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 		defer cancel()
-		row, err := c.Store.Key(callCtx, LeaseTable, leaseKey)
+		row, err := c.Store.Key(callCtx, LeaseTable, LeaseKey)
 		c.post(ctx, func() { c.looked(ctx, row, err) })
 		return nil
 	})
@@ -294,9 +294,9 @@
 		c.storeFailed("read lease", err)
 		return
 	}
-	l := lease{}
+	l := Lease{}
 	if row.Revision != 0 {
-		if l, err = decodeLease(row.Value); err != nil {
+		if l, err = ParseLease(row.Value); err != nil {
 			c.storeFailed("parse lease", err)
 			return
 		}
@@ -337,7 +337,7 @@
 func (c *Coordinator) acquire(ctx context.Context) {
 	c.looking = true
 	sent := boottime()
-	mine := lease{Term: c.seen.lease.Term + 1, Holder: c.Self.Name, Life: c.Self.Life, LeaseMs: leaseFor.Milliseconds(), Seq: 1}
+	mine := Lease{Term: c.seen.lease.Term + 1, Holder: c.Self.Name, Life: c.Self.Life, LeaseMs: leaseFor.Milliseconds(), Seq: 1}
 	on := c.seen.revision
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(ctx, leaseFor)
@@ -348,7 +348,7 @@
 	})
 }
 
-func (c *Coordinator) acquired(ctx context.Context, mine lease, sent time.Duration, s settled) {
+func (c *Coordinator) acquired(ctx context.Context, mine Lease, sent time.Duration, s settled) {
 	c.looking = false
 	if !s.ok {
 		if s.revision != 0 {
@@ -365,7 +365,7 @@
 	c.lead(ctx)
 }
 
-func newLeading(ctx context.Context, cancel context.CancelFunc, mine lease, revision uint64) *leading {
+func newLeading(ctx context.Context, cancel context.CancelFunc, mine Lease, revision uint64) *leading {
 	return &leading{
 		lease: mine, revision: revision, wroteAt: time.Now(), since: time.Now(),
 		told:    map[string]toldOf{},
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -12,8 +12,9 @@
 	"basilcross.example/platform"
 )
 
-func decodeLease(text []byte) (lease, error) {
-	l := lease{}
+// ParseLease reads the row.
+func ParseLease(text []byte) (Lease, error) {
+	l := Lease{}
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, fmt.Errorf("parse lease: %w", err)
 	}
@@ -232,7 +233,7 @@
 	})
 }
 
-func (c *Coordinator) renewed(l *leading, next lease, sent time.Duration, s settled, records map[string]*ownership.Record) {
+func (c *Coordinator) renewed(l *leading, next Lease, sent time.Duration, s settled, records map[string]*ownership.Record) {
 	if c.leading != l {
 		return
 	}
@@ -367,7 +368,7 @@
 		if !ok {
 			return
 		}
-		given := lease{Term: l.lease.Term, Holder: c.Self.Name, Life: c.Self.Life, Seq: l.lease.Seq + 1}
+		given := Lease{Term: l.lease.Term, Holder: c.Self.Name, Life: c.Self.Life, Seq: l.lease.Seq + 1}
 		s := c.write(ctx, &given, on, nil)
 		if s.ok {
 			event.LeadResigned.Log(c.Log, "term", given.Term)
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -19,7 +19,7 @@
 	// InstanceTable has a row for each instance.
 	InstanceTable = "instance"
 
-	leaseKey = "lease"
+	LeaseKey = "lease"
 )
 
 const (
@@ -42,8 +42,8 @@
 	attemptTimeout = 3 * time.Second
 )
 
-// lease is the row of the coordinator. LeaseMs 0 means that it was given up.
-type lease struct {
+// Lease is the row of the coordinator. LeaseMs 0 means that it was given up.
+type Lease struct {
 	Term    int64  `json:"term"`
 	Holder  string `json:"holder"`
 	Life    string `json:"life"`
@@ -52,7 +52,7 @@
 	Seq int64 `json:"seq"`
 }
 
-func (l *lease) encode() []byte {
+func (l *Lease) encode() []byte {
 	text, err := json.Marshal(l)
 	if err != nil {
 		panic("coordinator: lease does not encode: " + err.Error())
@@ -63,7 +63,7 @@
 // seenLease is the newest row that this instance knows of.
 type seenLease struct {
 	revision uint64
-	lease    lease
+	lease    Lease
 	// since is when it was first seen, by the boot-time clock.
 	since time.Duration
 	known bool
@@ -91,7 +91,7 @@
 	ok bool
 	// revision of the write, or of the row that stood in its way.
 	revision uint64
-	present  lease
+	present  Lease
 	// invalid is set if the store does not take such a transaction at all.
 	invalid bool
 	// store is the store's clock at the write, if its answer came, at at.
@@ -102,11 +102,11 @@
 
 // write carries out a transaction that sets the lease row, and finds out for
 // certain whether it took effect. It gives up only when the context ends.
-func (c *Coordinator) write(ctx context.Context, mine *lease, on uint64, more []platform.Write) settled {
+func (c *Coordinator) write(ctx context.Context, mine *Lease, on uint64, more []platform.Write) settled {
 	began := time.Now()
 	tx := platform.Transaction{
-		If:  []platform.Condition{{Table: LeaseTable, Key: leaseKey, Revision: on}},
-		Set: append([]platform.Write{{Table: LeaseTable, Key: leaseKey, Value: mine.encode()}}, more...),
+		If:  []platform.Condition{{Table: LeaseTable, Key: LeaseKey, Revision: on}},
+		Set: append([]platform.Write{{Table: LeaseTable, Key: LeaseKey, Value: mine.encode()}}, more...),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -152,7 +152,7 @@
 
 // judge tells what an answer proves. A row with this write's own number shows
 // that an earlier try took effect though its answer was lost.
-func (c *Coordinator) judge(mine *lease, a answer) (s settled, final bool) {
+func (c *Coordinator) judge(mine *Lease, a answer) (s settled, final bool) {
 	if a.err == nil {
 		return settled{ok: true, revision: a.done.Revision, store: time.Duration(a.done.Now), at: a.at}, true
 	}
@@ -167,7 +167,7 @@
 		return settled{}, false
 	}
 	for _, r := range conflict.Rows {
-		if r.Table != LeaseTable || r.Key != leaseKey {
+		if r.Table != LeaseTable || r.Key != LeaseKey {
 			continue
 		}
 		if err := json.Unmarshal(r.Value, &s.present); err != nil {
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -21,7 +21,7 @@
 
 func TestLeaseIsOver(t *testing.T) {
 	const since = 100 * time.Second
-	held := lease{Term: 3, Holder: "one", Life: "a", LeaseMs: 2000}
+	held := Lease{Term: 3, Holder: "one", Life: "a", LeaseMs: 2000}
 	for _, c := range []struct {
 		name string
 		seen seenLease
@@ -33,9 +33,9 @@
 		{"within its time", seenLease{known: true, revision: 7, lease: held, since: since}, since + 2*time.Second, false},
 		{"a clock may run slower", seenLease{known: true, revision: 7, lease: held, since: since}, since + 2050*time.Millisecond, false},
 		{"past its time", seenLease{known: true, revision: 7, lease: held, since: since}, since + 2200*time.Millisecond, true},
-		{"given up", seenLease{known: true, revision: 7, lease: lease{Term: 3, Holder: "one"}, since: since}, since, true},
-		{"another lifetime of this instance", seenLease{known: true, revision: 7, lease: lease{Term: 3, Holder: "me", Life: "old", LeaseMs: 2000}, since: since}, since, true},
-		{"this lifetime's own", seenLease{known: true, revision: 7, lease: lease{Term: 3, Holder: "me", Life: "new", LeaseMs: 2000}, since: since}, since, false},
+		{"given up", seenLease{known: true, revision: 7, lease: Lease{Term: 3, Holder: "one"}, since: since}, since, true},
+		{"another lifetime of this instance", seenLease{known: true, revision: 7, lease: Lease{Term: 3, Holder: "me", Life: "old", LeaseMs: 2000}, since: since}, since, true},
+		{"this lifetime's own", seenLease{known: true, revision: 7, lease: Lease{Term: 3, Holder: "me", Life: "new", LeaseMs: 2000}, since: since}, since, false},
 	} {
 		assert.Equal(t, c.seen.over(c.now, "me", "new"), c.want, c.name)
 	}
@@ -57,19 +57,19 @@
 func TestLostAnswerIsSettled(t *testing.T) {
 	fake, c := withStore(t)
 	fake.LoseAnswers(1)
-	mine := lease{Term: 1, Holder: "one", Life: "a", LeaseMs: 2000, Seq: 1}
+	mine := Lease{Term: 1, Holder: "one", Life: "a", LeaseMs: 2000, Seq: 1}
 	s := c.write(context.Background(), &mine, 0, nil)
 	assert.Assert(t, s.ok)
-	assert.Equal(t, s.revision, fake.Row(LeaseTable, leaseKey).Revision)
+	assert.Equal(t, s.revision, fake.Row(LeaseTable, LeaseKey).Revision)
 }
 
 // Another instance has taken the lease meanwhile. The write must fail whole,
 // the assignment included.
 func TestWriteFailsIfAnotherLeads(t *testing.T) {
 	fake, c := withStore(t)
-	other := lease{Term: 2, Holder: "two", Life: "b", LeaseMs: 2000, Seq: 1}
-	fake.Put(LeaseTable, leaseKey, other.encode())
-	mine := lease{Term: 1, Holder: "one", Life: "a", LeaseMs: 2000, Seq: 9}
+	other := Lease{Term: 2, Holder: "two", Life: "b", LeaseMs: 2000, Seq: 1}
+	fake.Put(LeaseTable, LeaseKey, other.encode())
+	mine := Lease{Term: 1, Holder: "one", Life: "a", LeaseMs: 2000, Seq: 9}
 	s := c.write(context.Background(), &mine, 0, []platform.Write{{Table: AssignmentTable, Key: "s", Value: []byte("x")}})
 	assert.Assert(t, !s.ok)
 	assert.Equal(t, s.present, other)
@@ -126,7 +126,7 @@
 		c.Grants = &platform.Grants{HTTP: &http.Client{Transport: calls}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		l := newLeading(ctx, cancel, lease{Term: 1}, 1)
+		l := newLeading(ctx, cancel, Lease{Term: 1}, 1)
 		l.goodUntil.Store(int64(boottime() + time.Hour))
 		c.leading = l
 		k := &ownership.Keeper{}
@@ -153,7 +153,7 @@
 		"alike":  {Name: "alike", Cores: 0.16, Datagram: "127.0.0.1:9"},
 	})
 	c := New(Options{Log: p.Log, Peers: p, Self: peers.Instance{Name: "small", Cores: 0.16}})
-	c.leading = newLeading(context.Background(), func() {}, lease{Term: 1}, 1)
+	c.leading = newLeading(context.Background(), func() {}, Lease{Term: 1}, 1)
 	c.leading.recorded = map[string]*ownership.Assignment{}
 	c.leading.since = now
 	c.members["alike"], c.members["strong"] = now, now
@@ -174,13 +174,13 @@
 	c := New(Options{Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Life: "a"}})
 	now := time.Now()
 	assert.Assert(t, c.isDue(now), "nothing is known")
-	c.observe(7, lease{Term: 1, Holder: "other", LeaseMs: 2000})
+	c.observe(7, Lease{Term: 1, Holder: "other", LeaseMs: 2000})
 	assert.Assert(t, !c.isDue(now))
 	c.seen.since -= 3 * time.Second
 	for !c.isDue(now) {
 		assert.Assert(t, c.turn == 7 && now.Before(c.lookAt))
 		now = c.lookAt
 	}
-	c.observe(8, lease{Term: 1, Holder: "other", LeaseMs: 2000})
+	c.observe(8, Lease{Term: 1, Holder: "other", LeaseMs: 2000})
 	assert.Assert(t, !c.isDue(now), "it was renewed")
 }
