Log lines are bounded by event

Cause: the ring bounds all lines together, so one event that repeats under load pushed out the others.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -9,6 +9,9 @@
 	"strings"
 )
 
+// NumberKey is the attribute of a log line that has its event's number.
+const NumberKey = "event"
+
 // Event is an entry of the catalogue. Numbers are never reused.
 type Event struct {
 	Number  int
@@ -69,7 +72,7 @@
 	RequestRefused    = Event{404, "requestRefused", slog.LevelInfo, "A request was refused or failed; the line says at what and by which figures.", ""}
 	AttemptFailed     = Event{405, "attemptFailed", slog.LevelInfo, "A request's attempt at a target failed.", ""}
 	HomeSilent        = Event{406, "homeSilent", slog.LevelWarn, "The instance that shares out a target's slots does not answer; for a while this instance decides by itself.", "Look at that instance and the way to it."}
-	LinesLeftOut      = Event{106, "linesLeftOut", slog.LevelWarn, "More log lines came than are written; the number left out.", ""}
+	LinesLeftOut      = Event{106, "linesLeftOut", slog.LevelWarn, "More log lines came than are written; the number left out, and of which event if one alone wrote too many.", ""}
 	Reloaded          = Event{105, "reloaded", slog.LevelInfo, "The settings were read anew.", ""}
 	Reading           = Event{108, "reading", slog.LevelInfo, "Whether this instance follows the store's feeds itself, or listens to others of its zone that do.", ""}
 	NotReady          = Event{107, "notReady", slog.LevelInfo, "Whether this instance takes connections has changed.", ""}
@@ -93,7 +96,7 @@
 
 // Log writes the event with its number and the given attributes.
 func (e Event) Log(log *slog.Logger, attrs ...any) {
-	attrs = append([]any{"event", e.Number}, attrs...)
+	attrs = append([]any{NumberKey, e.Number}, attrs...)
 	log.Log(context.Background(), e.Level, e.Name, attrs...)
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"basilcross.example/gateway/instance"
+	"basilcross.example/gateway/lograte"
 	"basilcross.example/gateway/logsink"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
@@ -90,6 +91,7 @@
 	// Validate has checked the level's name.
 	_ = level.UnmarshalText([]byte(s.LogLevel))
 	sink := logsink.New(os.Stdout)
-	log := slog.New(slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})).With("instance", s.Instance)
+	lines := slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level})
+	log := slog.New(&lograte.Handler{Next: lines}).With("instance", s.Instance)
 	return instance.New(s, log, sink).Run(ctx)
 }
