Requests wait half a second at most for an instance's start

Change: in its first half second an instance lets requests wait for the first configuration and the first targets; later it refuses at once as before. Test: TestRequestsWaitForTheStart (refused before). Its gain is not measured by itself yet.

--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -50,11 +51,38 @@
 	queued     time.Duration
 }
 
+const (
+	// startWait is how long after its start an instance lets requests wait for
+	// the configuration and the targets: they are there some 20 ms later if
+	// the store answers. All instances of a zone start at once after a loss of
+	// power, and what each refuses then comes back half a second later.
+	startWait = 500 * time.Millisecond
+	// startPoll is how often they are looked for.
+	startPoll = 10 * time.Millisecond
+)
+
+// awaitStart waits for the first configuration and the first targets.
+func (f *Front) awaitStart(ctx context.Context) {
+	for until := f.started.Add(startWait); f.Table() == nil || len(f.Roster.Load().Targets) == 0; {
+		if time.Now().After(until) {
+			return
+		}
+		timer := time.NewTimer(startPoll)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
 // accept reads what there is to know of a request before it is sent anywhere.
 func (f *Front) accept(w http.ResponseWriter, r *http.Request) (*call, *refusal) {
 	c := &call{
 		id: r.Header.Get(f.Wire.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host, arrived: time.Now(),
 	}
+	f.awaitStart(r.Context())
 	table := f.Table()
 	if table == nil {
 		return c, notRun("noConfig", retryConfig)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -51,6 +51,7 @@
 	Options
 
 	splitter routing.Splitter
+	started  time.Time
 	closing  atomic.Bool
 	ending   context.Context
 	end      context.CancelFunc
@@ -61,7 +62,7 @@
 
 // New returns a handler.
 func New(o Options) *Front {
-	f := &Front{Options: o, budgets: map[string]*retry.Budget{}, usual: map[string]time.Duration{}}
+	f := &Front{Options: o, started: time.Now(), budgets: map[string]*retry.Budget{}, usual: map[string]time.Duration{}}
 	f.ending, f.end = context.WithCancel(context.Background())
 	return f
 }
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -305,3 +306,19 @@
 	res, _ := b.call(t.Context(), http.MethodPost, "/book/x", "")
 	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
 }
+
+// All instances of a zone have just started, and callers are there at once. The
+// configuration and the targets come a moment later: refused until then, each
+// request would come back half a second later, all together.
+func TestRequestsWaitForTheStart(t *testing.T) {
+	b := newStage(t)
+	var group sync.WaitGroup
+	group.Go(func() {
+		time.Sleep(60 * time.Millisecond)
+		b.route(time.Second)
+		b.handler("t1", &standin.Target{ID: "t1"})
+	})
+	res, _ := b.call(t.Context(), http.MethodGet, "/safe/x", "")
+	group.Wait()
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+}
