--- a/basilcross/ownership/balance.go
+++ b/basilcross/ownership/balance.go
@@ -187,6 +187,11 @@
 		return nil, 0, 0
 	}
 	found := leastMove * amount
+	if from.use() > 1 {
+		// A single key may be more than the target can do. Its neighbours need
+		// not wait behind it, however little they are.
+		found = 0
+	}
 	for _, p := range k.pieces {
 		if p.Owner != from.target.ID || !p.still() {
 			continue
--- a/basilcross/ownership/balance_test.go
+++ b/basilcross/ownership/balance_test.go
@@ -147,3 +147,20 @@
 	t.Logf("calm: %d pieces, moved %d", len(s.keeper.Assignment().Pieces), s.keeper.Moved.Balance)
 	assert.Assert(t, len(s.keeper.Assignment().Pieces) <= 3*60)
 }
+
+// One key is asked for more than any target can do. What else lies on its target
+// would wait behind it, or be refused; it goes to other targets.
+func TestNeighboursLeaveAnOverloadedKey(t *testing.T) {
+	s := newShift(60)
+	s.play(time.Second)
+	s.spread(40, 0.4, 20_000, 1)
+	s.play(4 * time.Second)
+	p := s.keeper.Assignment().Find(20_000)
+	keys := 0
+	for _, other := range s.keeper.Assignment().Pieces {
+		if other.Owner == p.Owner {
+			keys += other.Last - other.First + 1
+		}
+	}
+	assert.Equal(t, keys, 1)
+}
