--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -179,8 +179,15 @@
 		}
 		c.avoid = nil
 	}
-	// A request that never left costs the targets nothing.
-	return !failed.arrived || budget.Take()
+	if !failed.arrived {
+		// A request that never left costs the targets nothing.
+		return true
+	}
+	if !budget.Take() {
+		return false
+	}
+	f.Metrics.repeated.WithLabelValues(c.service).Inc()
+	return true
 }
 
 const (
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -11,6 +11,8 @@
 type Metrics struct {
 	requests *prometheus.CounterVec
 	seconds  *prometheus.HistogramVec
+	queued   *prometheus.HistogramVec
+	repeated *prometheus.CounterVec
 }
 
 // NewMetrics registers the metrics.
@@ -24,17 +26,28 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 11),
 		}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.seconds)
+	m.queued = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "basilcross_queue_seconds", Help: "Time that a request waited for places at targets, all attempts together.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 3, 9),
+	}, []string{"service"})
+	m.repeated = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_repetitions_total", Help: "Requests that were sent to a target once more, out of the budget.",
+	}, []string{"service"})
+	r.MustRegister(m.requests, m.seconds, m.queued, m.repeated)
 	return m
 }
 
 func (m *Metrics) answered(c *call, status int) {
 	m.requests.WithLabelValues(c.service, strconv.Itoa(status), "").Inc()
 	m.seconds.WithLabelValues(c.service).Observe(time.Since(c.arrived).Seconds())
+	m.queued.WithLabelValues(c.service).Observe(c.queued.Seconds())
 }
 
 func (m *Metrics) refused(c *call, r *refusal, status int) {
 	m.requests.WithLabelValues(c.service, strconv.Itoa(status), r.cause).Inc()
+	if c.service != "" {
+		m.queued.WithLabelValues(c.service).Observe(c.queued.Seconds())
+	}
 }
 
 func (m *Metrics) gone(c *call) {
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -45,6 +45,11 @@
 		}
 		return n
 	})
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_store_calls_total", Help: "Calls to the platform's store by kind and outcome.",
+	}, []string{"call", "outcome"})
+	r.MustRegister(calls)
+	i.store.Called = func(call, outcome string) { calls.WithLabelValues(call, outcome).Inc() }
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "basilcross_log_bytes_total", Help: "Bytes of log lines written.",
 	}, func() float64 { return float64(i.sink.Written.Load()) }))
