A coordinator's return ends the pauses of what fails; copies behind others act sooner

Ruled out: a feed taken in silence (all were given up at the outage's start). Change: the first beat of a coordinator whose writes are answered ends these pauses; a copy is behind after 0.3 s.

--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -25,7 +25,7 @@
 	catchUpEvery = 250 * time.Millisecond
 	// behindFor is how long a copy may be behind others before something is
 	// done: usually the feed brings the news a moment later.
-	behindFor = 500 * time.Millisecond
+	behindFor = 300 * time.Millisecond
 	// askTimeout bounds a call to another instance.
 	askTimeout = 800 * time.Millisecond
 	// introduceRetry is the pause after a row could not be written.
@@ -149,11 +149,7 @@
 		return
 	}
 	if m.Beat != nil && !m.Beat.Resigned {
-		i.noteLead(m.From, m.Beat.Members)
-		if m.Beat.InDoubt {
-			// Whoever listens to readers must not rely on its way to the store.
-			i.beatAt.Store(nil)
-		}
+		i.takeBeat(m)
 	}
 	switch {
 	case m.News != nil:
@@ -169,6 +165,26 @@
 	i.coordinator.Hear(m)
 }
 
+// takeBeat takes in a coordinator's sign of life.
+func (i *Instance) takeBeat(m *peers.Message) {
+	wasHeard := i.sharer.hearsCoordinator()
+	i.noteLead(m.From, m.Beat.Members)
+	if m.Beat.InDoubt {
+		// Whoever listens to readers must not rely on its way to the store.
+		i.beatAt.Store(nil)
+		return
+	}
+	if wasHeard {
+		return
+	}
+	// The store answers a coordinator again: what fails need not wait longer.
+	for _, table := range i.mirrors {
+		if table.Failing() {
+			table.Again()
+		}
+	}
+}
+
 // noteLead notes who coordinates, and how many instances report to it.
 func (i *Instance) noteLead(name string, members int) {
 	now := time.Now()
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -90,7 +90,7 @@
 		pace, err := m.next(ctx)
 		if err != nil {
 			m.failed(err)
-			m.pause(ctx, retry/2+rand.N(retry))
+			m.rest(ctx, retry/2+rand.N(retry))
 			retry = min(2*retry, lastRetry)
 			continue
 		}
@@ -141,6 +141,21 @@
 	}
 }
 
+// rest is a pause that Again ends: others may know that the store is back.
+func (m *Mirror) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-m.interest:
+		if m.listens() || m.OnDemand && m.isLoaded() {
+			// What waits for Again next must hear it as well.
+			m.Again()
+		}
+	}
+}
+
 // next reads the table, or waits for its next change. It returns the pause that
 // is due then.
 func (m *Mirror) next(ctx context.Context) (pace time.Duration, err error) {
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"basilcross.example/gateway/mirror"
@@ -209,3 +212,42 @@
 	await(t, c, "c", "3")
 	assert.Equal(t, fake.Reads("mine"), reads, "the whole table was read again")
 }
+
+// answers is a store that is down until it is told otherwise.
+type answers struct{ up atomic.Bool }
+
+func (a *answers) RoundTrip(r *http.Request) (*http.Response, error) {
+	res := &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody, Request: r}
+	if a.up.Load() {
+		res.StatusCode = http.StatusOK
+		res.Body = io.NopCloser(strings.NewReader(`{"rows":[{"table":"mine","key":"a","value":"MQ==","ver":3}],"ver":3,"now":"1s"}`))
+	}
+	return res, nil
+}
+
+// The store was down for long, so the pauses between calls are long too. Another
+// instance tells that it is back; the rest of the pause would only make news
+// older, and the users count their time from the store's return.
+func TestAgainEndsThePauseAfterFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &answers{}
+		changed := make(chan time.Time, 1)
+		m := &mirror.Mirror{
+			Table: "mine", OnDemand: true, Log: slog.New(slog.DiscardHandler),
+			Store:   &platform.Store{Address: "store", HTTP: &http.Client{Transport: store}},
+			Changed: func(mirror.Change) { changed <- time.Now() },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { _ = m.Serve(ctx) })
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		store.up.Store(true)
+		back := time.Now()
+		m.Again()
+		took := (<-changed).Sub(back)
+		cancel()
+		group.Wait()
+		assert.Equal(t, took, time.Duration(0))
+	})
+}
