Near instances are asked for their copies first

Cause: an instance that restarts while the store is away asked any instance or seed for 134 KB of targets, half of the time in the other region (89 instances). Change: its own zone first, then the region. Test: TestNearInstancesAreAskedFirst.

--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -333,28 +333,43 @@
 	}
 }
 
-// askWhom names an instance: the one that told of newer copies, or any, the
-// seeds included.
+// askWhom names an instance: the one that told of newer copies, or any of the
+// nearest that are known; without any, a seed. Bytes between zones and regions
+// are paid.
 func (c *catchUp) askWhom() string {
 	all := c.peers.All()
 	if t := c.state.told.Load(); t != nil && all[t.from].Control != "" {
 		return all[t.from].Control
 	}
-	var addresses []string
+	var tiers [3][]string
+	for name, p := range all {
+		if name != c.settings.Instance {
+			n := c.distance(p.Zone)
+			tiers[n] = append(tiers[n], p.Control)
+		}
+	}
 	for _, s := range c.tunable.Load().Seeds {
 		if s != c.settings.ControlListen {
-			addresses = append(addresses, s)
+			tiers[2] = append(tiers[2], s)
 		}
 	}
-	for name, p := range all {
-		if name != c.settings.Instance {
-			addresses = append(addresses, p.Control)
+	for _, addresses := range tiers {
+		if len(addresses) > 0 {
+			return addresses[rand.N(len(addresses))]
 		}
 	}
-	if len(addresses) == 0 {
-		return ""
+	return ""
+}
+
+// distance of a zone: 0 is this instance's own, 1 is of its region, 2 another.
+func (c *catchUp) distance(zone string) int {
+	switch {
+	case zone == c.settings.Zone:
+		return 0
+	case c.settings.Regions[zone] == c.settings.Region:
+		return 1
 	}
-	return addresses[rand.N(len(addresses))]
+	return 2
 }
 
 func (c *catchUp) take(t *fleet.Table, from string) {
--- a/gateway/instance/sharer_test.go
+++ b/gateway/instance/sharer_test.go
@@ -200,3 +200,23 @@
 	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
 	assert.Assert(t, s.mayListen())
 }
+
+// An instance that restarts while the store is away asks others for their
+// copies: one of its own zone if it knows any, since bytes further off are paid.
+func TestNearInstancesAreAskedFirst(t *testing.T) {
+	i := testInstance()
+	i.settings.Regions = map[string]string{"local": "local", "near": "local", "far": "abroad"}
+	c := &catchUp{i}
+	i.tunable.Load().Seeds = []string{"10.0.0.1:1"}
+	assert.Equal(t, c.askWhom(), "10.0.0.1:1")
+	known := map[string]peers.Instance{}
+	for _, step := range []struct{ name, zone, want string }{
+		{"f", "far", ""}, {"n", "near", "10.0.0.3:1"}, {"z", "local", "10.0.0.4:1"},
+	} {
+		known[step.name] = peers.Instance{Name: step.name, Zone: step.zone, Control: step.want, Datagram: "127.0.0.1:9"}
+		i.peers.Know(known)
+		if step.want != "" {
+			assert.Equal(t, c.askWhom(), step.want)
+		}
+	}
+}
