The pause after news grows while configurations follow on each other

Change: the pause doubles from 60 to 480 ms while news are there at once. Test: TestSeriesOfChangesCostsFewCalls (16 calls at most in 5 s of constant changes; 84 with the fixed pause, worked out).

--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -59,7 +59,10 @@
 	// are followed. Targets come in series, each with several changes while it
 	// warms up; the users allow 2 s for one that leaves.
 	configPace = 60 * time.Millisecond
-	targetPace = 400 * time.Millisecond
+	// mostConfigPace is the same while configurations follow on each other: a
+	// quarter of the 2 s that the users allow until one is in force.
+	mostConfigPace = 480 * time.Millisecond
+	targetPace     = 400 * time.Millisecond
 	// quietPace is the pause after news that only tell how far targets have
 	// warmed up. Half of the time allowed for one that leaves.
 	quietPace = time.Second
@@ -173,7 +176,7 @@
 	}
 	i.sharer = newSharer(i)
 	for _, m := range []*mirror.Mirror{
-		{Table: platform.OperatorTable, Pace: configPace, QuietPace: configPace, Changed: i.state.takeConfig},
+		{Table: platform.OperatorTable, Pace: configPace, MostPace: mostConfigPace, QuietPace: configPace, Changed: i.state.takeConfig},
 		{
 			Table: platform.TargetTable, Pace: targetPace, QuietPace: quietPace, Changed: i.state.takeTargets,
 			Minor: minorOfTarget,
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -30,6 +30,9 @@
 	// tell that from having no news.
 	proofWait  = 300 * time.Millisecond
 	proofGrace = 1200 * time.Millisecond
+	// seriesGap is how long a feed waits at least for news that are not part of
+	// a series.
+	seriesGap = 500 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a call that failed.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 1600 * time.Millisecond
@@ -49,6 +52,9 @@
 	// Pace is the pause after an answer with news, so that a series of changes
 	// costs one call instead of one each. It adds to the age of news.
 	Pace time.Duration
+	// MostPace, if set, bounds how much the pause grows while news come without
+	// a break: it doubles each time.
+	MostPace time.Duration
 	// QuietPace is the pause after news that Minor says nobody waits for.
 	QuietPace time.Duration
 	// Minor, if set, tells of a change that others need not hear of, and that
@@ -81,12 +87,16 @@
 	// and reload if it is to be read so.
 	passed, reload bool
 	once           sync.Once
+	// series counts the answers with news that came without a break. It belongs
+	// to Serve.
+	series int
 }
 
 // Serve follows the table until the context ends.
 func (m *Mirror) Serve(ctx context.Context) error {
 	retry := firstRetry
 	for ctx.Err() == nil {
+		began := time.Now()
 		pace, err := m.next(ctx)
 		if err != nil {
 			m.failed(err)
@@ -96,13 +106,24 @@
 		}
 		retry = firstRetry
 		m.answered()
-		if pace > 0 {
-			m.pause(ctx, pace)
-		}
+		m.pause(ctx, m.slower(began, pace))
 	}
 	return ctx.Err()
 }
 
+// slower returns the pause after a call that began at a time. News that were
+// there at once, again and again, come in a series: each answer is paid, and a
+// longer pause puts more of them into one.
+func (m *Mirror) slower(began time.Time, pace time.Duration) time.Duration {
+	if pace != m.Pace || m.MostPace == 0 || time.Since(began) > seriesGap {
+		m.series = 0
+		return pace
+	}
+	pace = min(pace<<min(m.series, 10), m.MostPace)
+	m.series++
+	return pace
+}
+
 // Again ends a pause or a feed, because others have newer news.
 func (m *Mirror) Again() {
 	m.init()
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -251,3 +252,37 @@
 		assert.Equal(t, took, time.Duration(0))
 	})
 }
+
+// stream is a store whose table changes all the time.
+type stream struct{ calls atomic.Int64 }
+
+func (s *stream) RoundTrip(r *http.Request) (*http.Response, error) {
+	n := strconv.FormatInt(s.calls.Add(1), 10)
+	text := `{"rows":[{"table":"mine","key":"a","value":"MQ==","ver":` + n + `}],"ver":` + n + `,"now":"1s"}`
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text)), Request: r}, nil
+}
+
+// Configurations come every few milliseconds. Each instance would call for each
+// of them; the pause grows instead, and never beyond what callers may wait.
+func TestSeriesOfChangesCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &stream{}
+		var last time.Time
+		var most time.Duration
+		m := &mirror.Mirror{
+			Table: "mine", Pace: 60 * time.Millisecond, MostPace: 480 * time.Millisecond, Log: slog.New(slog.DiscardHandler),
+			Store: &platform.Store{Address: "store", HTTP: &http.Client{Transport: store}},
+			Changed: func(mirror.Change) {
+				if !last.IsZero() {
+					most = max(most, time.Since(last))
+				}
+				last = time.Now()
+			},
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_ = m.Serve(ctx)
+		assert.Equal(t, most, 480*time.Millisecond)
+		assert.Assert(t, store.calls.Load() <= 16, "%d calls in five seconds", store.calls.Load())
+	})
+}
