Times until a lost target's keys are served again, per kind of loss

Cause: they were not measured. Silent while the platform goes on naming it: 12 s, since it was given keys again after 5 s, before its old ones were served elsewhere. Change: it is tried again after 8 s, then after twice as long each time, up to 64 s. Test: TestTimeUntilServedAgain (the fourth case fails before).

--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -137,6 +137,8 @@
 	answered time.Time
 	// silent is when the first order of those since was given up.
 	silent time.Time
+	// forgiven counts the trials since it answered last.
+	forgiven int
 	// gone is set when the lifetime is proved to have ended.
 	gone bool
 }
--- /dev/null
+++ b/basilcross/ownership/loss_test.go
@@ -0,0 +1,123 @@
+package ownership_test
+
+import (
+	"container/heap"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"gotest.tools/v3/assert"
+)
+
+// outage is a shift with one target that is lost in some way.
+type outage struct {
+	*shift
+	lost string
+	// silent is set while the lost target answers nothing.
+	silent bool
+}
+
+// play goes on until the lost target's keys are all served by others, or by its
+// next lifetime, and returns how long that took.
+func (o *outage) play(t *testing.T) time.Duration {
+	t.Helper()
+	began := o.now
+	for o.now.Sub(began) < 20*time.Second {
+		for len(o.queue) > 0 && !o.queue[0].at.After(o.now) {
+			heap.Pop(&o.queue).(happening).do()
+		}
+		for _, order := range o.keeper.Step(o.now, o.list) {
+			o.carryOut(order)
+		}
+		if o.served() {
+			return o.now.Sub(began)
+		}
+		o.now = o.now.Add(40 * time.Millisecond)
+	}
+	t.Fatal("not served again")
+	return 0
+}
+
+// served tells whether no key is with the lost lifetime any more, and all are
+// granted to somebody.
+func (o *outage) served() bool {
+	for _, p := range o.keeper.Assignment().Pieces {
+		if p.Owner == "" || p.FreeAt > 0 || p.Owner == o.lost && p.Born == 1 {
+			return false
+		}
+	}
+	return o.keeper.Settled(o.now)
+}
+
+func (o *outage) carryOut(order ownership.Order) {
+	const giveUp = 450 * time.Millisecond
+	switch order := order.(type) {
+	case *ownership.Grant:
+		if order.Owner.ID == o.lost && order.Owner.Born == 1 && o.silent {
+			sent := o.now
+			o.later(giveUp, func() { o.keeper.Granted(o.now, sent, order, ownership.Unknown) })
+			return
+		}
+	case *ownership.Release:
+		if order.Owner.ID == o.lost && order.Owner.Born == 1 && o.silent {
+			o.later(order.Until.Sub(o.now)+100*time.Millisecond, func() { o.keeper.Released(o.now, order, "", ownership.Unknown) })
+			return
+		}
+	}
+	o.shift.carryOut(order)
+}
+
+// A target is lost in each of the ways that the platform knows. Its callers are
+// told to come back until its keys are served again: at once where there is a
+// proof that it holds nothing, and else when its longest hold has run out.
+func TestTimeUntilServedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		lose func(o *outage)
+		most time.Duration
+	}{
+		{"it leaves", func(o *outage) { o.find().Draining = true }, time.Second},
+		{"its entry is gone, and it answers", func(o *outage) { o.drop() }, time.Second},
+		{"it starts again under its name", func(o *outage) { o.silent = true; o.find().Born = 2 }, 2 * time.Second},
+		{"it falls silent", func(o *outage) { o.silent = true }, 7 * time.Second},
+		{"it falls silent, and its entry goes after 2.6 s", func(o *outage) {
+			o.silent = true
+			o.later(2600*time.Millisecond, o.drop)
+		}, 7 * time.Second},
+		{"it falls silent, and another lifetime has its address", func(o *outage) {
+			o.silent = true
+			o.later(time.Second, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}) })
+		}, 2 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := &outage{shift: newShift(20), lost: "t7"}
+			o.shift.play(3 * time.Second)
+			c.lose(o)
+			took := o.play(t)
+			t.Logf("%s: served again after %v", c.name, took)
+			assert.Assert(t, took <= c.most)
+		})
+	}
+}
+
+func (o *outage) find() *roster.Target {
+	for i, target := range o.list {
+		if target.ID == o.lost {
+			changed := *target
+			o.list[i] = &changed
+			return &changed
+		}
+	}
+	return nil
+}
+
+func (o *outage) drop() {
+	var rest []*roster.Target
+	for _, target := range o.list {
+		if target.ID != o.lost {
+			rest = append(rest, target)
+		}
+	}
+	o.list = rest
+}
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -79,7 +79,7 @@
 			// grant in doubt could still be applied after a release.
 			p.doubt = time.Time{}
 		}
-		h.answered, h.silent = now, time.Time{}
+		h.answered, h.silent, h.forgiven = now, time.Time{}, 0
 		return
 	case Stale:
 		p.epoch = k.nextEpoch()
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -14,8 +14,11 @@
 	// coldShare is what a target that still warms up can do of its usual.
 	coldShare = 0.5
 	// forgiveAfter is how long a target that left orders unanswered, but is
-	// still named by the platform, is given no keys.
-	forgiveAfter = 5 * time.Second
+	// still named by the platform, is given no keys: longer than its lost keys
+	// need to be served elsewhere. It doubles each time up to mostForgive, as
+	// each trial costs the keys given a whole hold.
+	forgiveAfter = 8 * time.Second
+	mostForgive  = 64 * time.Second
 	// spreadOver is how many targets a lost one's keys are spread over at least.
 	spreadOver = 3
 )
@@ -96,8 +99,9 @@
 // mayHold tells whether a target may be given keys.
 func (k *Keeper) mayHold(now time.Time, t *roster.Target) bool {
 	h := k.holder(t.Life())
-	if !h.silent.IsZero() && now.Sub(h.silent) > forgiveAfter {
+	if !h.silent.IsZero() && now.Sub(h.silent) > min(forgiveAfter<<min(h.forgiven, 8), mostForgive) {
 		h.silent = time.Time{}
+		h.forgiven++
 	}
 	return !t.Draining && !h.gone && h.silent.IsZero()
 }
