--- a/gateway/checksettings.go
+++ b/gateway/checksettings.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"os"
 
-	"basilcross.example/gateway/instance"
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
 )
@@ -19,18 +17,15 @@
       basilcross-gateway: --store = "10.0.0.1": want host:port`
 
 func checkSettingsCommand() *cobra.Command {
-	s := instance.Defaults()
-	var file string
 	c := &cobra.Command{
 		Use:   "check-settings",
 		Short: "Check the settings of serve",
 		Long:  usageCheckSettings,
 		Args:  cobra.NoArgs,
 	}
-	c.Flags().StringVar(&file, "settings", os.Getenv(instance.EnvPrefix+"SETTINGS"), "file with further settings")
-	s.Bind(c.Flags())
+	file := bindSettings(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		s, err := readSettings(c.Flags(), file)
+		s, err := readSettings(c.Flags(), *file)
 		if err != nil {
 			return err
 		}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -37,28 +37,32 @@
 )
 
 func serveCommand() *cobra.Command {
-	s := instance.Defaults()
-	var file string
 	c := &cobra.Command{
 		Use:   "serve",
 		Short: "Start a gateway on the users' platform",
 		Long:  usageServe,
 		Args:  cobra.NoArgs,
 	}
-	c.Flags().StringVar(&file, "settings", os.Getenv(instance.EnvPrefix+"SETTINGS"), "file with further settings")
-	s.Bind(c.Flags())
+	file := bindSettings(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		read := func() (instance.Settings, error) { return readSettings(c.Flags(), file) }
+		read := func() (instance.Settings, error) { return readSettings(c.Flags(), *file) }
 		s, err := read()
 		if err != nil {
 			return err
 		}
-		s.File, s.Reload = file, read
+		s.File, s.Reload = *file, read
 		return serve(s)
 	}
 	return c
 }
 
+// bindSettings adds the flags of all settings, and of the file with further ones.
+func bindSettings(c *cobra.Command) (file *string) {
+	s := instance.Defaults()
+	s.Bind(c.Flags())
+	return c.Flags().String("settings", os.Getenv(instance.EnvPrefix+"SETTINGS"), "file with further settings")
+}
+
 // readSettings reads all settings anew; flags given stay as they are.
 func readSettings(given *pflag.FlagSet, file string) (instance.Settings, error) {
 	s := instance.Defaults()
