--- /dev/null
+++ b/gateway/instance/catchup.go
@@ -0,0 +1,217 @@
+package instance
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/fleet"
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/platform"
+)
+
+const (
+	// catchUpEvery is how often copies are compared with what others told.
+	catchUpEvery = 250 * time.Millisecond
+	// behindFor is how long a copy may be behind others before something is
+	// done: usually the feed brings the news a moment later.
+	behindFor = 300 * time.Millisecond
+	// askTimeout bounds a call to another instance.
+	askTimeout = 800 * time.Millisecond
+)
+
+// told is what another instance said about how far its copies go.
+type told struct {
+	from      string
+	revisions map[string]uint64
+}
+
+func (s *state) noteRevisions(from string, revisions map[string]uint64) {
+	if revisions == nil {
+		return
+	}
+	s.told.Store(&told{from, revisions})
+}
+
+// catchUp looks after copies that are behind others, or that the store does
+// not serve.
+type catchUp struct{ *Instance }
+
+// Serve compares until the context ends.
+func (c *catchUp) Serve(ctx context.Context) error {
+	tick := time.NewTicker(catchUpEvery)
+	defer tick.Stop()
+	behind := map[string]time.Time{}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case f := <-c.sharer.fetches:
+			c.ask(ctx, c.peers.All()[f.from].Control, []*mirror.Mirror{f.of})
+		case <-tick.C:
+			if wanted := c.wanted(time.Now(), behind); len(wanted) > 0 {
+				c.fetch(ctx, wanted)
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// wanted returns the copies that are to be asked for. Behind is since when each
+// table's copy is behind.
+func (c *catchUp) wanted(now time.Time, behind map[string]time.Time) (wanted []*mirror.Mirror) {
+	for _, m := range c.mirrors {
+		if !c.isBehind(m) {
+			delete(behind, m.Table)
+			continue
+		}
+		since, ok := behind[m.Table]
+		switch {
+		case !ok:
+			behind[m.Table] = now
+			if m.OnDemand && !c.sharer.listens.Load() {
+				m.Again()
+			}
+		case now.Sub(since) >= behindFor, m.OnDemand && c.aheadOf(m) != "":
+			behind[m.Table] = now
+			wanted = append(wanted, m)
+		}
+	}
+	return wanted
+}
+
+// aheadOf returns the address of a reader of the zone that has what others have
+// told of a table; empty if there is none, or if this instance does not listen.
+func (c *catchUp) aheadOf(m *mirror.Mirror) string {
+	t := c.state.told.Load()
+	if t == nil || !c.sharer.listens.Load() {
+		return ""
+	}
+	return c.peers.All()[c.sharer.readerAhead(m.Table, t.revisions[m.Table])].Control
+}
+
+// isBehind tells of a copy that was never read, or that another instance has
+// newer news of.
+func (c *catchUp) isBehind(m *mirror.Mirror) bool {
+	if m.Failing() && m.Newest() == 0 {
+		return true
+	}
+	t := c.state.told.Load()
+	return t != nil && t.revisions[m.Table] > m.Newest()
+}
+
+// fetch asks another instance for its copies. A reader of the zone that has them
+// goes first: nothing is paid then. Without one the feeds are begun anew too.
+func (c *catchUp) fetch(ctx context.Context, wanted []*mirror.Mirror) {
+	var rest []*mirror.Mirror
+	for _, m := range wanted {
+		if near := c.aheadOf(m); near != "" {
+			c.ask(ctx, near, []*mirror.Mirror{m})
+			continue
+		}
+		// Also while it fails: a call that the store took while it was silent
+		// is never answered, and is given up by this.
+		m.Again()
+		rest = append(rest, m)
+	}
+	if len(rest) > 0 {
+		c.ask(ctx, c.askWhom(), rest)
+	}
+}
+
+// ask asks the instance at an address for its copies.
+func (c *catchUp) ask(ctx context.Context, address string, wanted []*mirror.Mirror) {
+	if address == "" {
+		return
+	}
+	request := &fleet.StateRequest{}
+	for _, m := range wanted {
+		request.Tables = append(request.Tables, m.Table)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	answer, err := fleet.NewFleetProtobufClient("http://"+address, c.calls).State(callCtx, request)
+	if err != nil {
+		event.StoreCallFailed.Log(c.log, "call", "state of "+address, "error", err)
+		return
+	}
+	for _, t := range answer.Tables {
+		c.take(t, address)
+	}
+}
+
+// askWhom names an instance: the one that told of newer copies, or any of the
+// nearest that are known; without any, a seed. Bytes between zones and regions
+// are paid.
+func (c *catchUp) askWhom() string {
+	all := c.peers.All()
+	if t := c.state.told.Load(); t != nil && all[t.from].Control != "" {
+		return all[t.from].Control
+	}
+	var tiers [3][]string
+	for name, p := range all {
+		if name != c.settings.Instance {
+			n := c.distance(p.Zone)
+			tiers[n] = append(tiers[n], p.Control)
+		}
+	}
+	for _, s := range c.tunable.Load().Seeds {
+		if s != c.settings.ControlListen {
+			tiers[2] = append(tiers[2], s)
+		}
+	}
+	for _, addresses := range tiers {
+		if len(addresses) > 0 {
+			return addresses[rand.N(len(addresses))]
+		}
+	}
+	return ""
+}
+
+// distance of a zone: 0 is this instance's own, 1 is of its region, 2 another.
+func (c *catchUp) distance(zone string) int {
+	switch {
+	case zone == c.settings.Zone:
+		return 0
+	case c.settings.Regions[zone] == c.settings.Region:
+		return 1
+	}
+	return 2
+}
+
+func (c *catchUp) take(t *fleet.Table, from string) {
+	for _, m := range c.mirrors {
+		if m.Table != t.Name {
+			continue
+		}
+		s := mirror.State{Table: t.Name, Revision: t.Revision}
+		for _, r := range t.Rows {
+			s.Rows = append(s.Rows, platform.Row{Table: t.Name, Key: r.Key, Value: r.Value, Revision: r.Revision})
+		}
+		if m.Offer(s) {
+			event.PeerStateTaken.Log(c.log, "table", t.Name, "revision", t.Revision, "rows", len(t.Rows), "from", from)
+		}
+	}
+}
+
+// State gives this instance's copies to another one.
+func (i *Instance) State(_ context.Context, r *fleet.StateRequest) (*fleet.StateResponse, error) {
+	answer := &fleet.StateResponse{}
+	for _, name := range r.Tables {
+		for _, m := range i.mirrors {
+			if m.Table != name {
+				continue
+			}
+			s, loaded := m.State()
+			if !loaded {
+				continue
+			}
+			t := &fleet.Table{Name: name, Revision: s.Revision}
+			for _, row := range s.Rows {
+				t.Rows = append(t.Rows, &fleet.Row{Key: row.Key, Value: row.Value, Revision: row.Revision})
+			}
+			answer.Tables = append(answer.Tables, t)
+		}
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/gateway/mirror/state.go
@@ -0,0 +1,64 @@
+package mirror
+
+import "basilcross.example/platform"
+
+// Reached returns how far the copy is complete.
+func (m *Mirror) Reached() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// State is a copy of a table at one moment.
+type State struct {
+	Table string
+	// Revision is how far the copy goes.
+	Revision uint64
+	Rows     []platform.Row
+}
+
+// State returns the copy, and whether there is one.
+func (m *Mirror) State() (State, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := State{Table: m.Table, Revision: m.revision}
+	for _, r := range m.rows {
+		s.Rows = append(s.Rows, r)
+	}
+	return s, m.loaded
+}
+
+// Newest returns the revision of the newest change taken in. Copies of two
+// instances are alike if it is, however far each one has read.
+func (m *Mirror) Newest() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newest
+}
+
+// Failing tells whether the copy cannot be kept up from the store.
+func (m *Mirror) Failing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.loaded || !m.failing.IsZero()
+}
+
+// Inject takes in a row that another instance wrote and told of.
+func (m *Mirror) Inject(r platform.Row) {
+	m.apply(Change{Rows: []platform.Row{r}})
+}
+
+// Offer takes in another instance's copy if it is newer, and tells whether.
+func (m *Mirror) Offer(s State) bool {
+	m.mu.Lock()
+	known := m.loaded && s.Revision <= m.revision
+	m.mu.Unlock()
+	if known {
+		return false
+	}
+	m.apply(Change{Rows: s.Rows, Whole: true, Revision: s.Revision})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.passed = true
+	return true
+}
