--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -59,7 +59,7 @@
 	PeerStateTaken    = Event{609, "peerStateTaken", slog.LevelInfo, "A newer copy of a table came from another instance.", ""}
 	LeadGained        = Event{206, "leadGained", slog.LevelInfo, "This instance coordinates: it alone grants keys.", ""}
 	LeadLost          = Event{207, "leadLost", slog.LevelWarn, "This instance no longer coordinates.", "Look for a pause of this instance, or a loss of its way to the store."}
-	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance gave up coordinating while shutting down.", ""}
+	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance gave up coordinating: it ends, or a stronger one takes over.", ""}
 	TargetCame        = Event{306, "targetCame", slog.LevelInfo, "A target's lifetime appeared.", ""}
 	TargetLeft        = Event{307, "targetLeft", slog.LevelInfo, "A target is leaving or gone.", ""}
 	GrantFailed       = Event{308, "grantFailed", slog.LevelInfo, "A target did not take a grant, or gave no answer.", ""}
--- a/basilcross/ownership/balance_test.go
+++ b/basilcross/ownership/balance_test.go
@@ -97,8 +97,8 @@
 // Callers ask for 200 neighbouring keys, which lie on one target: two fifths of
 // all requests would be refused until the neighbourhood is split among many
 // targets. The busiest keys change every few seconds, so it must be split
-// within a second or two. It used to be taken apart a few keys a second, and
-// not at all once each key was busier than the room of a target.
+// within a second or two. A few moves a second are too slow for hundreds of
+// targets, and a key busier than the room of a target must be moved as well.
 func TestHotNeighbourhoodIsSplitSoon(t *testing.T) {
 	for _, c := range []struct {
 		targets, keys int
