Tests of listeners in virtual time

Change: both are played in virtual time, where every sleep lasts until nothing is under way; what they assert is the same. No program changes.

--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -175,43 +175,85 @@
 	await(t, c, "b", "2")
 }
 
+// direct reaches the stand-in without a network, so that time can be virtual.
+type direct struct{ *standin.Store }
+
+func (d direct) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer := httptest.NewRecorder()
+	d.ServeHTTP(answer, r)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return answer.Result(), nil
+}
+
+// virtual plays a copy in virtual time. Every sleep lasts until nothing is under
+// way any more.
+func virtual(t *testing.T, play func(t *testing.T, fake *standin.Store, m *mirror.Mirror, knows func(key string) bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &standin.Store{}
+		fake.Put("mine", "a", []byte("1"))
+		var mu sync.Mutex
+		known := map[string]bool{}
+		m := &mirror.Mirror{
+			Table: "mine", Log: slog.New(slog.DiscardHandler),
+			Store: &platform.Store{Address: "store", HTTP: &http.Client{Transport: direct{fake}}},
+			Changed: func(c mirror.Change) {
+				mu.Lock()
+				defer mu.Unlock()
+				for _, r := range c.Rows {
+					known[r.Key] = true
+				}
+			},
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		group.Go(func() { _ = m.Serve(ctx) })
+		defer group.Wait()
+		defer cancel()
+		time.Sleep(time.Second)
+		play(t, fake, m, func(key string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return known[key]
+		})
+	})
+}
+
 // Whoever listened and follows the feed again reads the whole table first,
 // since others left out what was nothing new to them.
 func TestListenerReadsAllBeforeItFollows(t *testing.T) {
-	fake, c := start(t, false)
-	fake.Put("mine", "a", []byte("1"))
-	await(t, c, "a", "1")
-	c.Listen(true)
-	fake.Put("mine", "b", []byte("2"))
-	to := fake.Put("other", "x", nil)
-	assert.Assert(t, c.Pass(mirror.Passage{From: c.Reached(), To: to}))
-	assert.Equal(t, c.value("b"), "")
-	c.Listen(false)
-	await(t, c, "b", "2")
+	virtual(t, func(t *testing.T, fake *standin.Store, m *mirror.Mirror, knows func(string) bool) {
+		m.Listen(true)
+		time.Sleep(time.Minute)
+		fake.Put("mine", "b", []byte("2"))
+		to := fake.Put("other", "x", nil)
+		assert.Check(t, m.Pass(mirror.Passage{From: m.Reached(), To: to}))
+		time.Sleep(time.Minute)
+		assert.Check(t, !knows("b"))
+		m.Listen(false)
+		time.Sleep(time.Second)
+		assert.Check(t, knows("b"))
+	})
 }
 
 // A listener asks the feed for a gap long after its last call. It must ask from
 // where the others' passages have brought it, not from where it stood when it
 // began to listen: that history may be gone.
 func TestListenerAsksFromWhereItIs(t *testing.T) {
-	fake, c := start(t, false)
-	fake.Put("mine", "a", []byte("1"))
-	await(t, c, "a", "1")
-	c.Listen(true)
-	c.Again()
-	to := fake.Put("mine", "b", []byte("2"))
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if c.Pass(mirror.Passage{From: c.Reached(), To: to}) && c.Reached() == to {
-			return poll.Success()
-		}
-		return poll.Continue("not listening yet")
+	virtual(t, func(t *testing.T, fake *standin.Store, m *mirror.Mirror, knows func(string) bool) {
+		m.Listen(true)
+		time.Sleep(time.Minute)
+		to := fake.Put("mine", "b", []byte("2"))
+		assert.Check(t, m.Pass(mirror.Passage{From: m.Reached(), To: to}))
+		fake.Compact()
+		fake.Put("mine", "c", []byte("3"))
+		reads := fake.Reads("mine")
+		m.Again()
+		time.Sleep(time.Second)
+		assert.Check(t, knows("c"))
+		assert.Check(t, fake.Reads("mine") == reads, "the whole table was read again")
 	})
-	fake.Compact()
-	fake.Put("mine", "c", []byte("3"))
-	reads := fake.Reads("mine")
-	c.Again()
-	await(t, c, "c", "3")
-	assert.Equal(t, fake.Reads("mine"), reads, "the whole table was read again")
 }
 
 // answers is a store that is down until it is told otherwise.
