Instances that end by themselves say so in their tests

Cause: TestConfigurationIsInForceEverywhere failed 3 times in some 190 plays under the race detector beside other tests, since an instance was not ready within a minute; nothing told why. No program changes.

--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -96,7 +96,14 @@
 	i := instance.New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- i.Run(ctx) }()
+	go func() {
+		err := i.Run(ctx)
+		if ctx.Err() == nil {
+			// Nothing else would tell why it never gets ready.
+			f.t.Errorf("instance %s ended by itself: %v", name, err)
+		}
+		ended <- err
+	}()
 	r := &running{callers: s.CallersListen, ready: s.ReadyListen}
 	var result error
 	stopped := false
