Tests of whole instances choose other addresses if theirs are taken

Cause: tests of gateway/instance failed 4 times in some 250 plays beside other tests: an instance never got ready. Change: an instance that ends for that reason is started again with other addresses; any other end fails the test. No program changes.

--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -12,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -84,8 +86,21 @@
 	return l.Addr().String()
 }
 
+// start runs an instance. Its addresses are free when they are chosen, and may
+// be taken by another test until it opens them; then others are chosen.
 func (f *fleet) start(name string, seeds ...string) *running {
 	f.t.Helper()
+	for range 20 {
+		if r := f.tryStart(name, seeds); r != nil {
+			f.t.Cleanup(func() { _ = r.stop() })
+			return r
+		}
+	}
+	f.t.Fatalf("instance %s found no free addresses", name)
+	return nil
+}
+
+func (f *fleet) tryStart(name string, seeds []string) *running {
 	s := instance.Defaults()
 	s.Instance, s.Zone, s.Region, s.Regions = name, "graz", "ost", map[string]string{"graz": "ost"}
 	s.CallersListen, s.ReadyListen = freeAddress(f.t), freeAddress(f.t)
@@ -96,14 +111,21 @@
 	i := instance.New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() {
-		err := i.Run(ctx)
-		if ctx.Err() == nil {
-			// Nothing else would tell why it never gets ready.
-			f.t.Errorf("instance %s ended by itself: %v", name, err)
+	go func() { ended <- i.Run(ctx) }()
+	// It listens, or has ended since it could not.
+	for {
+		select {
+		case err := <-ended:
+			cancel()
+			assert.Assert(f.t, errors.Is(err, syscall.EADDRINUSE), "%v", err)
+			return nil
+		case <-time.After(5 * time.Millisecond):
+		}
+		if c, err := net.Dial("tcp", s.ReadyListen); err == nil {
+			_ = c.Close()
+			break
 		}
-		ended <- err
-	}()
+	}
 	r := &running{callers: s.CallersListen, ready: s.ReadyListen}
 	var result error
 	stopped := false
@@ -114,7 +136,6 @@
 		}
 		return result
 	}
-	f.t.Cleanup(func() { _ = r.stop() })
 	return r
 }
 
