Orders on a connection that none had used before are logged

Why: no line told on which connection a renewal was taken, so the hypotheses on two targets with the same keys could not be told apart: a renewal sent again by the coordinator, or by the HTTP library.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -68,6 +68,7 @@
 	OrderDropped      = Event{311, "orderDropped", slog.LevelWarn, "An order to a target was not sent, since the authority to send it had ended.", ""}
 	TargetGone        = Event{312, "targetGone", slog.LevelInfo, "A target is proved to have ended; its keys are free.", ""}
 	StoreInDoubt      = Event{313, "storeInDoubt", slog.LevelWarn, "The store does not answer the coordinator; keys are granted for longer.", "Look at the platform's store."}
+	OrderConnection   = Event{314, "orderConnection", slog.LevelInfo, "An order went to a target's address on a connection that none had used before; who lives there may have changed.", ""}
 	RequestAnswered   = Event{403, "requestAnswered", slog.LevelInfo, "A request got its target's answer.", ""}
 	RequestRefused    = Event{404, "requestRefused", slog.LevelInfo, "A request was refused or failed; the line says at what and by which figures.", ""}
 	AttemptFailed     = Event{405, "attemptFailed", slog.LevelInfo, "A request's attempt at a target failed.", ""}
@@ -86,7 +87,7 @@
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
 		LeadGained, LeadLost, LeadResigned,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
-		TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt,
+		TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderConnection,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, HomeSilent,
 		ConfigInForce, ConfigAccepted, ConfigStale,
 		PlatformDown, PlatformBack, RelayInUse,
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -65,6 +66,7 @@
 		event.OrderDropped.Log(c.Log, "term", l.lease.Term, "target", o.Owner.ID)
 		return
 	}
+	ctx = c.traceConnection(ctx, k.Service, o)
 	err := c.Grants.Grant(ctx, o.Address, platform.Grant{
 		First: o.First, Last: o.Last, Epoch: o.Epoch, Hold: o.Hold, Handover: o.Handover,
 	})
@@ -79,6 +81,16 @@
 	})
 }
 
+// traceConnection has each connection told of that no order had used before.
+func (c *Coordinator) traceConnection(ctx context.Context, service string, o *ownership.Grant) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(g httptrace.GotConnInfo) {
+		if !g.Reused {
+			event.OrderConnection.Log(c.Log, "service", service, "target", o.Owner.ID, "address", o.Address,
+				"from", g.Conn.LocalAddr().String(), "first", o.First, "last", o.Last, "epoch", o.Epoch)
+		}
+	}})
+}
+
 func (c *Coordinator) release(l *leading, k *ownership.Keeper, o *ownership.Release) {
 	sent := time.Now()
 	ctx, cancel := context.WithDeadline(l.ctx, o.Until.Add(releaseTimeout))
