Tests that fail: a newcomer at a crashed target's address takes its epoch, and its keys

What callers saw: requests for a key ran at two targets under one epoch, and two targets held the same keys for seconds. Tests against real connections: one whose port refuses for a while and one at once; the newcomer named before its keys are given away.

--- /dev/null
+++ b/gateway/coordinator/address_test.go
@@ -0,0 +1,195 @@
+package coordinator
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+)
+
+// fleet is a coordinator with its store, and the processes that it orders.
+type fleet struct {
+	t      *testing.T
+	roster *roster.Roster
+	listed map[string]*roster.Target
+}
+
+// process is a target while it lives. Orders to its address reach whatever
+// lives there.
+type process struct {
+	*standin.Target
+	listed *roster.Target
+	server *http.Server
+}
+
+// startFleet runs a coordinator that leads over some targets, and waits until
+// they hold their keys.
+func startFleet(t *testing.T, targets int) (*fleet, []*process) {
+	t.Helper()
+	store := httptest.NewServer(&standin.Store{})
+	t.Cleanup(store.Close)
+	f := &fleet{t: t, roster: &roster.Roster{}, listed: map[string]*roster.Target{}}
+	var list []*process
+	for i := range targets {
+		p := f.start("t"+strconv.Itoa(i), "127.0.0.1:0")
+		f.list(p, true)
+		list = append(list, p)
+	}
+	table := routing.New(&routing.Config{Version: 1, Services: []routing.Service{{Name: "lists", Sharded: true}}})
+	log := slog.New(slog.NewTextHandler(testLog{t}, nil))
+	c := New(Options{
+		Self:  peers.Instance{Name: "one", Life: "a", Cores: 1},
+		Store: &platform.Store{Address: strings.TrimPrefix(store.URL, "http://"), HTTP: store.Client()},
+		Grants: &platform.Grants{HTTP: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 3,
+		}}},
+		Peers: &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
+		Revisions: func() map[string]uint64 { return nil }, Leads: func(int) {}, Refresh: func() {},
+		Took: func(*peers.News) {}, Missed: func() {}, Log: log,
+		Holds: ownership.Holds{Usual: 3200 * time.Millisecond, Long: 6 * time.Second, Every: 800 * time.Millisecond},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { return c.Serve(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = group.Wait()
+	})
+	f.until("all hold keys", func() bool {
+		for _, p := range list {
+			if len(p.Epochs()) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	return f, list
+}
+
+// testLog shows the coordinator's lines with a failed test.
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(line []byte) (int, error) {
+	// A line may come as the test ends.
+	if l.t.Context().Err() == nil {
+		l.t.Log(strings.TrimSpace(string(line)))
+	}
+	return len(line), nil
+}
+
+// start begins a process at an address.
+func (f *fleet) start(id, address string) *process {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", address)
+	assert.NilError(f.t, err)
+	p := &process{Target: &standin.Target{ID: id, Sharded: true}}
+	p.server = &http.Server{Handler: p.Target, ReadHeaderTimeout: time.Second, ErrorLog: slog.NewLogLogger(slog.NewTextHandler(io.Discard, nil), slog.LevelDebug)}
+	p.listed = &roster.Target{
+		ID: id, Service: "lists", Address: listener.Addr().String(), Slots: 3, Born: time.Now().UnixMilli(),
+	}
+	var group errgroup.Group
+	group.Go(func() error { return p.server.Serve(listener) })
+	f.t.Cleanup(func() { p.end() })
+	return p
+}
+
+// end is a crash: its connections are reset, and its port refuses others.
+func (p *process) end() { _ = p.server.Close() }
+
+// list names a target, or does so no more.
+func (f *fleet) list(p *process, named bool) {
+	change := roster.Change{ID: p.ID}
+	if named {
+		change.Target = p.listed
+	}
+	f.roster.Apply(time.Now(), []roster.Change{change}, uint64(time.Now().UnixNano()))
+}
+
+func (f *fleet) until(what string, done func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatal("not within 10 s: " + what)
+		}
+	}
+}
+
+// watch fails if two of the processes hold a key at once within the time.
+func (f *fleet) watch(d time.Duration, processes ...*process) {
+	f.t.Helper()
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for key := 0; key < ownership.Keys; key += 4096 {
+			holder := ""
+			for _, p := range processes {
+				if !p.Holds(key) {
+					continue
+				}
+				if holder != "" {
+					f.t.Fatalf("key %d is held by %s and %s", key, holder, p.ID)
+				}
+				holder = p.ID
+			}
+		}
+	}
+}
+
+// Callers' requests for a key ran at two targets under one epoch. A target
+// crashes, and within a second another one, with a name of its own, comes to
+// its address. Nobody knows of it yet. A renewal for the first one whose
+// connection was refused is sent again, and the newcomer, which has seen no
+// epoch, takes it.
+func TestEpochNeverReachesASecondTarget(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "after a while": 1100 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f, targets := startFleet(t, 3)
+			first := targets[0]
+			first.end()
+			time.Sleep(pause)
+			second := f.start("newcomer", first.listed.Address)
+			f.watch(2*time.Second, second, targets[1], targets[2])
+			for _, epoch := range second.Epochs() {
+				assert.Assert(t, !first.Took(epoch), "epoch %d was taken by both", epoch)
+			}
+		})
+	}
+}
+
+// Two targets held the same keys for over two seconds. A renewal meant for a
+// crashed target has reached the one that came to its address. Then the
+// platform names the newcomer, and no longer the first one: its keys counted as
+// free and were given to others, while the newcomer still held them.
+func TestNewcomersKeysAreNotGivenToOthers(t *testing.T) {
+	f, targets := startFleet(t, 3)
+	first := targets[0]
+	first.end()
+	second := f.start("newcomer", first.listed.Address)
+	// It is slow at first, so some of the keys go to others.
+	second.listed.Warming = 3 * time.Second
+	f.watch(time.Second, second, targets[1], targets[2])
+	f.list(second, true)
+	f.list(first, false)
+	f.watch(4*time.Second, second, targets[1], targets[2])
+	f.until("the first one's keys are held again", func() bool {
+		for key := 0; key < ownership.Keys; key += 4096 {
+			if !second.Holds(key) && !targets[1].Holds(key) && !targets[2].Holds(key) {
+				return false
+			}
+		}
+		return true
+	})
+}
