A newcomer's 421 pauses the target that was meant; replies to a former life are passed over

What callers saw. (1) A target has ended, another one lives at its address and answers 421 at once, so the dead one looked free and, with its learnt speed, the best: every request went there first until its entry was removed. (2) A reply to an instance's former life found an ask of the present one, under the same number, and gave it a place at a target of another service, which would have run it.

Change: a 421 of another target, or any of a service without keys, counts as a failure of the one meant, which pauses it as a reset connection does. A reply that names another target than asked for, or one of another service, is passed over; numbers of asks start at random.

Tests: TestNewcomerAtAnAddressDoesNotDrawRequests (before: refused; now at most 10 of 100 go there), TestReplyToAFormerLifeIsPassedOver, TestNumbersOfAsksDifferBetweenLives; all failed first.

--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -81,7 +82,9 @@
 // New returns a broker.
 func New(o Options) *Broker {
 	return &Broker{
-		Options: o, pending: map[uint64]chan *peers.Reply{}, held: map[heldKey]*held{},
+		// Numbers that begin anew with each life would let replies to a former
+		// one find an ask of this one.
+		Options: o, seq: uint64(rand.Uint32()), pending: map[uint64]chan *peers.Reply{}, held: map[heldKey]*held{},
 		suspects: map[string]suspicion{}, full: map[fullKey]time.Time{},
 	}
 }
@@ -238,6 +241,9 @@
 	for silent := 0; ; {
 		select {
 		case r := <-replies:
+			if b.isForeign(&a, r) {
+				continue
+			}
 			if !r.Queued {
 				b.trust(home)
 				return b.replied(home, seq, &a, r)
@@ -264,6 +270,17 @@
 	delete(b.suspects, home)
 }
 
+// isForeign tells whether a reply answers another ask: of this instance's former
+// life, under the same number. Its target would run the request, since it is
+// called by its own name, though the request's service has no part in it.
+func (b *Broker) isForeign(a *dispatch.Ask, r *peers.Reply) bool {
+	if r.Target == "" {
+		return false
+	}
+	t := b.Roster.Load().Targets[r.Target]
+	return a.Target != "" && r.Target != a.Target || t != nil && t.Service != a.Service
+}
+
 func (b *Broker) replied(home string, seq uint64, a *dispatch.Ask, r *peers.Reply) (*Place, error) {
 	switch {
 	case r.NoTarget:
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -186,3 +186,71 @@
 	most := 2 + int64(time.Since(began)/(300*time.Millisecond))
 	assert.Assert(t, asks.Load() <= most, "%d asks, at most %d", asks.Load(), most)
 }
+
+// An instance was killed and is back under its name. A reply to its former life
+// arrives, for an ask that had the same number: it names a target of another
+// service. That target would run the request, since it is called by its own
+// name. The reply is passed over, and the right one is waited for.
+func TestReplyToAFormerLifeIsPassedOver(t *testing.T) {
+	for name, stray := range map[string]*peers.Reply{
+		"another service's target": {Target: "other", Born: 7},
+		"another target":           {Target: "second", Born: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := nodes(t, "a", "home")
+			home := all["home"].peers
+			answer := func(m *peers.Message) {
+				if m.Ask == nil {
+					return
+				}
+				r := *stray
+				r.Seq = m.Ask.Seq
+				home.Send(m.From, &peers.Message{Reply: &r})
+				home.Send(m.From, &peers.Message{Reply: &peers.Reply{Seq: m.Ask.Seq, Target: m.Ask.Target, Born: 1}})
+			}
+			all["home"].instead.Store(&answer)
+			a := ask(time.Second, time.Minute)
+			for i := 0; a.Target == "" || all["a"].broker.Home(&a) != "home"; i++ {
+				a.Target = "t" + strconv.Itoa(i)
+			}
+			all["a"].list.Replace(time.Now(), []*roster.Target{
+				{ID: a.Target, Born: 1, Service: "s", Zone: "z", Slots: 1},
+				{ID: "second", Born: 1, Service: "s", Zone: "z", Slots: 1},
+				{ID: "other", Born: 7, Service: "elsewhere", Zone: "z", Slots: 1},
+			}, 2)
+			p, err := all["a"].broker.Acquire(t.Context(), a)
+			assert.NilError(t, err)
+			assert.Equal(t, p.Target.ID, a.Target)
+		})
+	}
+}
+
+// The numbers of an instance's asks do not begin anew with it, so a reply to a
+// former life hardly ever finds an ask at all.
+func TestNumbersOfAsksDifferBetweenLives(t *testing.T) {
+	var first []uint64
+	for range 2 {
+		all := nodes(t, "a", "home")
+		seen := make(chan uint64, 1)
+		note := func(m *peers.Message) {
+			if m.Ask != nil {
+				select {
+				case seen <- m.Ask.Seq:
+				default:
+				}
+			}
+		}
+		all["home"].instead.Store(&note)
+		a := ask(time.Second, time.Minute)
+		for i := 0; a.Target == "" || all["a"].broker.Home(&a) != "home"; i++ {
+			a.Target = "t" + strconv.Itoa(i)
+		}
+		all["a"].list.Replace(time.Now(), []*roster.Target{{ID: a.Target, Born: 1, Service: "s", Zone: "z", Slots: 1}}, 2)
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, err := all["a"].broker.Acquire(ctx, a)
+		cancel()
+		assert.Assert(t, err != nil)
+		first = append(first, <-seen)
+	}
+	assert.Assert(t, first[0] != first[1])
+}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -230,11 +230,15 @@
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		r.cause = "notOwner"
 		r.forOwner = c.sharded
-		place.Release(dispatch.Abandoned)
-		if id := res.Header.Get(f.Wire.AnsweringTarget); id != "" && id != place.Target.ID {
-			r.cause = "otherTarget"
+		result := dispatch.Abandoned
+		id := res.Header.Get(f.Wire.AnsweringTarget)
+		if other := id != "" && id != place.Target.ID; other || !c.sharded {
+			// Another one lives at the address. Since it answers at once, the one
+			// meant would look free and draw all requests until its entry goes.
+			r.cause, result = "otherTarget", dispatch.Failed
 			f.Lanes.Drop(place.Target)
 		}
+		place.Release(result)
 	} else {
 		place.Release(dispatch.Shed)
 		r.forOwner = c.sharded
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -307,6 +307,46 @@
 	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
 }
 
+// A target has ended, and another one lives at its address; the platform has not
+// said so yet. It answers at once that the request is not for it, so the dead
+// one looked free and, having been fast, the best: every request went there
+// first, until the retries were used up and callers were refused.
+func TestNewcomerAtAnAddressDoesNotDrawRequests(t *testing.T) {
+	for name, id := range map[string]string{"it tells its name": "new", "it does not": ""} {
+		t.Run(name, func(t *testing.T) {
+			b := newStage(t)
+			b.route(5 * time.Second)
+			var dead atomic.Bool
+			arrived := 0
+			fast := &standin.Target{ID: "a"}
+			b.handler("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !dead.Load() {
+					fast.ServeHTTP(w, r)
+					return
+				}
+				arrived++
+				if id != "" {
+					w.Header().Set(platform.AnsweringTarget, id)
+				}
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			}))
+			slow := func(*http.Request) { time.Sleep(20 * time.Millisecond) }
+			b.handler("b", &standin.Target{ID: "b", Run: slow})
+			b.handler("c", &standin.Target{ID: "c", Run: slow})
+			for range 30 {
+				res, _ := b.call(t.Context(), http.MethodGet, "/safe/x", "")
+				assert.Equal(t, res.StatusCode, http.StatusOK)
+			}
+			dead.Store(true)
+			for range 100 {
+				res, _ := b.call(t.Context(), http.MethodGet, "/safe/x", "")
+				assert.Equal(t, res.StatusCode, http.StatusOK)
+			}
+			assert.Assert(t, arrived <= 10, "%d of 100 requests went to the dead target first", arrived)
+		})
+	}
+}
+
 // All instances of a zone have just started, and callers are there at once. The
 // configuration and the targets come a moment later: refused until then, each
 // request would come back half a second later, all together.
