A measured speed ends with the lifetime it was measured on

Change: instances tell speeds of present lifetimes only; the coordinator drops those of targets that are not named, and of a lifetime that another one follows.

Tests: TestSpeedsAreOfPresentLives, TestSpeedEndsWithTheTarget; both failed first.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -482,14 +482,16 @@
 	Latency time.Duration
 }
 
-// Speeds returns what was learnt of targets.
+// Speeds returns what was learnt of targets. A lifetime that is over says
+// nothing of the next one under its name.
 func (d *Dispatcher) Speeds() []Speed {
+	view := d.Roster.Load()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var speeds []Speed
 	for name, s := range d.services {
 		for life, st := range s.states {
-			if st.latency > 0 {
+			if t := view.Targets[life.ID]; t != nil && t.Born == life.Born && st.latency > 0 {
 				speeds = append(speeds, Speed{name, life.ID, time.Duration(st.latency * float64(time.Second))})
 			}
 		}
--- a/basilcross/dispatch/dispatch_test.go
+++ b/basilcross/dispatch/dispatch_test.go
@@ -173,3 +173,19 @@
 		assert.Assert(t, float64(inTime) > 0.85*float64(inTime+late))
 	})
 }
+
+// A target was slow and starts again under its name. Its former speed is told
+// to nobody any more.
+func TestSpeedsAreOfPresentLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := dispatcher(&roster.Target{ID: "a", Slots: 1})
+		for range 3 {
+			p := acquire(t, d, ask(0, time.Minute))
+			time.Sleep(time.Second)
+			p.Release(dispatch.Answered)
+		}
+		assert.Equal(t, len(d.Speeds()), 1)
+		d.Roster.Replace(time.Now(), []*roster.Target{{ID: "a", Slots: 1, Service: "s", Zone: "z", Born: 2}}, 2)
+		assert.Equal(t, len(d.Speeds()), 0)
+	})
+}
--- a/basilcross/ownership/address_test.go
+++ b/basilcross/ownership/address_test.go
@@ -258,3 +258,21 @@
 		})
 	}
 }
+
+// A target was slow and has ended. Another lifetime has its name, and nothing
+// says that it is slow too: it gets its share of the keys.
+func TestSpeedEndsWithTheTarget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	list := targets(2)
+	for _, target := range list {
+		target.Seen = now
+	}
+	k := keeper(now, 1, nil)
+	k.Speed("t0", time.Second)
+	k.Speed("t1", 100*time.Millisecond)
+	k.Step(now, list[1:])
+	step(k, now.Add(2*time.Second), list)
+	a := k.Assignment()
+	assert.Equal(t, len(a.Pieces), 2)
+	assert.Assert(t, a.Pieces[0].Last > ownership.Keys/2-1000 && a.Pieces[0].Last < ownership.Keys/2+1000, "%v", a.Pieces)
+}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -53,6 +53,16 @@
 	k.speeds[target] = latency
 }
 
+// forgetSpeeds drops the speeds of targets that are not named any more. They
+// would count for the next lifetime under the name, and in the mean.
+func (k *Keeper) forgetSpeeds(named map[string]*roster.Target) {
+	for id := range k.speeds {
+		if named[id] == nil {
+			delete(k.speeds, id)
+		}
+	}
+}
+
 // speed returns what a target does in the time in which the usual one does 1.
 func (k *Keeper) speed(target string) float64 {
 	mine := k.speeds[target]
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -47,6 +47,7 @@
 	k.join()
 	if !now.Before(k.balanceAt) {
 		k.balanceAt = now.Add(balanceEvery)
+		k.forgetSpeeds(named)
 		k.balance(now, targets)
 	}
 	k.assign(now, targets)
@@ -101,6 +102,7 @@
 	if k.Inherited != nil {
 		k.Inherited(p.Piece, to.Life())
 	}
+	delete(k.speeds, to.ID)
 	p.Owner, p.Born = to.ID, to.Born
 	p.phase, p.cause, p.wanted = recording, OwnerLost, ""
 	p.usable, p.releaseLost = time.Time{}, false
