fleet owner and fleet targets tell who lives at an address

Change: 'fleet owner' reads the targets too and says who the platform names at the owner's address, and whether that is the owner on record; 'fleet targets' shows each lifetime's start and whose entry only waits to be removed. Golden files with a replaced target.

--- a/ctl/command/fleet_test.go
+++ b/ctl/command/fleet_test.go
@@ -34,7 +34,9 @@
 	store.Put("instance", "gw-1", []byte(`{"name":"gw-1","zone":"graz"}`))
 	store.Put("instance", "gw-2", []byte(`{"name":"gw-2","zone":"wien"}`))
 	store.Put(platform.TargetTable, "t1", []byte(strings.Replace(fleetTarget, "STATE", "ready", 1)))
-	store.Put(platform.TargetTable, "t2", []byte(strings.Replace(fleetTarget, "STATE", "draining", 1)))
+	store.Put(platform.TargetTable, "t2", []byte(strings.NewReplacer("STATE", "draining", "0.9:80", "0.8:80").Replace(fleetTarget)))
+	// Another target has come to t1's address, and t1's entry still stands.
+	store.Put(platform.TargetTable, "t4", []byte(strings.NewReplacer("STATE", "ready", "1700", "1900").Replace(fleetTarget)))
 	store.Put(platform.TargetTable, "t3", []byte(`{"address":7}`))
 	s := httptest.NewServer(store)
 	defer s.Close()
@@ -51,6 +53,7 @@
 		"fleet-status":     {"status"},
 		"fleet-status-js":  {"status", "--output", "json"},
 		"fleet-owner":      {"owner", "4711", "--service", "menus-next"},
+		"fleet-owner-js":   {"owner", "4711", "--service", "menus-next", "--output", "json"},
 		"fleet-pieces":     {"pieces", "--service", "menus-next"},
 		"fleet-targets":    {"targets"},
 		"fleet-targets-js": {"targets", "--output", "json"},
--- a/ctl/command/fleetowner.go
+++ b/ctl/command/fleetowner.go
@@ -13,7 +13,8 @@
 const usageFleetOwner = `Show which target a key's range is assigned to, as recorded in the store.
 
 A key is a number from 0 to 65535. What is recorded comes before what is granted:
-a target may not have taken the range yet.
+a target may not have taken the range yet. Orders go to the owner's address; who
+the platform names there now is shown beside it.
 
 Example:
   basilcross fleet owner 4711 --service menus`
@@ -24,6 +25,8 @@
 	Piece    ownership.Piece `json:"piece"`
 	Term     int64           `json:"term"`
 	Revision uint64          `json:"revision"`
+	// Resident is who the platform names at the owner's address.
+	Resident *fleetTarget `json:"resident,omitempty"`
 }
 
 func fleetOwnerCommand(f *fleet) *cobra.Command {
@@ -40,6 +43,14 @@
 				return err
 			}
 			o := fleetOwner{Service: service, Key: key, Piece: *a.Find(key), Term: a.Term, Revision: revision}
+			view, err := f.targets(c.Context())
+			if err != nil {
+				return err
+			}
+			if at := view.Addresses[o.Piece.Address]; at != nil {
+				resident := newFleetTarget(at, view)
+				o.Resident = &resident
+			}
 			return f.print(c.OutOrStdout(), o, func(w io.Writer) { o.print(w) })
 		},
 	}
@@ -51,9 +62,25 @@
 func (o *fleetOwner) print(w io.Writer) {
 	fmt.Fprintf(w, "keys\t%d to %d\n", o.Piece.First, o.Piece.Last)
 	fmt.Fprintf(w, "owner\t%s\n", ownerText(&o.Piece))
+	if o.Piece.Owner != "" {
+		fmt.Fprintf(w, "its address\t%s\n", o.residentText())
+	}
 	fmt.Fprintf(w, "recorded\tin term %d, revision %d\n", o.Term, o.Revision)
 }
 
+// residentText tells who lives at the owner's address.
+func (o *fleetOwner) residentText() string {
+	r := o.Resident
+	switch {
+	case r == nil:
+		return o.Piece.Address + " has nobody who is named"
+	case r.ID != o.Piece.Owner || r.Born != o.Piece.Born:
+		return fmt.Sprintf("%s has %s of service %s, started %s: not the owner on record", o.Piece.Address, r.ID, r.Service, started(r.Born))
+	default:
+		return fmt.Sprintf("%s has it, started %s", o.Piece.Address, started(r.Born))
+	}
+}
+
 // ownerText tells who has a piece.
 func ownerText(p *ownership.Piece) string {
 	switch {
--- a/ctl/command/fleettargets.go
+++ b/ctl/command/fleettargets.go
@@ -1,10 +1,13 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sort"
+	"time"
 
+	"basilcross.example/basilcross/roster"
 	"basilcross.example/platform"
 	"github.com/spf13/cobra"
 )
@@ -16,12 +19,17 @@
   basilcross fleet targets --service menus --output json`
 
 type fleetTarget struct {
-	ID       string `json:"id"`
-	Service  string `json:"service"`
-	Zone     string `json:"zone"`
-	Address  string `json:"address"`
-	Slots    int    `json:"slots"`
-	Draining bool   `json:"draining"`
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	Slots   int    `json:"slots"`
+	// Born is the start of this lifetime, in Unix milliseconds.
+	Born     int64 `json:"born"`
+	Draining bool  `json:"draining"`
+	// ReplacedBy is a younger target at the same address: this one has ended,
+	// though its entry still stands.
+	ReplacedBy string `json:"replacedBy,omitempty"`
 }
 
 func fleetTargetsCommand(f *fleet) *cobra.Command {
@@ -29,15 +37,14 @@
 	c := &cobra.Command{
 		Use: "targets", Short: "List the targets", Long: usageFleetTargets, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			rows, err := f.rows(c.Context(), platform.TargetTable)
+			view, err := f.targets(c.Context())
 			if err != nil {
 				return err
 			}
 			list := []fleetTarget{}
-			for _, r := range rows {
-				t, err := platform.ParseTarget(r.Key, r.Value)
-				if err == nil && (service == "" || t.Service == service) {
-					list = append(list, fleetTarget{t.ID, t.Service, t.Zone, t.Address, t.Slots, t.Draining})
+			for _, t := range view.Targets {
+				if service == "" || t.Service == service {
+					list = append(list, newFleetTarget(t, view))
 				}
 			}
 			sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
@@ -48,13 +55,44 @@
 	return c
 }
 
+func newFleetTarget(t *roster.Target, view *roster.View) fleetTarget {
+	f := fleetTarget{ID: t.ID, Service: t.Service, Zone: t.Zone, Address: t.Address, Slots: t.Slots, Born: t.Born, Draining: t.Draining}
+	if at := view.Addresses[t.Address]; at.Born > t.Born {
+		f.ReplacedBy = at.ID
+	}
+	return f
+}
+
+// targets reads the targets that the platform names.
+func (f *fleet) targets(ctx context.Context) (*roster.View, error) {
+	rows, err := f.rows(ctx, platform.TargetTable)
+	if err != nil {
+		return nil, err
+	}
+	var list []*roster.Target
+	for _, r := range rows {
+		if t, err := platform.ParseTarget(r.Key, r.Value); err == nil {
+			list = append(list, t)
+		}
+	}
+	var all roster.Roster
+	all.Replace(time.Now(), list, 0)
+	return all.Load(), nil
+}
+
+// started tells a lifetime's start.
+func started(born int64) string { return time.UnixMilli(born).UTC().Format("2006-01-02T15:04:05.000Z") }
+
 func printFleetTargets(w io.Writer, list []fleetTarget) {
-	fmt.Fprintln(w, "TARGET\tSERVICE\tZONE\tADDRESS\tSLOTS\tSTATE")
+	fmt.Fprintln(w, "TARGET\tSERVICE\tZONE\tADDRESS\tSLOTS\tSTARTED\tSTATE")
 	for _, t := range list {
 		state := "ready"
 		if t.Draining {
 			state = "draining"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", t.ID, t.Service, t.Zone, t.Address, t.Slots, state)
+		if t.ReplacedBy != "" {
+			state = "ended, " + t.ReplacedBy + " is at its address"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\t%s\n", t.ID, t.Service, t.Zone, t.Address, t.Slots, started(t.Born), state)
 	}
 }
