A newcomer gets the keys at its address without waiting for the record; the search has outages

Change: keys that were not given up are granted at once, and recorded beside; given-up ones, of which the store says from when they are free, are recorded first.

The search: the store is away for up to 6 s, with the end of the term when the lease is over, and the coordinator stands still for up to 1.5 s; a failed play tells its story. Two faults of the search itself were mended on the way: entries of targets that had ended stayed listed for ever (by an address taken for a process, and by a listing that an outage delayed), which the platform does not do.

--- a/basilcross/ownership/fleet_test.go
+++ b/basilcross/ownership/fleet_test.go
@@ -42,6 +42,7 @@
 	frozen, away time.Time
 	// story is what happened, shown if the play fails.
 	story []string
+	told  map[roster.Life]bool
 }
 
 func (w *world) tell(format string, args ...any) {
@@ -329,8 +330,7 @@
 	case 7:
 		w.reuse(t)
 	case 8:
-		w.away = w.now.Add(w.within(6 * time.Second))
-		w.tell("the store is away until %.3f", w.away.Sub(began).Seconds())
+		w.outage(w.within(6 * time.Second))
 	case 9:
 		// As long as the lease that is left of it lets it go on afterwards.
 		w.frozen = w.now.Add(w.within(1500 * time.Millisecond))
@@ -338,6 +338,19 @@
 	}
 }
 
+// outage takes the store away. The coordinator goes on for as long as its lease,
+// and another one begins a term when the store is back.
+func (w *world) outage(d time.Duration) {
+	const lease = 2 * time.Second
+	w.away = w.now.Add(d)
+	w.tell("the store is away until %.3f", w.away.Sub(began).Seconds())
+	if d < lease {
+		return
+	}
+	w.later(lease, func() { w.frozen = w.away })
+	w.later(d, w.takeOver)
+}
+
 // replace ends a target and lets another one come to its address: under its own
 // name or another one, before or after anybody hears of either.
 func (w *world) replace(t *roster.Target, id string, least time.Duration) {
@@ -349,11 +362,13 @@
 		next := w.start(id, t.Address)
 		lives := w.at[t.Address]
 		w.later(w.within(2500*time.Millisecond), func() {
-			w.whenBack(func() { w.list(next) })
-			if w.at[t.Address] != lives {
-				// It has ended meanwhile.
-				w.later(unlistAfter, func() { w.whenBack(func() { w.unlist(next.Life()) }) })
-			}
+			w.whenBack(func() {
+				w.list(next)
+				if w.at[t.Address] != lives {
+					// It has ended meanwhile.
+					w.later(unlistAfter, func() { w.whenBack(func() { w.unlist(next.Life()) }) })
+				}
+			})
 		})
 	})
 }
@@ -367,7 +382,9 @@
 			return
 		}
 		other := w.start(fmt.Sprintf("o%d", w.names), t.Address)
-		w.later(w.within(time.Second), func() { w.others = append(w.others, other) })
+		w.later(w.within(time.Second), func() {
+			w.whenBack(func() { w.others = append(w.others, other) })
+		})
 	})
 }
 
@@ -395,7 +412,10 @@
 		}
 		for _, t := range w.others {
 			if t.Address == owner.Address && t.Born > life.Born && (owner.Silent || !named) {
-				w.tell("%v is gone, %s is at %s", life, t.ID, t.Address)
+				if !w.told[life] {
+					w.told[life] = true
+					w.tell("%v is gone, %s is at %s", life, t.ID, t.Address)
+				}
 				w.keeper.Gone(life)
 			}
 		}
@@ -407,6 +427,7 @@
 func (w *world) takeOver() {
 	w.term++
 	w.tell("term %d begins", w.term)
+	w.told = map[roster.Life]bool{}
 	w.keeper = keeper(w.now, w.term, w.written)
 }
 
@@ -435,7 +456,7 @@
 	for seed := range uint64(150) {
 		w := &world{
 			t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), now: began,
-			at: map[string]*fakeTarget{}, had: map[int]map[*fakeTarget]int64{},
+			at: map[string]*fakeTarget{}, had: map[int]map[*fakeTarget]int64{}, told: map[roster.Life]bool{},
 		}
 		for i := range 8 {
 			id := fmt.Sprintf("t%d", i)
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -184,10 +184,7 @@
 			p.phase = waiting
 			continue
 		}
-		p.phase = held
-		k.renumber(p)
-		p.renewAt = now
-		p.tries = 0
+		k.keep(now, p)
 	}
 }
 
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -65,7 +65,7 @@
 		return
 	}
 	if living != nil && living.Born > p.Born {
-		k.inherit(p, living)
+		k.inherit(now, p, living)
 		return
 	}
 	h := k.holder(p.Life())
@@ -94,8 +94,9 @@
 // reached the younger one, which has seen no epoch and takes them all. Only one
 // process lives at an address, so what it may hold stays in its hands, and all
 // bounds with it; its first answer under a new epoch shuts the former ones out.
-func (k *Keeper) inherit(p *piece, to *roster.Target) {
-	if k.writing {
+func (k *Keeper) inherit(now time.Time, p *piece, to *roster.Target) {
+	givenUp := p.phase == waiting
+	if givenUp && k.writing {
 		// What is being written does not say so.
 		return
 	}
@@ -104,10 +105,25 @@
 	}
 	delete(k.speeds, to.ID)
 	p.Owner, p.Born = to.ID, to.Born
-	p.phase, p.cause, p.wanted = recording, OwnerLost, ""
+	p.cause, p.wanted = OwnerLost, ""
 	p.usable, p.releaseLost = time.Time{}, false
 	k.dirty = true
 	k.Moved.Lost++
+	if givenUp {
+		// The store may have it as free from some moment on: first it must not.
+		p.phase = recording
+		return
+	}
+	// The store has the address, which is what counts for a successor.
+	k.keep(now, p)
+}
+
+// keep has a piece granted to its owner under a new epoch.
+func (k *Keeper) keep(now time.Time, p *piece) {
+	p.phase = held
+	k.renumber(p)
+	p.renewAt = now
+	p.tries = 0
 }
 
 // bereave gives up a piece whose owner has ended and left its address to another
