--- a/gateway/channel/channel_test.go
+++ b/gateway/channel/channel_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -107,7 +108,9 @@
 	assert.Assert(t, errors.As(group.Wait(), &lost))
 }
 
-// Forty calls to one address share a few connections, one at a time on each.
+// Forty calls to one address come at once, and nothing is open yet, as at the
+// beginning of a coordinator's term. They share a few connections, one at a time
+// on each: a target takes a limited number from all callers.
 func TestCallsShareAFewChannels(t *testing.T) {
 	var now, most atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
@@ -122,9 +125,6 @@
 	set := newSet()
 	defer set.Close()
 	var numbers sync.Map
-	c, err := set.Take(context.Background(), address, 0)
-	assert.NilError(t, err)
-	c.Back()
 	var group errgroup.Group
 	for range 40 {
 		group.Go(func() error {
@@ -151,6 +151,47 @@
 	assert.Assert(t, most.Load() <= int64(used))
 }
 
+// The other end says that it closes the connection. Whoever takes the channel
+// next is told before a call, not by a call whose outcome is unknown.
+func TestAnswerThatEndsTheConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+	}))
+	defer server.Close()
+	set := newSet()
+	defer set.Close()
+	for range 50 {
+		c, err := set.Take(context.Background(), strings.TrimPrefix(server.URL, "http://"), 0)
+		assert.NilError(t, err)
+		call(t, c)
+		c.Back()
+		var lost *channel.LostError
+		_, err = set.Take(context.Background(), c.Address, c.Number)
+		assert.Assert(t, errors.As(err, &lost), "%v", err)
+	}
+}
+
+// The set is closed while a connection is opened: nothing of it stays open.
+func TestCloseWhileOpening(t *testing.T) {
+	address, _ := serve(t, "one", "127.0.0.1:0")
+	dialing, goOn := make(chan struct{}), make(chan struct{})
+	set := &channel.Set{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		close(dialing)
+		<-goOn
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}}
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := set.Take(context.Background(), address, 0)
+		return err
+	})
+	<-dialing
+	set.Close()
+	close(goOn)
+	var lost *channel.LostError
+	assert.Assert(t, errors.As(group.Wait(), &lost))
+}
+
 func TestWaitForAChannelEndsWithTheContext(t *testing.T) {
 	address, _ := serve(t, "one", "127.0.0.1:0")
 	set := newSet()
@@ -171,8 +212,17 @@
 
 func TestUnreachableAddress(t *testing.T) {
 	set := newSet()
-	_, err := set.Take(context.Background(), "127.0.0.1:1", 0)
-	var op *net.OpError
-	assert.Assert(t, errors.As(err, &op))
-	assert.Equal(t, op.Op, "dial")
+	// Also those that wait for another one's connection hear that.
+	var group errgroup.Group
+	for range 20 {
+		group.Go(func() error {
+			_, err := set.Take(context.Background(), "127.0.0.1:1", 0)
+			var op *net.OpError
+			if !errors.As(err, &op) || op.Op != "dial" {
+				return fmt.Errorf("want a failed dial: %w", err)
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
 }
