--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -54,9 +54,14 @@
 	Term    int64
 	Holds   Holds
 	Load    Load
+	// Epochs, if set, are shared with the keepers of other services, which may
+	// have the same targets' addresses one after the other.
+	Epochs *Epochs
+	// Jitter, if set, returns a duration below the given one; otherwise it is
+	// drawn by chance.
+	Jitter func(below time.Duration) time.Duration
 
 	pieces []*piece
-	epoch  int64
 	// dirty is set while pieces differ from what is recorded.
 	dirty   bool
 	writing bool
@@ -180,7 +185,9 @@
 // may be held under grants of a former coordinator for the longest hold, except
 // those that it had given up. The store's clock is now at least store.
 func (k *Keeper) Take(now time.Time, recorded *Assignment, longest, store time.Duration) {
-	k.epoch = k.Term * epochsPerTerm
+	if k.Epochs == nil {
+		k.Epochs = &Epochs{Term: k.Term}
+	}
 	k.holders = map[roster.Life]*holder{}
 	until := now.Add(bound(longest))
 	if recorded == nil {
@@ -189,7 +196,7 @@
 	}
 	for _, p := range recorded.Pieces {
 		// All grants in doubt are a former coordinator's, under lower epochs.
-		kept := &piece{Piece: p, phase: held, epoch: k.nextEpoch(), until: until, stray: until, doubt: until}
+		kept := &piece{Piece: p, phase: held, epoch: k.Epochs.Next(), until: until, stray: until, doubt: until}
 		switch {
 		case p.Owner == "":
 			k.freed(kept)
@@ -204,18 +211,8 @@
 	}
 }
 
-// epochsPerTerm is how many epochs a term has. Terms are numbered in the store
-// by a conditional write, so an epoch is never used twice, and every epoch of
-// a term is above all of the terms before, also after the loss of everything.
-const epochsPerTerm = 1 << 20
-
-func (k *Keeper) nextEpoch() int64 {
-	k.epoch++
-	return k.epoch
-}
-
 // renumber gives a piece a new epoch, which belongs to no channel yet.
-func (k *Keeper) renumber(p *piece) { p.epoch, p.channel = k.nextEpoch(), 0 }
+func (k *Keeper) renumber(p *piece) { p.epoch, p.channel = k.Epochs.Next(), 0 }
 
 // bound is the longest time that a hold may last, measured by our clock from
 // the moment at which the call was answered or reset.
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -129,7 +129,8 @@
 	if opened.IsZero() {
 		opened = now
 	}
-	return !h.heard.IsZero() && opened.Sub(h.heard) < k.Holds.Reuse && h.heard.Sub(h.since) > heardOf
+	reuse := time.Duration(float64(k.Holds.Reuse) / clockDrift)
+	return !h.heard.IsZero() && opened.Sub(h.heard) < reuse && h.heard.Sub(h.since) > heardOf
 }
 
 // hear notes an answer to an order sent at the time.
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -106,7 +106,7 @@
 	delete(k.speeds, to.ID)
 	p.Owner, p.Born = to.ID, to.Born
 	p.cause, p.wanted = OwnerLost, ""
-	p.usable, p.releaseLost = time.Time{}, false
+	p.usable = time.Time{}
 	k.dirty = true
 	k.Moved.Lost++
 	if givenUp {
@@ -175,7 +175,7 @@
 	}
 	p.calling = true
 	// Spread, so that the renewals of all pieces do not come in one burst.
-	p.renewAt = now.Add(k.Holds.Every - rand.N(k.Holds.Every/4+1))
+	p.renewAt = now.Add(k.Holds.Every - k.jitter(k.Holds.Every/4+1))
 	return &Grant{
 		First: p.First, Last: p.Last, Epoch: p.epoch, Hold: hold,
 		Owner: p.Life(), Address: p.Address, Handover: p.handover, Channel: p.channel,
@@ -183,6 +183,13 @@
 	}
 }
 
+func (k *Keeper) jitter(below time.Duration) time.Duration {
+	if k.Jitter != nil {
+		return k.Jitter(below)
+	}
+	return rand.N(below)
+}
+
 // release takes a piece back. While an earlier grant is in doubt, a new one
 // under a higher epoch comes first: once it is answered, the target refuses
 // the one in doubt, which could otherwise take effect after the release.
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -114,6 +114,8 @@
 	// goodUntil is the end of the authority, by the boot-time clock.
 	goodUntil atomic.Int64
 	keepers   map[string]*ownership.Keeper
+	// epochs are the term's, for all services.
+	epochs *ownership.Epochs
 	// recorded is what the store had when the term began; nil until read.
 	recorded map[string]*ownership.Assignment
 	// store is the store's clock when it was read, at storeAt.
@@ -372,8 +374,8 @@
 func newLeading(ctx context.Context, cancel context.CancelFunc, mine Lease, revision uint64) *leading {
 	return &leading{
 		lease: mine, revision: revision, wroteAt: time.Now(), since: time.Now(),
-		told:    map[string]toldOf{},
-		keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
+		told:   map[string]toldOf{},
+		epochs: &ownership.Epochs{Term: mine.Term}, keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
 		lanes: semaphore.NewWeighted(grantsAtOnce), suspects: semaphore.NewWeighted(suspectsAtOnce),
 		ctx: ctx, cancel: cancel,
 	}
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -181,7 +181,7 @@
 		}
 		k := l.keepers[s.Name]
 		if k == nil {
-			k = &ownership.Keeper{Service: s.Name, Term: l.lease.Term, Holds: c.Holds, Inherited: c.inherited(s.Name)}
+			k = &ownership.Keeper{Service: s.Name, Term: l.lease.Term, Epochs: l.epochs, Holds: c.Holds, Inherited: c.inherited(s.Name)}
 			k.Take(now, l.recorded[s.Name], c.Holds.Long+orderTimeout, l.storeTime(now))
 			k.StoreInDoubt(now, l.inDoubt)
 			l.keepers[s.Name] = k
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -86,6 +87,9 @@
 		event.OrderDropped.Log(c.Log, "term", l.lease.Term, "target", o.Owner.ID)
 		return sent, &unsentError{errNoAuthority}
 	}
+	if at := c.strangerAt(service, o); at != "" {
+		return sent, &unsentError{fmt.Errorf("%s of another service lives at %s", at, o.Address)}
+	}
 	if o.Channel == 0 {
 		event.OrderChannel.Log(c.Log, "service", service, "target", o.Owner.ID, "address", o.Address,
 			"channel", on.Number, "first", o.First, "last", o.Last, "epoch", o.Epoch)
@@ -100,6 +104,16 @@
 	})
 }
 
+// strangerAt returns another service's target that is named at the order's
+// address and is younger than the one meant; it would take the order for its own.
+func (c *Coordinator) strangerAt(service string, o *ownership.Grant) string {
+	at := c.Roster.Load().Addresses[o.Address]
+	if at == nil || at.Service == service || at.Born <= o.Owner.Born {
+		return ""
+	}
+	return at.ID
+}
+
 // unsentError is an order of which nothing was sent.
 type unsentError struct{ cause error }
 
@@ -116,6 +130,8 @@
 	defer cancel()
 	if !c.mayOrder(l) {
 		event.OrderDropped.Log(c.Log, "term", l.lease.Term, "target", o.Owner.ID)
+		// The authority may be renewed yet, and the piece must not wait for ever.
+		c.post(l.ctx, func() { k.Released(time.Now(), o, "", ownership.Unsent) })
 		return
 	}
 	handover, err := c.Releases.Release(ctx, o.Address, o.Owner.ID, o.First, o.Last, o.Epoch)
@@ -174,7 +190,7 @@
 		return ownership.Unsent
 	case errors.As(err, &stale):
 		return ownership.Stale
-	case errors.As(err, &refused):
+	case errors.As(err, &refused) && refused.Understood():
 		return ownership.Refused
 	case errors.As(err, &op) && op.Op == "dial":
 		return ownership.Unsent
