--- a/basilcross/ownership/address_test.go
+++ b/basilcross/ownership/address_test.go
@@ -55,7 +55,7 @@
 		if o.Address == "t0:1" && s.answer != nil {
 			out = s.answer(o)
 		}
-		if out != ownership.Unsent && out != ownership.Lost && o.Channel == 0 {
+		if out != ownership.Unsent && out != ownership.ChannelClosed && o.Channel == 0 {
 			s.channel++
 			o.Channel = s.channel
 		}
@@ -101,7 +101,7 @@
 	s.answer = func(g *ownership.Grant) ownership.Outcome {
 		if g.Channel != 0 && !lost {
 			lost = true
-			return ownership.Lost
+			return ownership.ChannelClosed
 		}
 		return ownership.Done
 	}
@@ -248,7 +248,7 @@
 				s.answer = func(g *ownership.Grant) ownership.Outcome {
 					if first {
 						first = false
-						return ownership.Lost
+						return ownership.ChannelClosed
 					}
 					return opened(g)
 				}
--- a/basilcross/ownership/fleet_test.go
+++ b/basilcross/ownership/fleet_test.go
@@ -207,7 +207,7 @@
 	to := w.channels[o.Channel-1].to
 	o.Opened = w.channels[o.Channel-1].opened
 	if w.at[to.address] != to || w.rand.IntN(200) == 0 {
-		return nil, ownership.Lost
+		return nil, ownership.ChannelClosed
 	}
 	return to, ownership.Done
 }
--- a/basilcross/ownership/keeper.go
+++ b/basilcross/ownership/keeper.go
@@ -24,9 +24,6 @@
 	// its keys are given to others. It is less than the hold, since the wait
 	// for its end begins only then.
 	silentAfter = 1200 * time.Millisecond
-	// heardOf is how long answers must go on before they are taken for those of
-	// this service: by then the platform has told of another service's target.
-	heardOf = 4 * time.Second
 	// releaseTries is how often a release without an answer is sent again
 	// before the hold's end is waited for.
 	releaseTries = 2
@@ -111,9 +108,11 @@
 	// channel is the connection on which the epoch was sent; 0 if it was not.
 	channel uint64
 	// until is the latest time at which whoever lives at the address may still
-	// hold the piece.
+	// hold the piece, and stray the same if that is another service's target. An
+	// owner that has answered for long holds until the end of its last grant;
+	// once another service has its address, only orders that nobody of this
+	// service is known to have received still count, mostly none.
 	until time.Time
-	// stray is the same for another service's target there.
 	stray time.Time
 	// doubt is the latest time at which a grant without an answer may hold, and
 	// doubtEpoch the highest epoch of such a one.
@@ -150,19 +149,6 @@
 	return [...]string{"ownerLeaving", "ownerLost", "balance"}[c]
 }
 
-// holder is what is known of a lifetime that has pieces.
-type holder struct {
-	// heard is when the last order that was answered had been sent, and since
-	// the same for the first one of an unbroken line of answers.
-	heard, since time.Time
-	// silent is when the first order of those since was given up.
-	silent time.Time
-	// forgiven counts the trials since it answered last.
-	forgiven int
-	// gone is set when the lifetime is proved to have ended.
-	gone bool
-}
-
 // storeClock tells the store's clock at a moment of ours.
 type storeClock struct {
 	at    time.Time
@@ -220,15 +206,6 @@
 	return time.Duration(float64(hold)*clockDrift) + boundMargin
 }
 
-func (k *Keeper) holder(l roster.Life) *holder {
-	h := k.holders[l]
-	if h == nil {
-		h = &holder{}
-		k.holders[l] = h
-	}
-	return h
-}
-
 // Assignment returns what is to be recorded.
 func (k *Keeper) Assignment() *Assignment {
 	a := &Assignment{Service: k.Service, Term: k.Term}
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -61,8 +61,8 @@
 	Stale
 	// Unsent: nothing was sent.
 	Unsent
-	// Lost: nothing was sent, since the epoch's channel is closed.
-	Lost
+	// ChannelClosed: nothing was sent, since the epoch's channel is closed.
+	ChannelClosed
 	// Unknown: it may have been carried out, or may still be.
 	Unknown
 )
@@ -95,7 +95,7 @@
 		k.hear(h, sent)
 		h.silent, h.forgiven = time.Time{}, 0
 		return
-	case Lost:
+	case ChannelClosed:
 		// Whoever answers on another connection must not get the same epoch.
 		k.renumber(p)
 		p.renewAt = now
@@ -120,33 +120,6 @@
 	p.renewAt = now.Add(retryAfter)
 }
 
-// sureOf tells whether an order reached no other service: somebody of this one
-// was alive at the address too short a time before its channel was opened.
-// Answers that have begun lately prove nothing yet, since another service's
-// target may give them that nobody has heard of.
-func (k *Keeper) sureOf(h *holder, now time.Time, o *Grant) bool {
-	opened := o.Opened
-	if opened.IsZero() {
-		opened = now
-	}
-	reuse := time.Duration(float64(k.Holds.Reuse) / clockDrift)
-	return !h.heard.IsZero() && opened.Sub(h.heard) < reuse && h.heard.Sub(h.since) > heardOf
-}
-
-// hear notes an answer to an order sent at the time.
-func (k *Keeper) hear(h *holder, sent time.Time) {
-	if h.heard.IsZero() || sent.Sub(h.heard) >= k.Holds.Reuse {
-		h.since = sent
-	}
-	h.heard = later(h.heard, sent)
-}
-
-func (h *holder) fail(now time.Time) {
-	if h.silent.IsZero() {
-		h.silent = now
-	}
-}
-
 // Released reports the end of a release.
 func (k *Keeper) Released(now time.Time, o *Release, handover string, out Outcome) {
 	p := k.find(o.First, o.Last, o.Owner)
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -25,17 +25,17 @@
 // the service.
 func (k *Keeper) Step(now time.Time, targets []*roster.Target) []Order {
 	named := make(map[string]*roster.Target, len(targets))
-	living := make(map[string]*roster.Target, len(targets))
+	resident := make(map[string]*roster.Target, len(targets))
 	for _, t := range targets {
 		named[t.ID] = t
-		if at := living[t.Address]; at == nil || at.Born < t.Born {
-			living[t.Address] = t
+		if at := resident[t.Address]; at == nil || at.Born < t.Born {
+			resident[t.Address] = t
 		}
 	}
 	var orders []Order
 	for _, p := range k.pieces {
 		if p.Owner != "" && !p.calling {
-			k.follow(now, p, named[p.Owner], living[p.Address])
+			k.follow(now, p, named[p.Owner], resident[p.Address])
 		}
 		if o := k.advance(now, p); o != nil {
 			orders = append(orders, o)
@@ -60,12 +60,12 @@
 
 // follow takes in what the platform and the orders' answers say of the owner,
 // and of who lives at its address.
-func (k *Keeper) follow(now time.Time, p *piece, t, living *roster.Target) {
+func (k *Keeper) follow(now time.Time, p *piece, t, resident *roster.Target) {
 	if p.phase == free || p.phase == recording {
 		return
 	}
-	if living != nil && living.Born > p.Born {
-		k.inherit(now, p, living)
+	if resident != nil && resident.Born > p.Born {
+		k.inherit(now, p, resident)
 		return
 	}
 	h := k.holder(p.Life())
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -185,7 +185,7 @@
 	case err == nil:
 		return ownership.Done
 	case errors.As(err, &lost):
-		return ownership.Lost
+		return ownership.ChannelClosed
 	case errors.As(err, &unsent):
 		return ownership.Unsent
 	case errors.As(err, &stale):
