An undivided service's target at a lost one's address holds no keys; its line is written once

Change: strays are waited for only if the newcomer's service is divided, or unknown; the line is written when it is news.

--- a/basilcross/ownership/address_test.go
+++ b/basilcross/ownership/address_test.go
@@ -73,7 +73,7 @@
 	next := &roster.Target{ID: "next", Born: 2, Address: "t0:1", Slots: 3, Seen: s.now}
 	s.list = s.list[1:]
 	if service != "" {
-		s.keeper.Gone(roster.Life{ID: "t0", Born: 1})
+		s.keeper.Gone(roster.Life{ID: "t0", Born: 1}, true)
 		return nil
 	}
 	s.list = append(s.list, next)
--- a/basilcross/ownership/fleet_test.go
+++ b/basilcross/ownership/fleet_test.go
@@ -419,7 +419,7 @@
 					w.told[life] = true
 					w.tell("%v is gone, %s is at %s", life, t.ID, t.Address)
 				}
-				w.keeper.Gone(life)
+				w.keeper.Gone(life, true)
 			}
 		}
 	}
--- a/basilcross/ownership/holder.go
+++ b/basilcross/ownership/holder.go
@@ -20,8 +20,9 @@
 	silent time.Time
 	// forgiven counts the trials since it answered last.
 	forgiven int
-	// gone is set when the lifetime is proved to have ended.
-	gone bool
+	// gone is set when the lifetime is proved to have ended, and strays if who
+	// lives at its address may hold keys that were meant for it.
+	gone, strays bool
 }
 
 func (k *Keeper) holder(l roster.Life) *holder {
--- a/basilcross/ownership/loss_test.go
+++ b/basilcross/ownership/loss_test.go
@@ -99,11 +99,15 @@
 		}, 2 * time.Second, 0},
 		{"it falls silent, and another service has its address after 2.4 s", func(o *outage) {
 			o.silent = true
-			o.later(2400*time.Millisecond, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}) })
+			o.later(2400*time.Millisecond, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}, true) })
 		}, 3 * time.Second, 9 * time.Second},
+		{"it falls silent, and an undivided service has its address after 2.4 s", func(o *outage) {
+			o.silent = true
+			o.later(2400*time.Millisecond, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}, false) })
+		}, 3 * time.Second, 0},
 		{"the same, and its answers have only begun", func(o *outage) {
 			o.silent = true
-			o.later(2400*time.Millisecond, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}) })
+			o.later(2400*time.Millisecond, func() { o.keeper.Gone(roster.Life{ID: o.lost, Born: 1}, true) })
 		}, 7 * time.Second, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/basilcross/ownership/order.go
+++ b/basilcross/ownership/order.go
@@ -181,9 +181,16 @@
 }
 
 // Gone reports that a lifetime is proved to have ended, and that another
-// service's target has its address now. That one was never meant, but may have
-// taken what was sent since nobody of this service was known to live there.
-func (k *Keeper) Gone(l roster.Life) { k.holder(l).gone = true }
+// service's target has its address now. That one was never meant; if its service
+// is divided, strays may be in its hands: what was sent since nobody of this
+// service was known to live there. One of an undivided service holds no keys.
+// Gone tells whether this is news.
+func (k *Keeper) Gone(l roster.Life, divided bool) bool {
+	h := k.holder(l)
+	news := !h.gone
+	h.gone, h.strays = true, divided
+	return news
+}
 
 func (k *Keeper) find(first, last int, owner roster.Life) *piece {
 	for _, p := range k.pieces {
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -70,7 +70,7 @@
 	}
 	h := k.holder(p.Life())
 	if h.gone {
-		k.bereave(now, p)
+		k.bereave(now, p, h.strays)
 	}
 	if p.phase != held {
 		return
@@ -127,10 +127,13 @@
 }
 
 // bereave gives up a piece whose owner has ended and left its address to another
-// service's target. That one may have taken only what was sent while nobody of
-// this service was known to live there.
-func (k *Keeper) bereave(now time.Time, p *piece) {
-	p.until, p.doubt = earlier(p.until, p.stray), earlier(p.doubt, p.stray)
+// service's target, for which only strays have to be waited.
+func (k *Keeper) bereave(now time.Time, p *piece, strays bool) {
+	left := p.stray
+	if !strays {
+		left = time.Time{}
+	}
+	p.until, p.doubt = earlier(p.until, left), earlier(p.doubt, left)
 	if p.phase == waiting {
 		return
 	}
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -186,7 +186,7 @@
 			k.StoreInDoubt(now, l.inDoubt)
 			l.keepers[s.Name] = k
 		}
-		c.noteReplaced(k, view)
+		c.noteReplaced(k, table, view)
 		for _, o := range k.Step(now, view.Services[s.Name]) {
 			c.carryOut(k, o)
 		}
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -10,6 +10,7 @@
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
 	"basilcross.example/platform"
 )
@@ -153,15 +154,20 @@
 // younger one has its address, if it leaves orders unanswered or is not named
 // any more. A refused connection proves nothing: a partition that resets looks
 // the same. What the keeper's own service has at the address, it sees itself.
-func (c *Coordinator) noteReplaced(k *ownership.Keeper, view *roster.View) {
+func (c *Coordinator) noteReplaced(k *ownership.Keeper, table *routing.Table, view *roster.View) {
 	for life, owner := range k.Owners() {
 		at := view.Addresses[owner.Address]
 		if at == nil || at.Service == k.Service || at.Born <= life.Born {
 			continue
 		}
-		if owner.Silent || view.Targets[life.ID] == nil {
-			event.TargetGone.Log(c.Log, "service", k.Service, "target", life.ID, "address", owner.Address, "now", at.ID)
-			k.Gone(life)
+		if !owner.Silent && view.Targets[life.ID] != nil {
+			continue
+		}
+		service := table.Service(at.Service)
+		divided := service == nil || service.Sharded
+		if k.Gone(life, divided) {
+			event.TargetGone.Log(c.Log, "service", k.Service, "target", life.ID, "address", owner.Address,
+				"now", at.ID, "nowService", at.Service, "divided", divided)
 		}
 	}
 }
