A target's name is asked for before its first order, among divided services

Cause: the first order of a term, or after a long silence, goes to an address at which another divided service's target may live that nobody has named yet.

Change: where more than one service is divided, the coordinator asks who lives behind a connection by one health check before the first order on it. An order to a target that has not told its name is not sent and counts as unanswered. With one divided service nothing is asked, since no other target takes keys.

--- a/gateway/channel/channel.go
+++ b/gateway/channel/channel.go
@@ -14,6 +14,9 @@
 	Address string
 	// Opened is when the connection was open.
 	Opened time.Time
+	// Target is who has told its name on the connection; empty if nobody was
+	// asked. It belongs to whoever has the channel.
+	Target string
 
 	set *Set
 	// turn has room for the one that may use the channel.
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -68,7 +68,7 @@
 	t.Cleanup(store.Close)
 	config := &routing.Config{Version: 1}
 	for _, name := range services {
-		config.Services = append(config.Services, routing.Service{Name: name, Sharded: true})
+		config.Services = append(config.Services, routing.Service{Name: name, Sharded: true, HealthPath: standin.HealthPath})
 	}
 	table := routing.New(config)
 	log := slog.New(slog.NewTextHandler(testLog{t}, nil))
@@ -284,3 +284,24 @@
 		assert.Equal(t, outcome(c.err), c.want, "%v", c.err)
 	}
 }
+
+// Only another divided service's target takes keys that were not meant for it.
+// Without one nobody is asked for a name, since each answer costs a target's slot.
+func TestNamesAreAskedForOnlyAmongDividedServices(t *testing.T) {
+	one := routing.Service{Name: "lists", Sharded: true, HealthPath: "/lists"}
+	other := routing.Service{Name: "others", Sharded: true, HealthPath: "/others"}
+	undivided := routing.Service{Name: "more", HealthPath: "/more"}
+	for _, c := range []struct {
+		services []routing.Service
+		want     string
+	}{
+		{nil, ""},
+		{[]routing.Service{one}, ""},
+		{[]routing.Service{one, undivided}, ""},
+		{[]routing.Service{undivided, other, one}, "/lists"},
+	} {
+		table := routing.New(&routing.Config{Services: c.services})
+		assert.Equal(t, healthPath(table, "lists"), c.want)
+	}
+	assert.Equal(t, healthPath(nil, "lists"), "")
+}
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -17,6 +17,7 @@
 
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
@@ -56,6 +57,7 @@
 	return fake, New(Options{
 		Store: &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: server.Client()},
 		Log:   slog.New(slog.DiscardHandler),
+		Table: func() *routing.Table { return nil },
 	})
 }
 
@@ -138,7 +140,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		calls := &crowd{}
 		var group errgroup.Group
-		c := New(Options{Log: slog.New(slog.DiscardHandler), Roster: &roster.Roster{}})
+		c := New(Options{Log: slog.New(slog.DiscardHandler), Roster: &roster.Roster{}, Table: func() *routing.Table { return nil }})
 		c.Channels = &channel.Set{Dial: func(context.Context, string, string) (net.Conn, error) {
 			here, there := net.Pipe()
 			group.Go(func() error { return calls.serve(there) })
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -84,6 +84,9 @@
 		return sent, &unsentError{err}
 	}
 	defer on.Back()
+	if err := c.identify(l.ctx, service, on, o); err != nil {
+		return sent, &unsentError{err}
+	}
 	if !c.mayOrder(l) {
 		event.OrderDropped.Log(c.Log, "term", l.lease.Term, "target", o.Owner.ID)
 		return sent, &unsentError{errNoAuthority}
@@ -115,6 +118,58 @@
 	return at.ID
 }
 
+// identify makes sure that the order's target is at the other end of the channel,
+// if another divided service's target could be: that one would take the keys for
+// its own. One answer tells for as long as the connection lasts.
+func (c *Coordinator) identify(ctx context.Context, service string, on *channel.Channel, o *ownership.Grant) error {
+	path := healthPath(c.Table(), service)
+	if path == "" || on.Target == o.Owner.ID {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	health := &platform.Health{HTTP: on.Client()}
+	id, err := health.Target(ctx, o.Address, path, o.Owner.ID)
+	if err != nil {
+		return err
+	}
+	on.Target = id
+	if id != o.Owner.ID {
+		return &notTargetError{Address: o.Address, Want: o.Owner.ID, Lives: id}
+	}
+	return nil
+}
+
+// healthPath returns where a divided service's targets tell their names. It is
+// empty if no other service is divided: then none can take keys that were meant
+// for another.
+func healthPath(table *routing.Table, service string) string {
+	if table == nil {
+		return ""
+	}
+	path, others := "", false
+	for _, s := range table.Config.Services {
+		switch {
+		case s.Name == service:
+			path = s.HealthPath
+		case s.Sharded:
+			others = true
+		}
+	}
+	if !others {
+		return ""
+	}
+	return path
+}
+
+// notTargetError says that another target than the one meant, or one without a
+// name, lives at an address.
+type notTargetError struct{ Address, Want, Lives string }
+
+func (e *notTargetError) Error() string {
+	return fmt.Sprintf("%q lives at %s, not %s", e.Lives, e.Address, e.Want)
+}
+
 // unsentError is an order of which nothing was sent.
 type unsentError struct{ cause error }
 
