Schedule: what decides about slots is apart from what waits

Change, no logic: package schedule decides (queue, choose, state), is told the time by every call, and starts nothing; package dispatch lets requests wait. Names: dispatch.Ask is schedule.Request, Soon Objective, Latest Deadline, Avoid Excluded, Place Reservation, dispatch.BusyError and others schedule.BusyError.

--- a/basilcross/dispatch/compare_test.go
+++ b/basilcross/dispatch/compare_test.go
@@ -10,8 +10,8 @@
 	"testing/synctest"
 	"time"
 
-	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 	"gotest.tools/v3/assert"
 )
 
@@ -166,7 +166,7 @@
 			time.Sleep(at - time.Since(began))
 			group.Go(func() {
 				came := time.Now()
-				a := dispatch.Ask{Service: "s", Zone: "z", Priority: 2, Soon: came.Add(loadObjective), Latest: came.Add(loadLatest)}
+				a := schedule.Request{Service: "s", Zone: "z", Priority: 2, Objective: came.Add(loadObjective), Deadline: came.Add(loadLatest)}
 				p, err := d.Acquire(context.Background(), a)
 				if err != nil {
 					return
@@ -174,7 +174,7 @@
 				slots[p.Target.ID] <- true
 				time.Sleep(time.Duration(float64(l.work[i]) * slow[p.Target.ID]))
 				<-slots[p.Target.ID]
-				p.Release(dispatch.Answered)
+				p.Release(schedule.Answered)
 				if time.Since(came) <= loadObjective {
 					mu.Lock()
 					good++
--- a/basilcross/dispatch/dispatch_test.go
+++ b/basilcross/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 	"gotest.tools/v3/assert"
 )
 
@@ -23,12 +24,12 @@
 	return &dispatch.Dispatcher{Roster: r}
 }
 
-func ask(priority int, soon time.Duration) dispatch.Ask {
+func ask(priority int, soon time.Duration) schedule.Request {
 	now := time.Now()
-	return dispatch.Ask{Service: "s", Zone: "z", Priority: priority, Soon: now.Add(soon), Latest: now.Add(3 * soon)}
+	return schedule.Request{Service: "s", Zone: "z", Priority: priority, Objective: now.Add(soon), Deadline: now.Add(3 * soon)}
 }
 
-func acquire(t *testing.T, d *dispatch.Dispatcher, a dispatch.Ask) *dispatch.Place {
+func acquire(t *testing.T, d *dispatch.Dispatcher, a schedule.Request) *dispatch.Reservation {
 	t.Helper()
 	p, err := d.Acquire(context.Background(), a)
 	assert.NilError(t, err)
@@ -47,7 +48,7 @@
 func TestNoTarget(t *testing.T) {
 	d := dispatcher(&roster.Target{ID: "a", Slots: 2, Draining: true})
 	_, err := d.Acquire(context.Background(), ask(0, time.Second))
-	var none *dispatch.NoTargetError
+	var none *schedule.NoTargetError
 	assert.Assert(t, errors.As(err, &none))
 }
 
@@ -60,26 +61,26 @@
 		var mu sync.Mutex
 		var order []string
 		var group sync.WaitGroup
-		wait := func(name string, a dispatch.Ask) {
+		wait := func(name string, a schedule.Request) {
 			group.Go(func() {
 				p := acquire(t, d, a)
 				mu.Lock()
 				order = append(order, name)
 				mu.Unlock()
 				time.Sleep(200 * time.Millisecond)
-				p.Release(dispatch.Answered)
+				p.Release(schedule.Answered)
 			})
 			synctest.Wait()
 		}
 		late := ask(2, 100*time.Millisecond)
-		late.Latest = time.Now().Add(10 * time.Second)
+		late.Deadline = time.Now().Add(10 * time.Second)
 		wait("late", late)
 		wait("inTime", ask(2, 2*time.Second))
 		wait("urgent", ask(1, 2*time.Second))
 		time.Sleep(200 * time.Millisecond)
-		first.Release(dispatch.Answered)
+		first.Release(schedule.Answered)
 		synctest.Wait()
-		second.Release(dispatch.Answered)
+		second.Release(schedule.Answered)
 		group.Wait()
 		assert.DeepEqual(t, order, []string{"urgent", "inTime", "late"})
 	})
@@ -92,7 +93,7 @@
 	a := ask(0, 250*time.Millisecond)
 	a.OnTime = true
 	_, err := d.Acquire(context.Background(), a)
-	var busy *dispatch.BusyError
+	var busy *schedule.BusyError
 	assert.Assert(t, errors.As(err, &busy))
 	assert.Assert(t, busy.Wait > 0)
 }
@@ -103,7 +104,7 @@
 func TestRandomSheddingDoesNotCutTheLimit(t *testing.T) {
 	d := dispatcher(&roster.Target{ID: "a", Slots: 3})
 	for range 50 {
-		acquire(t, d, ask(0, time.Second)).Release(dispatch.Shed)
+		acquire(t, d, ask(0, time.Second)).Release(schedule.Shed)
 	}
 	for range 3 {
 		acquire(t, d, ask(0, time.Second))
@@ -115,10 +116,10 @@
 	for range 8 {
 		p := acquire(t, d, ask(0, time.Second))
 		if p.Target.ID == "a" {
-			p.Release(dispatch.Failed)
+			p.Release(schedule.Failed)
 			continue
 		}
-		p.Release(dispatch.Answered)
+		p.Release(schedule.Answered)
 	}
 	left := acquire(t, d, ask(0, time.Second))
 	assert.Equal(t, left.Target.ID, "b")
@@ -157,7 +158,7 @@
 				slots[p.Target.ID] <- true
 				time.Sleep(time.Duration(float64(work) * speed[p.Target.ID]))
 				<-slots[p.Target.ID]
-				p.Release(dispatch.Answered)
+				p.Release(schedule.Answered)
 				mu.Lock()
 				defer mu.Unlock()
 				if time.Since(began) <= objective {
@@ -182,7 +183,7 @@
 		for range 3 {
 			p := acquire(t, d, ask(0, time.Minute))
 			time.Sleep(time.Second)
-			p.Release(dispatch.Answered)
+			p.Release(schedule.Answered)
 		}
 		assert.Equal(t, len(d.Speeds()), 1)
 		d.Roster.Replace(time.Now(), []*roster.Target{{ID: "a", Slots: 1, Service: "s", Zone: "z", Born: 2}}, 2)
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -15,6 +15,7 @@
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/peers"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
@@ -70,14 +71,14 @@
 	next  time.Duration
 }
 
-// Place is a request's right to a target's slot. Release must be called once.
-type Place struct {
+// Reservation is a request's right to a target's slot. Release must be called once.
+type Reservation struct {
 	Target  *roster.Target
-	release func(dispatch.Result)
+	release func(schedule.Result)
 }
 
 // Release gives the place back.
-func (p *Place) Release(r dispatch.Result) { p.release(r) }
+func (p *Reservation) Release(r schedule.Result) { p.release(r) }
 
 // New returns a broker.
 func New(o Options) *Broker {
@@ -92,21 +93,21 @@
 // Acquire returns a place for a request. Of a service without keys the zone's
 // own targets come first, then those of the region, then others: bytes between
 // them are paid, so they are used only for what would be late nearer by. The
-// error is a *dispatch.BusyError, a *dispatch.NoTargetError or the context's.
-func (b *Broker) Acquire(ctx context.Context, a dispatch.Ask) (*Place, error) {
+// error is a *schedule.BusyError, a *schedule.NoTargetError or the context's.
+func (b *Broker) Acquire(ctx context.Context, a schedule.Request) (*Reservation, error) {
 	if a.Target != "" {
 		t := b.Roster.Load().Targets[a.Target]
 		if t == nil {
-			return nil, &dispatch.NoTargetError{Service: a.Service}
+			return nil, &schedule.NoTargetError{Service: a.Service}
 		}
 		a.Zone = t.Zone
 		return b.at(ctx, a)
 	}
 	zones := b.zones(a.Service)
 	if len(zones) == 0 {
-		return nil, &dispatch.NoTargetError{Service: a.Service}
+		return nil, &schedule.NoTargetError{Service: a.Service}
 	}
-	var busy *dispatch.BusyError
+	var busy *schedule.BusyError
 	for _, zone := range zones {
 		if b.isFull(a.Service, zone) && zone != b.Self.Zone {
 			continue
@@ -158,7 +159,7 @@
 }
 
 // at asks the home of the ask's target, or of its zone.
-func (b *Broker) at(ctx context.Context, a dispatch.Ask) (*Place, error) {
+func (b *Broker) at(ctx context.Context, a schedule.Request) (*Reservation, error) {
 	home := b.Home(&a)
 	if home != "" && home != b.Self.Name {
 		p, err := b.remote(ctx, home, a)
@@ -172,13 +173,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Place{Target: p.Target, release: p.Release}, nil
+	return &Reservation{Target: p.Target, release: p.Release}, nil
 }
 
 // Home names the instance that decides, by rendezvous hashing: if one goes,
 // only what it decided moves. A zone's targets of a service are decided for by
 // one with the most of a processor, since all the zone's requests ask it.
-func (b *Broker) Home(a *dispatch.Ask) string {
+func (b *Broker) Home(a *schedule.Request) string {
 	key := a.Target
 	if key == "" {
 		key = a.Service
@@ -223,7 +224,7 @@
 func (e *SilentError) Error() string { return "broker: no reply from " + e.Home }
 
 // remote asks another instance, and asks again until it replies.
-func (b *Broker) remote(ctx context.Context, home string, a dispatch.Ask) (*Place, error) {
+func (b *Broker) remote(ctx context.Context, home string, a schedule.Request) (*Reservation, error) {
 	b.mu.Lock()
 	b.seq++
 	seq := b.seq
@@ -252,13 +253,13 @@
 			timer.Reset(queuedAgain)
 		case <-timer.C:
 			if silent++; silent >= giveUpAfter {
-				b.done(home, seq, dispatch.Abandoned)
+				b.done(home, seq, schedule.Abandoned)
 				return nil, &SilentError{Home: home}
 			}
 			b.Peers.Send(home, &peers.Message{Ask: wireAsk(seq, &a)})
 			timer.Reset(askAgain)
 		case <-ctx.Done():
-			b.done(home, seq, dispatch.Abandoned)
+			b.done(home, seq, schedule.Abandoned)
 			return nil, ctx.Err()
 		}
 	}
@@ -273,7 +274,7 @@
 // isForeign tells whether a reply answers another ask: of this instance's former
 // life, under the same number. Its target would run the request, since it is
 // called by its own name, though the request's service has no part in it.
-func (b *Broker) isForeign(a *dispatch.Ask, r *peers.Reply) bool {
+func (b *Broker) isForeign(a *schedule.Request, r *peers.Reply) bool {
 	if r.Target == "" {
 		return false
 	}
@@ -281,33 +282,33 @@
 	return a.Target != "" && r.Target != a.Target || t != nil && t.Service != a.Service
 }
 
-func (b *Broker) replied(home string, seq uint64, a *dispatch.Ask, r *peers.Reply) (*Place, error) {
+func (b *Broker) replied(home string, seq uint64, a *schedule.Request, r *peers.Reply) (*Reservation, error) {
 	switch {
 	case r.NoTarget:
-		return nil, &dispatch.NoTargetError{Service: a.Service}
+		return nil, &schedule.NoTargetError{Service: a.Service}
 	case r.Target == "":
-		return nil, &dispatch.BusyError{Service: a.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.Waiting}
+		return nil, &schedule.BusyError{Service: a.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.Waiting}
 	}
 	t := b.Roster.Load().Targets[r.Target]
 	if t == nil || t.Born != r.Born || a.Target == "" && t.Draining {
-		b.done(home, seq, dispatch.Abandoned)
-		return nil, &dispatch.NoTargetError{Service: a.Service}
+		b.done(home, seq, schedule.Abandoned)
+		return nil, &schedule.NoTargetError{Service: a.Service}
 	}
-	return &Place{Target: t, release: func(out dispatch.Result) { b.done(home, seq, out) }}, nil
+	return &Reservation{Target: t, release: func(out schedule.Result) { b.done(home, seq, out) }}, nil
 }
 
-func (b *Broker) done(home string, seq uint64, out dispatch.Result) {
+func (b *Broker) done(home string, seq uint64, out schedule.Result) {
 	b.Peers.Send(home, &peers.Message{Done: &peers.Done{Seq: seq, Result: int(out)}})
 }
 
-func wireAsk(seq uint64, a *dispatch.Ask) *peers.Ask {
+func wireAsk(seq uint64, a *schedule.Request) *peers.Ask {
 	now := time.Now()
 	w := &peers.Ask{
 		Seq: seq, Service: a.Service, Target: a.Target, Zone: a.Zone, Priority: a.Priority, OnTime: a.OnTime,
-		SoonMs: a.Soon.Sub(now).Milliseconds(), LatestMs: a.Latest.Sub(now).Milliseconds(),
+		ObjectiveMs: a.Objective.Sub(now).Milliseconds(), DeadlineMs: a.Deadline.Sub(now).Milliseconds(),
 	}
-	for id := range a.Avoid {
-		w.Avoid = append(w.Avoid, id)
+	for id := range a.Excluded {
+		w.Excluded = append(w.Excluded, id)
 	}
 	return w
 }
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -12,6 +12,7 @@
 
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/peers"
 	"gotest.tools/v3/assert"
@@ -65,20 +66,20 @@
 	return all
 }
 
-func ask(soon, latest time.Duration) dispatch.Ask {
+func ask(soon, latest time.Duration) schedule.Request {
 	now := time.Now()
-	return dispatch.Ask{Service: "s", Zone: "z", Soon: now.Add(soon), Latest: now.Add(latest)}
+	return schedule.Request{Service: "s", Zone: "z", Objective: now.Add(soon), Deadline: now.Add(latest)}
 }
 
 // A target has one slot, and one more may wait there. Whichever instance asks,
 // one of them counts: the third request of three instances has no room.
 func TestSlotsAreCountedOnceForAll(t *testing.T) {
 	all := nodes(t, "a", "b", "c")
-	var places []*broker.Place
+	var places []*broker.Reservation
 	for _, n := range all {
 		p, err := n.broker.Acquire(t.Context(), ask(time.Millisecond, 50*time.Millisecond))
 		if err != nil {
-			var busy *dispatch.BusyError
+			var busy *schedule.BusyError
 			assert.Assert(t, errors.As(err, &busy), err)
 			continue
 		}
@@ -86,7 +87,7 @@
 	}
 	assert.Equal(t, len(places), 2)
 	for _, p := range places {
-		p.Release(dispatch.Answered)
+		p.Release(schedule.Answered)
 	}
 	for _, n := range all {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
@@ -94,7 +95,7 @@
 			if err != nil {
 				return poll.Continue("%v", err)
 			}
-			p.Release(dispatch.Answered)
+			p.Release(schedule.Answered)
 			return poll.Success()
 		}, poll.WithTimeout(30*time.Second))
 	}
@@ -110,7 +111,7 @@
 	for _, n := range all {
 		p, err := n.broker.Acquire(t.Context(), ask(20*time.Second, 60*time.Second))
 		assert.NilError(t, err)
-		p.Release(dispatch.Answered)
+		p.Release(schedule.Answered)
 	}
 }
 
@@ -121,7 +122,7 @@
 	for _, n := range all {
 		for range 5 {
 			if p, err := n.broker.Acquire(ctx, ask(time.Second, time.Minute)); err == nil {
-				p.Release(dispatch.Abandoned)
+				p.Release(schedule.Abandoned)
 			}
 		}
 	}
@@ -131,7 +132,7 @@
 			if err != nil {
 				return poll.Continue("%v", err)
 			}
-			p.Release(dispatch.Answered)
+			p.Release(schedule.Answered)
 			return poll.Success()
 		}, poll.WithTimeout(30*time.Second))
 	}
@@ -150,8 +151,8 @@
 	b := broker.New(broker.Options{Self: p.Self, Peers: p})
 	homes := map[string]bool{}
 	for _, id := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
-		assert.Equal(t, b.Home(&dispatch.Ask{Service: id, Zone: "z"}), "strong")
-		homes[b.Home(&dispatch.Ask{Service: "s", Zone: "z", Target: id})] = true
+		assert.Equal(t, b.Home(&schedule.Request{Service: id, Zone: "z"}), "strong")
+		homes[b.Home(&schedule.Request{Service: "s", Zone: "z", Target: id})] = true
 	}
 	assert.Assert(t, len(homes) > 2)
 }
@@ -171,7 +172,7 @@
 	all["home"].instead.Store(&queue)
 	id := ""
 	for i := 0; id == ""; i++ {
-		if a := (&dispatch.Ask{Service: "s", Zone: "z", Target: "t" + strconv.Itoa(i)}); all["a"].broker.Home(a) == "home" {
+		if a := (&schedule.Request{Service: "s", Zone: "z", Target: "t" + strconv.Itoa(i)}); all["a"].broker.Home(a) == "home" {
 			id = a.Target
 		}
 	}
--- a/gateway/broker/home.go
+++ b/gateway/broker/home.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/peers"
 )
 
@@ -19,7 +20,7 @@
 // context is guarded by the broker's lock.
 type held struct {
 	cancel context.CancelFunc
-	place  *dispatch.Place
+	place  *dispatch.Reservation
 	reply  *peers.Reply
 }
 
@@ -66,20 +67,20 @@
 		return
 	}
 	now := time.Now()
-	latest := now.Add(time.Duration(m.Ask.LatestMs) * time.Millisecond)
-	ctx, cancel := context.WithDeadline(context.Background(), latest)
+	deadline := now.Add(time.Duration(m.Ask.DeadlineMs) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	h = &held{cancel: cancel}
 	b.held[key] = h
 	b.mu.Unlock()
-	time.AfterFunc(time.Until(latest)+heldBeyond, func() { b.end(key, dispatch.Abandoned) })
-	a := dispatch.Ask{
+	time.AfterFunc(time.Until(deadline)+heldBeyond, func() { b.end(key, schedule.Abandoned) })
+	a := schedule.Request{
 		Service: m.Ask.Service, Target: m.Ask.Target, Zone: m.Ask.Zone, Priority: m.Ask.Priority, OnTime: m.Ask.OnTime,
-		Soon: now.Add(time.Duration(m.Ask.SoonMs) * time.Millisecond), Latest: latest,
+		Objective: now.Add(time.Duration(m.Ask.ObjectiveMs) * time.Millisecond), Deadline: deadline,
 	}
-	if len(m.Ask.Avoid) > 0 {
-		a.Avoid = map[string]bool{}
-		for _, id := range m.Ask.Avoid {
-			a.Avoid[id] = true
+	if len(m.Ask.Excluded) > 0 {
+		a.Excluded = map[string]bool{}
+		for _, id := range m.Ask.Excluded {
+			a.Excluded[id] = true
 		}
 	}
 	b.group.Go(func() error {
@@ -89,11 +90,11 @@
 }
 
 // decide finds a place for another instance's request and tells it.
-func (b *Broker) decide(ctx context.Context, key heldKey, h *held, a dispatch.Ask) {
+func (b *Broker) decide(ctx context.Context, key heldKey, h *held, a schedule.Request) {
 	p, err := b.Dispatcher.Acquire(ctx, a)
 	reply := &peers.Reply{Seq: key.seq}
-	var busy *dispatch.BusyError
-	var none *dispatch.NoTargetError
+	var busy *schedule.BusyError
+	var none *schedule.NoTargetError
 	switch {
 	case err == nil:
 		reply.Target, reply.Born = p.Target.ID, p.Target.Born
@@ -107,7 +108,7 @@
 		// It was withdrawn meanwhile.
 		b.mu.Unlock()
 		if p != nil {
-			p.Release(dispatch.Abandoned)
+			p.Release(schedule.Abandoned)
 		}
 		return
 	}
@@ -117,11 +118,11 @@
 }
 
 func (b *Broker) takeDone(m *peers.Message) {
-	b.end(heldKey{m.From, m.Life, m.Done.Seq}, dispatch.Result(m.Done.Result))
+	b.end(heldKey{m.From, m.Life, m.Done.Seq}, schedule.Result(m.Done.Result))
 }
 
 // end gives back the place of another instance's request.
-func (b *Broker) end(key heldKey, out dispatch.Result) {
+func (b *Broker) end(key heldKey, out schedule.Result) {
 	b.mu.Lock()
 	h := b.held[key]
 	delete(b.held, key)
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -9,9 +9,9 @@
 	"strconv"
 	"time"
 
-	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/pool"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
 )
 
@@ -35,9 +35,9 @@
 
 // attempt sends the request once.
 func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
-	ask := dispatch.Ask{Service: c.service, Avoid: c.avoid, Priority: c.route.Priority}
-	ask.Soon = c.arrived.Add(c.route.Objective)
-	ask.Latest = c.deadline
+	ask := schedule.Request{Service: c.service, Excluded: c.avoid, Priority: c.route.Priority}
+	ask.Objective = c.arrived.Add(c.route.Objective)
+	ask.Deadline = c.deadline
 	if c.sharded {
 		owner, failed := f.owner(c)
 		if failed != nil {
@@ -72,8 +72,8 @@
 }
 
 func (f *Front) noPlace(c *call, err error) *refusal {
-	var busy *dispatch.BusyError
-	var none *dispatch.NoTargetError
+	var busy *schedule.BusyError
+	var none *schedule.NoTargetError
 	switch {
 	case errors.As(err, &busy):
 		r := notRun("busy", busy.Wait)
@@ -93,7 +93,7 @@
 }
 
 // send writes the request to the target and reads the answer.
-func (f *Front) send(ctx context.Context, c *call, place *broker.Place) (*answer, *refusal) {
+func (f *Front) send(ctx context.Context, c *call, place *broker.Reservation) (*answer, *refusal) {
 	t := place.Target
 	began := time.Now()
 	lane := f.Lanes.To(t)
@@ -126,7 +126,7 @@
 }
 
 // sendFailed says what a request without an answer proves.
-func (f *Front) sendFailed(ctx context.Context, c *call, place *broker.Place, err error) *refusal {
+func (f *Front) sendFailed(ctx context.Context, c *call, place *broker.Reservation, err error) *refusal {
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
 	r := notRun("connectFailed", retryTarget)
@@ -140,11 +140,11 @@
 		if wrote {
 			r.status = http.StatusGatewayTimeout
 		}
-		place.Release(dispatch.Abandoned)
+		place.Release(schedule.Abandoned)
 	case ctx.Err() != nil:
-		place.Release(dispatch.Abandoned)
+		place.Release(schedule.Abandoned)
 	default:
-		place.Release(dispatch.Failed)
+		place.Release(schedule.Failed)
 	}
 	r.forOwner = c.sharded && !wrote
 	f.avoid(c, place.Target.ID)
@@ -160,7 +160,7 @@
 }
 
 // read takes the answer's body and tells whether it is one to pass on.
-func (f *Front) read(ctx context.Context, c *call, place *broker.Place, res *http.Response) (*answer, *refusal) {
+func (f *Front) read(ctx context.Context, c *call, place *broker.Reservation, res *http.Response) (*answer, *refusal) {
 	if res.Header.Get(f.Wire.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		return nil, f.notExecuted(c, place, res)
 	}
@@ -178,26 +178,26 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.status = http.StatusGatewayTimeout
 		}
-		place.Release(dispatch.Failed)
+		place.Release(schedule.Failed)
 		f.avoid(c, place.Target.ID)
 		f.logAttempt(c, r, err)
 		return nil, r
 	}
 	if refused := f.unusable(c, res); refused != nil {
-		place.Release(dispatch.Failed)
+		place.Release(schedule.Failed)
 		f.avoid(c, place.Target.ID)
 		f.logAttempt(c, refused, nil)
 		return nil, refused
 	}
-	place.Release(dispatch.Answered)
+	place.Release(schedule.Answered)
 	return &answer{response: res, body: body}, nil
 }
 
-func resultOf(whole bool) dispatch.Result {
+func resultOf(whole bool) schedule.Result {
 	if whole {
-		return dispatch.Answered
+		return schedule.Answered
 	}
-	return dispatch.Failed
+	return schedule.Failed
 }
 
 // unusable tells of answers that are not passed on: those without the target's
@@ -221,7 +221,7 @@
 }
 
 // notExecuted handles a target's own word that the request did not run.
-func (f *Front) notExecuted(c *call, place *broker.Place, res *http.Response) *refusal {
+func (f *Front) notExecuted(c *call, place *broker.Reservation, res *http.Response) *refusal {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
 	_ = res.Body.Close()
 	r := notRun("shed", f.latency(c.service))
@@ -230,17 +230,17 @@
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		r.cause = "notOwner"
 		r.forOwner = c.sharded
-		result := dispatch.Abandoned
+		result := schedule.Abandoned
 		id := res.Header.Get(f.Wire.AnsweringTarget)
 		if other := id != "" && id != place.Target.ID; other || !c.sharded {
 			// Another one lives at the address. Since it answers at once, the one
 			// meant would look free and draw all requests until its entry goes.
-			r.cause, result = "otherTarget", dispatch.Failed
+			r.cause, result = "otherTarget", schedule.Failed
 			f.Lanes.Drop(place.Target)
 		}
 		place.Release(result)
 	} else {
-		place.Release(dispatch.Shed)
+		place.Release(schedule.Shed)
 		r.forOwner = c.sharded
 	}
 	f.avoid(c, place.Target.ID)
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -66,15 +66,15 @@
 type Ask struct {
 	_ struct{} `cbor:",toarray"`
 
-	Seq      uint64
-	Service  string
-	Target   string
-	Zone     string
-	Avoid    []string
-	Priority int
-	OnTime   bool
-	SoonMs   int64
-	LatestMs int64
+	Seq         uint64
+	Service     string
+	Target      string
+	Zone        string
+	Excluded    []string
+	Priority    int
+	OnTime      bool
+	ObjectiveMs int64
+	DeadlineMs  int64
 }
 
 // Reply answers an ask: with a target, with Queued, or with a refusal.
