Slots: work per kind, slots that become free, the last one kept for urgent kinds, late ones wait

Cause: a service's latency and a target's speed were one mean over kinds that differ six times in work, and one request beyond the slots waited at each target, where no order can help it.

Change: work per kind and slowness per target are learnt apart, also under constant load (before, an answer only counted if a slot had been free when the request was sent, so nothing was learnt while all were busy). A request is sent beyond the slots only if one is expected to be free when it arrives. The last slot of a divided service's target is kept for more urgent kinds if they are expected meanwhile and would be late otherwise. What misses its objective while it waits goes behind all others instead of being refused.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -65,7 +65,7 @@
 	defer timer.Stop()
 	again := time.NewTicker(recheck)
 	defer again.Stop()
-	for waiting := true; waiting; {
+	for {
 		select {
 		case <-ready:
 			return d.reservation(t), nil
@@ -74,22 +74,41 @@
 			d.wake(d.schedule.Admit(time.Now(), t))
 			d.mu.Unlock()
 		case <-timer.C:
-			waiting = false
+			if err := d.expire(t); err != nil {
+				return nil, err
+			}
+			timer.Reset(time.Until(t.Until))
 		case <-ctx.Done():
-			waiting = false
+			return d.withdraw(ctx, t)
 		}
 	}
+}
+
+// expire ends the wait of a ticket, unless it goes on.
+func (d *Dispatcher) expire(t *schedule.Ticket) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if t.Target != nil {
+		return nil
+	}
+	err := d.schedule.Expire(time.Now(), t)
+	if err != nil {
+		delete(d.waiting, t)
+	}
+	return err
+}
+
+// withdraw ends the wait of a ticket whose context is over. It may have got its
+// slot at the same moment.
+func (d *Dispatcher) withdraw(ctx context.Context, t *schedule.Ticket) (*Reservation, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if t.Target != nil {
 		return d.reservation(t), nil
 	}
 	delete(d.waiting, t)
-	if err := ctx.Err(); err != nil {
-		d.schedule.Withdraw(t)
-		return nil, err
-	}
-	return nil, d.schedule.Expire(time.Now(), t)
+	d.schedule.Withdraw(t)
+	return nil, ctx.Err()
 }
 
 // wake tells requests that wait that they have a slot.
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -15,9 +15,13 @@
 	state   *state
 	seconds float64
 	targets int
-	// slots are those of all, and latency is what they need on average.
-	slots   float64
-	latency float64
+	// slots are those of all, slowness is theirs on average, and latency is what
+	// they need for the request on average.
+	slots    float64
+	slowness float64
+	latency  float64
+	// free is when the first of them is expected to have a slot.
+	free time.Duration
 }
 
 // place gives the ticket the best target with room, if there is one.
@@ -26,9 +30,8 @@
 	if best == nil {
 		return r
 	}
-	r.state.inFlight++
-	t.Target, t.state, t.began = best, r.state, now
-	t.direct = r.state.inFlight <= best.Slots
+	t.Target, t.state = best, r.state
+	t.state.begin(now, t)
 	return r
 }
 
@@ -41,23 +44,30 @@
 		if now.Before(st.pause) || t.Request.Target == "" && t.Request.Excluded[c.ID] {
 			continue
 		}
-		latency := t.service.usual(now, c, st)
+		latency := t.service.usual(now, c, st, t.Request.Kind)
 		r.targets++
 		r.slots += min(float64(c.Slots), max(1, st.limit))
 		rate += min(float64(c.Slots), max(1, st.limit)) / latency
-		if float64(st.inFlight) >= max(1, st.limit) {
+		inFlight := len(st.inFlight)
+		wait := st.nextFree(now, c.Slots)
+		if r.targets == 1 || wait < r.free {
+			r.free = wait
+		}
+		if float64(inFlight) >= max(1, st.limit) || wait > aheadOf(&t.Request) || st.keeps(now, t, c.Slots, latency) {
 			continue
 		}
-		seconds := latency * max(1, float64(st.inFlight+1)/float64(c.Slots))
+		seconds := latency + wait.Seconds()
 		// Among equals, the emptier one: some slow down when nearly full.
-		seconds += latency * fullness * float64(st.inFlight) / float64(c.Slots)
+		seconds += latency * fullness * float64(inFlight) / float64(c.Slots)
 		if r.best == nil || seconds < r.seconds || seconds == r.seconds && c.ID < r.best.ID {
 			r.best, r.state, r.seconds = c, st, seconds
 		}
 	}
-	r.latency = t.service.latency
+	work := t.service.work(t.Request.Kind)
+	r.latency, r.slowness = work, 1
 	if rate > 0 {
 		r.latency = r.slots / rate
+		r.slowness = r.latency / work
 	}
 	return r.best, r
 }
--- a/basilcross/schedule/queue.go
+++ b/basilcross/schedule/queue.go
@@ -9,6 +9,9 @@
 	// lateShare of the time left is how long a request waits that cannot make
 	// its objective any more. It goes behind all that can.
 	lateShare = 0.4
+	// answerTrips is how many messages pass from a slot's reservation to the
+	// answer: the reservation, the request and the answer itself.
+	answerTrips = 3
 )
 
 // queueKey names a target, or a zone's targets.
@@ -16,8 +19,9 @@
 
 // queue is the requests that wait for the same targets.
 type queue struct {
-	waiting []*Ticket
-	order   uint64
+	waiting  []*Ticket
+	order    uint64
+	arrivals map[uint32]*arrivals
 }
 
 func (s *service) queue(r *Request) *queue {
@@ -27,7 +31,7 @@
 	}
 	q := s.queues[key]
 	if q == nil {
-		q = &queue{}
+		q = &queue{arrivals: map[uint32]*arrivals{}}
 		s.queues[key] = q
 	}
 	return q
@@ -35,31 +39,44 @@
 
 // wait decides whether a request may wait, and until when.
 func (t *Ticket) wait(now time.Time, r room) error {
-	q, usual := t.queue, seconds(r.latency)
-	wait := q.expected(&t.Request, r)
-	until := t.Request.Objective.Add(-seconds(r.latency * safety))
-	if now.Add(wait).After(until) {
-		// It will be late, if it is answered at all.
-		until = now.Add(time.Duration(float64(t.Request.Deadline.Sub(now)-usual) * lateShare))
-		if t.Request.OnTime || now.Add(wait).After(until) {
-			return &BusyError{Service: t.service.name, Wait: wait, Queued: len(q.waiting)}
+	q, req := t.queue, &t.Request
+	wait := q.expected(t, r)
+	t.Until = req.Objective.Add(-seconds(r.latency*safety) - answerTrips*req.Transit)
+	if now.Add(wait).After(t.Until) {
+		if err := t.waitLate(now, r); err != nil {
+			return err
 		}
 	}
 	q.order++
-	t.order, t.Until = q.order, until
+	t.order = q.order
 	q.waiting = append(q.waiting, t)
 	return nil
 }
 
-// expected is the wait for a slot behind those that are not less urgent.
-func (q *queue) expected(r *Request, room room) time.Duration {
-	ahead := 1
-	for _, t := range q.waiting {
-		if t.Request.Priority <= r.Priority {
-			ahead++
+// waitLate decides the same for a request that cannot make its objective any
+// more.
+func (t *Ticket) waitLate(now time.Time, r room) error {
+	req := &t.Request
+	usual := seconds(r.latency) + answerTrips*req.Transit
+	wait := t.queue.expected(t, r)
+	t.Until = now.Add(time.Duration(float64(req.Deadline.Sub(now)-usual) * lateShare))
+	if req.OnTime || t.late || now.Add(wait).After(t.Until) {
+		return &BusyError{Service: t.service.name, Wait: wait, Queued: len(t.queue.waiting)}
+	}
+	t.late = true
+	return nil
+}
+
+// expected is the wait for a slot: for the first that is free, and for the work of
+// those that wait and are not less urgent.
+func (q *queue) expected(t *Ticket, r room) time.Duration {
+	ahead := 0.0
+	for _, o := range q.waiting {
+		if o != t && o.Request.Priority <= t.Request.Priority {
+			ahead += o.service.work(o.Request.Kind) * r.slowness
 		}
 	}
-	return seconds(float64(ahead) / max(1, room.slots) * room.latency)
+	return r.free + seconds(ahead/max(1, r.slots))
 }
 
 func (q *queue) remove(t *Ticket) {
@@ -72,25 +89,39 @@
 }
 
 // next returns the most urgent ticket. Of equally urgent ones those go first
-// that make their objective if answered at the given time, and of those the
+// that make their objective on a target of the given slowness, and of those the
 // oldest.
-func (q *queue) next(answered time.Time) *Ticket {
+func (q *queue) next(now time.Time, slowness float64) *Ticket {
 	var best *Ticket
 	for _, t := range q.waiting {
-		if best == nil || t.before(best, answered) {
+		if best == nil || t.before(best, now, slowness) {
 			best = t
 		}
 	}
 	return best
 }
 
-func (t *Ticket) before(o *Ticket, answered time.Time) bool {
+// goesBefore tells whether one that waits goes before a request that comes.
+func (q *queue) goesBefore(now time.Time, t *Ticket, slowness float64) bool {
+	t.order = q.order + 1
+	next := q.next(now, slowness)
+	return next != nil && next.before(t, now, slowness)
+}
+
+func (t *Ticket) before(o *Ticket, now time.Time, slowness float64) bool {
 	if t.Request.Priority != o.Request.Priority {
 		return t.Request.Priority < o.Request.Priority
 	}
-	onTime, other := answered.Before(t.Request.Objective), answered.Before(o.Request.Objective)
+	onTime, other := t.onTime(now, slowness), o.onTime(now, slowness)
 	if onTime != other {
 		return onTime
 	}
 	return t.order < o.order
 }
+
+// onTime tells whether the request makes its objective if a target of the given
+// slowness gets it now.
+func (t *Ticket) onTime(now time.Time, slowness float64) bool {
+	work := seconds(t.service.work(t.Request.Kind) * slowness * safety)
+	return now.Add(work + answerTrips*t.Request.Transit).Before(t.Request.Objective)
+}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -14,6 +14,8 @@
 // Request asks for a slot at a target.
 type Request struct {
 	Service string
+	// Kind numbers requests that are alike in work.
+	Kind uint32
 	// Target is the only one that will do; empty if any of the zone's will.
 	Target string
 	Zone   string
@@ -24,6 +26,8 @@
 	// Objective is when the answer should be there, Deadline when it is of no use.
 	Objective time.Time
 	Deadline  time.Time
+	// Transit is the time of a message from whoever asks to the targets, one way.
+	Transit time.Duration
 	// OnTime asks for a refusal if the answer would come after Objective.
 	OnTime bool
 }
@@ -74,9 +78,7 @@
 	name   string
 	states map[roster.Life]*state
 	queues map[queueKey]*queue
-	// latency is the usual time of an answer without waiting at the target, in
-	// seconds.
-	latency float64
+	kinds  map[uint32]*kind
 }
 
 // Ticket is a request's turn: it has a target's slot if Target is set, and waits
@@ -90,8 +92,14 @@
 	queue   *queue
 	state   *state
 	order   uint64
-	began   time.Time
-	direct  bool
+	// late is set if it waits though it cannot make its objective.
+	late bool
+	// arrives is when the target has the request, and started when a slot was
+	// free for it; that is zero before.
+	arrives time.Time
+	started time.Time
+	// work is how long the target was expected to work on it.
+	work time.Duration
 }
 
 // Enter gives a request a slot, or lets it wait for one. The error is a
@@ -99,7 +107,11 @@
 func (s *Schedule) Enter(now time.Time, r Request) (*Ticket, error) {
 	sv := s.service(r.Service)
 	t := &Ticket{Request: r, service: sv, queue: sv.queue(&r)}
-	room := s.place(now, t)
+	t.queue.arrive(now, &r)
+	_, room := s.best(now, t)
+	if !t.queue.goesBefore(now, t, room.slowness) {
+		room = s.place(now, t)
+	}
 	if t.Target != nil {
 		return t, nil
 	}
@@ -109,11 +121,16 @@
 	return t, t.wait(now, room)
 }
 
-// Expire ends a ticket's wait and says why nothing came of it.
+// Expire is called when a ticket has waited until Until. It goes on waiting, until
+// a later Until, if it is still worth while although the answer will be late; the
+// error says why nothing came of it otherwise.
 func (s *Schedule) Expire(now time.Time, t *Ticket) error {
-	s.Withdraw(t)
 	_, room := s.best(now, t)
-	return &BusyError{Service: t.service.name, Wait: t.queue.expected(&t.Request, room), Queued: len(t.queue.waiting)}
+	err := t.waitLate(now, room)
+	if err != nil {
+		s.Withdraw(t)
+	}
+	return err
 }
 
 // Withdraw ends a ticket's wait.
@@ -131,10 +148,7 @@
 	var placed []*Ticket
 	for q := like.queue; len(q.waiting) > 0; {
 		_, room := s.best(now, q.waiting[0])
-		if room.best == nil {
-			break
-		}
-		next := q.next(now.Add(seconds(room.seconds * safety)))
+		next := q.next(now, room.slowness)
 		s.place(now, next)
 		if next.Target == nil {
 			break
@@ -151,7 +165,7 @@
 	}
 	sv := s.services[name]
 	if sv == nil {
-		sv = &service{name: name, states: map[roster.Life]*state{}, queues: map[queueKey]*queue{}, latency: startLatency}
+		sv = &service{name: name, states: map[roster.Life]*state{}, queues: map[queueKey]*queue{}, kinds: map[uint32]*kind{}}
 		s.services[name] = sv
 	}
 	return sv
@@ -163,7 +177,7 @@
 	for _, sv := range s.services {
 		for life, st := range sv.states {
 			t := view.Targets[life.ID]
-			if st.inFlight == 0 && (t == nil || t.Born != life.Born) {
+			if len(st.inFlight) == 0 && (t == nil || t.Born != life.Born) {
 				delete(sv.states, life)
 			}
 		}
@@ -175,7 +189,7 @@
 	}
 }
 
-// Speed is a target's usual time of an answer.
+// Speed is a target's usual time of an answer, over all kinds of requests.
 type Speed struct {
 	Service string
 	Target  string
@@ -189,8 +203,8 @@
 	var speeds []Speed
 	for name, sv := range s.services {
 		for life, st := range sv.states {
-			if t := view.Targets[life.ID]; t != nil && t.Born == life.Born && st.latency > 0 {
-				speeds = append(speeds, Speed{name, life.ID, seconds(st.latency)})
+			if t := view.Targets[life.ID]; t != nil && t.Born == life.Born && st.answers > 0 {
+				speeds = append(speeds, Speed{name, life.ID, seconds(sv.meanWork() * st.slowness)})
 			}
 		}
 	}
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -1,20 +1,23 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 
 	"basilcross.example/basilcross/roster"
 )
 
 const (
-	// startLatency is taken for a service that nothing is known of.
-	startLatency = 0.2
-	// latencyShare is the weight of the newest answer in a latency.
-	latencyShare = 0.1
 	// overSlots is how many requests more than its slots a target is sent, so
 	// that the next one is there when one ends. Further ones wait here, where
 	// their order can still change.
 	overSlots = 1.0
+	// aheadTrips is how many messages a request is sent ahead of a free slot: the
+	// word of the slot, the answer to who asks, and the request itself.
+	aheadTrips = 3
+	// overdueShare of its usual time is what a request that has taken longer is
+	// expected to take yet.
+	overdueShare = 0.05
 	// coldFactor is how much slower a target is that warms up.
 	coldFactor = 2.0
 	// shedPause keeps requests away from a target that has just shed one though
@@ -35,9 +38,13 @@
 
 // state is what is known of a target.
 type state struct {
-	inFlight int
+	// inFlight are the requests sent to it, the oldest first.
+	inFlight []*Ticket
 	limit    float64
-	latency  float64
+	// slowness is how long the target needs for the work of an average one,
+	// known from so many answers.
+	slowness float64
+	answers  int
 	pause    time.Time
 	failures int
 	// shedding is the share of requests that were shed with slots free.
@@ -47,23 +54,93 @@
 func (s *service) state(t *roster.Target) *state {
 	st := s.states[t.Life()]
 	if st == nil {
-		st = &state{limit: float64(t.Slots) + overSlots}
+		st = &state{limit: float64(t.Slots) + overSlots, slowness: 1}
 		s.states[t.Life()] = st
 	}
 	return st
 }
 
+// begin notes that a request is sent to the target. It waits there if all slots
+// are taken.
+func (st *state) begin(now time.Time, t *Ticket) {
+	st.inFlight = append(st.inFlight, t)
+	t.work = seconds(t.service.usual(now, t.Target, st, t.Request.Kind))
+	t.arrives = now.Add(2 * t.Request.Transit)
+	if len(st.inFlight) <= t.Target.Slots {
+		t.started = t.arrives
+	}
+}
+
+// leave notes that a request has left the target, where another one that waits
+// has its slot now.
+func (st *state) leave(now time.Time, t *Ticket) {
+	st.inFlight = slices.DeleteFunc(st.inFlight, func(o *Ticket) bool { return o == t })
+	if t.started.IsZero() {
+		return
+	}
+	for _, o := range st.inFlight {
+		if o.started.IsZero() {
+			o.started = now.Add(-2 * t.Request.Transit)
+			if o.started.Before(o.arrives) {
+				o.started = o.arrives
+			}
+			return
+		}
+	}
+}
+
+// aheadOf is how long before a slot is free a request may be sent: it is there
+// when the slot is, instead of when word of that has come to the one who asks.
+func aheadOf(r *Request) time.Duration { return aheadTrips * r.Transit }
+
+// nextFree is when the target is expected to have a slot for one request more.
+func (st *state) nextFree(now time.Time, slots int) time.Duration {
+	if len(st.inFlight) < slots {
+		return 0
+	}
+	left := st.left(now)
+	return left[len(left)-slots]
+}
+
+// freeAfter is the same once another request with the given work is sent.
+func (st *state) freeAfter(now time.Time, slots int, work time.Duration) time.Duration {
+	left := append(st.left(now), st.nextFree(now, slots)+work)
+	if len(left) < slots {
+		return 0
+	}
+	slices.Sort(left)
+	return left[len(left)-slots]
+}
+
+// left are the times that the requests under way are expected to take yet, the
+// shortest first.
+func (st *state) left(now time.Time) []time.Duration {
+	left := make([]time.Duration, 0, len(st.inFlight))
+	for _, t := range st.inFlight {
+		if t.started.IsZero() {
+			// It takes the slot that is free next.
+			left = append(left, t.work)
+			continue
+		}
+		left = append(left, max(t.work-now.Sub(t.started), time.Duration(overdueShare*float64(t.work))))
+	}
+	slices.Sort(left)
+	return left
+}
+
 // ended takes in how a request ended.
 func (st *state) ended(now time.Time, t *Ticket, r Result) {
-	st.inFlight--
-	if r == Shed && st.inFlight < t.Target.Slots {
+	st.leave(now, t)
+	if r == Shed && len(st.inFlight) < t.Target.Slots {
 		st.shedding += shedShare * (1 - st.shedding)
 		return
 	}
 	st.shedding -= shedShare * st.shedding
 	switch r {
 	case Answered:
-		t.service.learn(st, now.Sub(t.began).Seconds(), t.direct)
+		if !t.started.IsZero() {
+			t.service.learn(now, t, now.Sub(t.started)-2*t.Request.Transit)
+		}
 		st.failures = 0
 		st.limit = min(st.limit+limitRise, float64(t.Target.Slots)+overSlots)
 	case Shed:
@@ -77,28 +154,3 @@
 	case Abandoned:
 	}
 }
-
-// learn takes in how long an answer took. Those that may have waited at the
-// target tell less about its speed.
-func (s *service) learn(st *state, took float64, direct bool) {
-	if !direct {
-		return
-	}
-	if st.latency == 0 {
-		st.latency = s.latency
-	}
-	st.latency += latencyShare * (took - st.latency)
-	s.latency += latencyShare / 4 * (took - s.latency)
-}
-
-// usual is the time of an answer from a target that has room, in seconds.
-func (s *service) usual(now time.Time, t *roster.Target, st *state) float64 {
-	latency := st.latency
-	if latency == 0 {
-		latency = s.latency
-	}
-	if now.Sub(t.Seen) < t.Warming {
-		latency *= coldFactor
-	}
-	return latency / (1 - min(st.shedding, maxShed))
-}
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -62,6 +62,8 @@
 	held     map[heldKey]*held
 	suspects map[string]suspicion
 	full     map[fullKey]time.Time
+	// transits are the times of a message to other instances, one way.
+	transits map[string]time.Duration
 }
 
 type fullKey struct{ service, zone string }
@@ -87,6 +89,7 @@
 		// one find an ask of this one.
 		Options: o, seq: uint64(rand.Uint32()), pending: map[uint64]chan *peers.Reply{}, held: map[heldKey]*held{},
 		suspects: map[string]suspicion{}, full: map[fullKey]time.Time{},
+		transits: map[string]time.Duration{},
 	}
 }
 
@@ -253,13 +256,13 @@
 			timer.Reset(queuedAgain)
 		case <-timer.C:
 			if silent++; silent >= giveUpAfter {
-				b.done(home, seq, schedule.Abandoned)
+				b.done(home, seq, schedule.Abandoned, 0)
 				return nil, &SilentError{Home: home}
 			}
 			b.Peers.Send(home, &peers.Message{Ask: wireAsk(seq, &a)})
 			timer.Reset(askAgain)
 		case <-ctx.Done():
-			b.done(home, seq, schedule.Abandoned)
+			b.done(home, seq, schedule.Abandoned, 0)
 			return nil, ctx.Err()
 		}
 	}
@@ -291,20 +294,21 @@
 	}
 	t := b.Roster.Load().Targets[r.Target]
 	if t == nil || t.Born != r.Born || a.Target == "" && t.Draining {
-		b.done(home, seq, schedule.Abandoned)
+		b.done(home, seq, schedule.Abandoned, 0)
 		return nil, &schedule.NoTargetError{Service: a.Service}
 	}
-	return &Reservation{Target: t, release: func(out schedule.Result) { b.done(home, seq, out) }}, nil
+	began := time.Now()
+	return &Reservation{Target: t, release: func(out schedule.Result) { b.done(home, seq, out, time.Since(began)) }}, nil
 }
 
-func (b *Broker) done(home string, seq uint64, out schedule.Result) {
-	b.Peers.Send(home, &peers.Message{Done: &peers.Done{Seq: seq, Result: int(out)}})
+func (b *Broker) done(home string, seq uint64, out schedule.Result, took time.Duration) {
+	b.Peers.Send(home, &peers.Message{Done: &peers.Done{Seq: seq, Result: int(out), TookUs: took.Microseconds()}})
 }
 
 func wireAsk(seq uint64, a *schedule.Request) *peers.Ask {
 	now := time.Now()
 	w := &peers.Ask{
-		Seq: seq, Service: a.Service, Target: a.Target, Zone: a.Zone, Priority: a.Priority, OnTime: a.OnTime,
+		Seq: seq, Service: a.Service, Kind: a.Kind, Target: a.Target, Zone: a.Zone, Priority: a.Priority, OnTime: a.OnTime,
 		ObjectiveMs: a.Objective.Sub(now).Milliseconds(), DeadlineMs: a.Deadline.Sub(now).Milliseconds(),
 	}
 	for id := range a.Excluded {
--- a/gateway/broker/home.go
+++ b/gateway/broker/home.go
@@ -22,6 +22,8 @@
 	cancel context.CancelFunc
 	place  *dispatch.Reservation
 	reply  *peers.Reply
+	// replied is when the reply was sent.
+	replied time.Time
 }
 
 // Receive takes in a datagram about places, and tells whether it was one.
@@ -71,11 +73,13 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	h = &held{cancel: cancel}
 	b.held[key] = h
+	transit := b.transits[m.From]
 	b.mu.Unlock()
 	time.AfterFunc(time.Until(deadline)+heldBeyond, func() { b.end(key, schedule.Abandoned) })
 	a := schedule.Request{
-		Service: m.Ask.Service, Target: m.Ask.Target, Zone: m.Ask.Zone, Priority: m.Ask.Priority, OnTime: m.Ask.OnTime,
+		Service: m.Ask.Service, Kind: m.Ask.Kind, Target: m.Ask.Target, Zone: m.Ask.Zone, Priority: m.Ask.Priority, OnTime: m.Ask.OnTime,
 		Objective: now.Add(time.Duration(m.Ask.ObjectiveMs) * time.Millisecond), Deadline: deadline,
+		Transit: transit,
 	}
 	if len(m.Ask.Excluded) > 0 {
 		a.Excluded = map[string]bool{}
@@ -112,13 +116,41 @@
 		}
 		return
 	}
-	h.place, h.reply = p, reply
+	h.place, h.reply, h.replied = p, reply, time.Now()
 	b.mu.Unlock()
 	b.Peers.Send(key.from, &peers.Message{Reply: reply})
 }
 
 func (b *Broker) takeDone(m *peers.Message) {
-	b.end(heldKey{m.From, m.Life, m.Done.Seq}, schedule.Result(m.Done.Result))
+	key, out := heldKey{m.From, m.Life, m.Done.Seq}, schedule.Result(m.Done.Result)
+	if out == schedule.Answered {
+		b.learnTransit(key, time.Duration(m.Done.TookUs)*time.Microsecond)
+	}
+	b.end(key, out)
+}
+
+const (
+	// transitShare is the weight of the newest message's time.
+	transitShare = 0.1
+	// mostTransit is taken for messages that were held up.
+	mostTransit = 50 * time.Millisecond
+)
+
+// learnTransit learns how long a message to another instance takes: half of what
+// a slot was away for beyond the time for which that instance had it.
+func (b *Broker) learnTransit(key heldKey, took time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h := b.held[key]
+	if h == nil || h.place == nil {
+		return
+	}
+	transit := min(max(time.Since(h.replied)-took, 0)/2, mostTransit)
+	known, ok := b.transits[key.from]
+	if !ok {
+		known = transit
+	}
+	b.transits[key.from] = known + time.Duration(transitShare*float64(transit-known))
 }
 
 // end gives back the place of another instance's request.
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -35,7 +35,7 @@
 
 // attempt sends the request once.
 func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
-	ask := schedule.Request{Service: c.service, Excluded: c.avoid, Priority: c.route.Priority}
+	ask := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.avoid, Priority: c.route.Priority}
 	ask.Objective = c.arrived.Add(c.route.Objective)
 	ask.Deadline = c.deadline
 	if c.sharded {
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -12,6 +12,7 @@
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/hop"
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -51,6 +52,9 @@
 	queued     time.Duration
 }
 
+// kind numbers the requests of the call's route: their work is alike.
+func (c *call) kind() uint32 { return uint32(xxhash.Sum64String(c.route.Name)) }
+
 const (
 	// startWait is how long after its start an instance lets requests wait for
 	// the configuration and the targets. Of 89 small instances that start at
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -68,6 +68,7 @@
 
 	Seq         uint64
 	Service     string
+	Kind        uint32
 	Target      string
 	Zone        string
 	Excluded    []string
@@ -96,6 +97,8 @@
 
 	Seq    uint64
 	Result int
+	// TookUs is how long the sender had the slot, in microseconds.
+	TookUs int64
 }
 
 // Beat is the coordinator's sign of life.
