Targets that failed are used if all have, and again once they answer; tests of the schedule

A pause also went on after the target had answered something that was under way.

Ruled out: requests that had been sent to all targets (they were sent to none).

Change: a request that has nowhere else to go uses targets that failed, and an answer ends the pause. Tests of the schedule's decisions, one failure each.

It stays because refusing with targets there that mostly answer is wrong for callers.

--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -39,11 +39,8 @@
 func (s *Schedule) best(now time.Time, t *Ticket) (*roster.Target, room) {
 	var r room
 	rate := 0.0
-	for _, c := range s.candidates(&t.Request) {
+	for _, c := range s.usable(now, t) {
 		st := t.service.state(c)
-		if now.Before(st.pause) || t.Request.Target == "" && t.Request.Excluded[c.ID] {
-			continue
-		}
 		latency := t.service.usual(now, c, st, t.Request.Kind)
 		r.targets++
 		r.slots += min(float64(c.Slots), max(1, st.limit))
@@ -72,6 +69,28 @@
 	return r.best, r
 }
 
+// usable returns the targets that the request may go to. If all are paused, the
+// ones that failed are used all the same by a request that has nowhere else to go:
+// most targets that fail at times answer more often than not.
+func (s *Schedule) usable(now time.Time, t *Ticket) []*roster.Target {
+	var open, failing []*roster.Target
+	for _, c := range s.candidates(&t.Request) {
+		if t.Request.Target == "" && t.Request.Excluded[c.ID] {
+			continue
+		}
+		switch st := t.service.state(c); {
+		case !now.Before(st.pause):
+			open = append(open, c)
+		case st.failures > 0:
+			failing = append(failing, c)
+		}
+	}
+	if len(open) == 0 && t.Request.Target == "" && !t.Request.OnTime {
+		return failing
+	}
+	return open
+}
+
 func (s *Schedule) candidates(r *Request) []*roster.Target {
 	view := s.Roster.Load()
 	if r.Target != "" {
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -141,7 +141,9 @@
 		if !t.started.IsZero() {
 			t.service.learn(now, t, now.Sub(t.started)-2*t.Request.Transit)
 		}
-		st.failures = 0
+		if st.failures > 0 {
+			st.failures, st.pause = 0, now
+		}
 		st.limit = min(st.limit+limitRise, float64(t.Target.Slots)+overSlots)
 	case Shed:
 		st.limit = max(1, st.limit*shedCut)
