--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -103,6 +103,8 @@
 	// turn is the revision of the row for which this instance waits its turn.
 	turn    uint64
 	leading *leading
+	// retired is set once the instance ends: it leads no more.
+	retired bool
 	members map[string]time.Time
 }
 
@@ -253,7 +255,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) || !c.isDue(now) {
+	if c.retired || now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) || !c.isDue(now) {
 		return
 	}
 	c.look(ctx)
@@ -313,7 +315,7 @@
 		c.Peers.Send(l.Holder, &peers.Message{Hello: &c.Self})
 	}
 	c.observe(row.Revision, l)
-	if c.leading != nil || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
+	if c.leading != nil || c.retired || !c.seen.over(boottime(), c.Self.Name, c.Self.Life) {
 		return
 	}
 	c.acquire(ctx)
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -42,7 +42,7 @@
 	if c.handsOver(now) {
 		l.resigning = true
 		c.group.Go(func() error {
-			c.giveUp(ctx, l, false)
+			c.giveUp(ctx, l)
 			return nil
 		})
 		return
@@ -334,6 +334,7 @@
 func (c *Coordinator) Resign(ctx context.Context) {
 	done := make(chan struct{})
 	c.post(ctx, func() {
+		c.retired = true
 		l := c.leading
 		if l == nil || l.recorded == nil {
 			close(done)
@@ -342,7 +343,7 @@
 		l.resigning = true
 		c.group.Go(func() error {
 			defer close(done)
-			c.giveUp(ctx, l, true)
+			c.giveUp(ctx, l)
 			return nil
 		})
 	})
@@ -355,9 +356,8 @@
 // resignPause lets orders and writes under way end; new ones are not sent.
 const resignPause = 150 * time.Millisecond
 
-// giveUp writes that the lease is over. For good: this instance does not look
-// at it again.
-func (c *Coordinator) giveUp(ctx context.Context, l *leading, forGood bool) {
+// giveUp writes that the lease is over.
+func (c *Coordinator) giveUp(ctx context.Context, l *leading) {
 	timer := time.NewTimer(resignPause)
 	defer timer.Stop()
 	select {
@@ -371,7 +371,7 @@
 			free <- l.revision
 			return
 		}
-		l.resigning = l.resigning && forGood
+		l.resigning = l.resigning && c.retired
 		close(free)
 	})
 	select {
@@ -389,9 +389,6 @@
 			if c.leading == l {
 				c.stepDown("resigned")
 				c.heard = time.Now()
-				if forGood {
-					c.heard = c.heard.Add(time.Hour)
-				}
 			}
 		})
 	case <-ctx.Done():
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -226,3 +226,30 @@
 	assert.NilError(t, err)
 	assert.Assert(t, len(text) <= 1400, "%d bytes", len(text))
 }
+
+// An instance that ends takes over from a coordinator that has just given up, since
+// all others wait their turn: its term lasts until the process is gone, and every
+// key of a lost target waits once more.
+func TestEndingInstanceDoesNotTakeOver(t *testing.T) {
+	c := New(Options{Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Life: "a"}, Log: slog.New(slog.DiscardHandler)})
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error {
+		for {
+			select {
+			case f := <-c.events:
+				f()
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	})
+	c.Resign(ctx)
+	cancel()
+	assert.NilError(t, group.Wait())
+	given := Lease{Term: 1, Holder: "other"}
+	c.observe(7, given)
+	c.step(context.Background())
+	c.looked(context.Background(), platform.Row{Revision: 7, Value: given.encode()}, nil)
+	assert.Assert(t, !c.looking && c.leading == nil)
+}
