Work on keys is told by route

Cause: an instance told the coordinator a service's mean latency for each request, though kinds of one service differ six times in work, and a shed request was told to come back after that mean.

Change: the usual time of an answer is learnt by route.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -120,7 +120,7 @@
 	}
 	a, failed := f.read(ctx, c, place, res)
 	if a != nil {
-		f.learn(c.service, time.Since(began))
+		f.learn(c.route.Name, time.Since(began))
 	}
 	return a, failed
 }
@@ -214,7 +214,7 @@
 		// this status would promise more than is known.
 		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
 	case res.StatusCode >= http.StatusInternalServerError && c.route.Idempotent && c.runs < c.route.MaxAttempts &&
-		time.Until(c.deadline) > f.latency(c.service):
+		time.Until(c.deadline) > f.latency(c.route.Name):
 		return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, arrived: true}
 	}
 	return nil
@@ -224,7 +224,7 @@
 func (f *Front) notExecuted(c *call, place *broker.Reservation, res *http.Response) *refusal {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
 	_ = res.Body.Close()
-	r := notRun("shed", f.latency(c.service))
+	r := notRun("shed", f.latency(c.route.Name))
 	r.arrived = true
 	r.targetStatus = res.StatusCode
 	if res.StatusCode == http.StatusMisdirectedRequest {
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -112,30 +112,31 @@
 }
 
 const (
-	// startLatency is taken for a service that was not used yet.
+	// startLatency is taken for a route that was not used yet.
 	startLatency = 200 * time.Millisecond
 	// latencyShare is the weight of the newest answer, as a divisor.
 	latencyShare = 16
 )
 
-// latency returns a service's usual time of an answer.
-func (f *Front) latency(service string) time.Duration {
+// latency returns the usual time of an answer to a route's requests. Those of one
+// service may differ many times in work.
+func (f *Front) latency(route string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if usual := f.usual[service]; usual > 0 {
+	if usual := f.usual[route]; usual > 0 {
 		return usual
 	}
 	return startLatency
 }
 
-func (f *Front) learn(service string, took time.Duration) {
+func (f *Front) learn(route string, took time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	usual := f.usual[service]
+	usual := f.usual[route]
 	if usual == 0 {
 		usual = startLatency
 	}
-	f.usual[service] = usual + (took-usual)/latencyShare
+	f.usual[route] = usual + (took-usual)/latencyShare
 }
 
 // safeShare is the part of the fleet's limit that is spent: members come and
@@ -147,7 +148,7 @@
 	budget := f.budget(c.service)
 	budget.Earn()
 	if c.sharded {
-		f.Loads.Add(c.service, c.key, f.latency(c.service))
+		f.Loads.Add(c.service, c.key, f.latency(c.route.Name))
 	}
 	for {
 		a, failed := f.attempt(ctx, c)
