--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -1,7 +1,7 @@
-// Package broker gives requests places at targets. For each target, and for
+// Package broker reserves targets' slots for requests. For each target, and for
 // each zone's targets of a service, one instance of that zone decides: its
-// home. Others ask it by datagram. A home that does not answer is gone round:
-// then each instance decides for itself, with what it knows.
+// scheduler. Others ask it by datagram. While a scheduler does not answer, each
+// instance decides for itself, with what it knows.
 package broker
 
 import (
@@ -22,23 +22,23 @@
 )
 
 const (
-	// askAgain is when an ask without a reply is repeated: several times the
-	// way there and back between regions.
-	askAgain = 50 * time.Millisecond
-	// queuedAgain is the same once the home has said that the request waits: it
-	// replies by itself, so this only covers the loss of that datagram.
-	queuedAgain = 300 * time.Millisecond
-	// giveUpAfter is how many asks without any reply make a home suspect.
+	// resendAfter is when a message without a reply is sent again: several times
+	// the way there and back between regions.
+	resendAfter = 50 * time.Millisecond
+	// resendQueuedAfter is the same once the scheduler has said that the request
+	// waits: it replies by itself, so this only covers the loss of that datagram.
+	resendQueuedAfter = 300 * time.Millisecond
+	// giveUpAfter is how many messages without any reply make a scheduler suspect.
 	giveUpAfter = 3
-	// firstSuspicion is how long a silent home is gone round; it doubles each
+	// firstSuspicion is how long a silent scheduler is not asked; it doubles each
 	// time up to lastSuspicion.
 	firstSuspicion = time.Second
 	lastSuspicion  = 8 * time.Second
 	// fullFor is how long a zone that had no room is not asked again.
 	fullFor = 60 * time.Millisecond
-	// heldBeyond is how long a place is kept after its request's time is over,
+	// keptBeyond is how long a slot is kept after its request's time is over,
 	// in case the word of its end is lost.
-	heldBeyond = 200 * time.Millisecond
+	keptBeyond = 200 * time.Millisecond
 )
 
 // Options are what a Broker needs; all must be set.
@@ -51,15 +51,15 @@
 	Log        *slog.Logger
 }
 
-// Broker asks homes, and is one. Create it with New.
+// Broker asks schedulers, and is one. Create it with New.
 type Broker struct {
 	Options
 
 	group    errgroup.Group
 	mu       sync.Mutex
 	seq      uint64
-	pending  map[uint64]chan *peers.Reply
-	held     map[heldKey]*held
+	pending  map[uint64]chan *peers.Reserved
+	remotes  map[remoteKey]*remote
 	suspects map[string]suspicion
 	full     map[fullKey]time.Time
 	// transits are the times of a message to other instances, one way.
@@ -79,21 +79,21 @@
 	release func(schedule.Result)
 }
 
-// Release gives the place back.
+// Release gives the slot back.
 func (p *Reservation) Release(r schedule.Result) { p.release(r) }
 
 // New returns a broker.
 func New(o Options) *Broker {
 	return &Broker{
 		// Numbers that begin anew with each life would let replies to a former
-		// one find an ask of this one.
-		Options: o, seq: uint64(rand.Uint32()), pending: map[uint64]chan *peers.Reply{}, held: map[heldKey]*held{},
+		// one find a request of this one.
+		Options: o, seq: uint64(rand.Uint32()), pending: map[uint64]chan *peers.Reserved{}, remotes: map[remoteKey]*remote{},
 		suspects: map[string]suspicion{}, full: map[fullKey]time.Time{},
 		transits: map[string]time.Duration{},
 	}
 }
 
-// Acquire returns a place for a request. Of a service without keys the zone's
+// Acquire returns a reservation for a request. Of a service without keys the zone's
 // own targets come first, then those of the region, then others: bytes between
 // them are paid, so they are used only for what would be late nearer by. The
 // error is a *schedule.BusyError, a *schedule.NoTargetError or the context's.
@@ -161,16 +161,16 @@
 	b.full[fullKey{service, zone}] = time.Now().Add(fullFor)
 }
 
-// at asks the home of the ask's target, or of its zone.
+// at asks the scheduler of the request's target, or of its zone.
 func (b *Broker) at(ctx context.Context, a schedule.Request) (*Reservation, error) {
-	home := b.Home(&a)
-	if home != "" && home != b.Self.Name {
-		p, err := b.remote(ctx, home, a)
+	scheduler := b.Scheduler(&a)
+	if scheduler != "" && scheduler != b.Self.Name {
+		p, err := b.ask(ctx, scheduler, a)
 		var silent *SilentError
 		if !errors.As(err, &silent) {
 			return p, err
 		}
-		b.suspect(home)
+		b.suspect(scheduler)
 	}
 	p, err := b.Dispatcher.Acquire(ctx, a)
 	if err != nil {
@@ -179,10 +179,10 @@
 	return &Reservation{Target: p.Target, release: p.Release}, nil
 }
 
-// Home names the instance that decides, by rendezvous hashing: if one goes,
+// Scheduler names the instance that decides, by rendezvous hashing: if one goes,
 // only what it decided moves. A zone's targets of a service are decided for by
 // one with the most of a processor, since all the zone's requests ask it.
-func (b *Broker) Home(a *schedule.Request) string {
+func (b *Broker) Scheduler(a *schedule.Request) string {
 	key := a.Target
 	if key == "" {
 		key = a.Service
@@ -207,31 +207,31 @@
 	return best
 }
 
-func (b *Broker) suspect(home string) {
+func (b *Broker) suspect(scheduler string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	s := b.suspects[home]
+	s := b.suspects[scheduler]
 	if now.Before(s.until) {
 		return
 	}
 	s.next = min(max(firstSuspicion, 2*s.next), lastSuspicion)
 	s.until = now.Add(s.next)
-	b.suspects[home] = s
-	event.HomeSilent.Log(b.Log, "home", home, "forMs", s.next.Milliseconds())
+	b.suspects[scheduler] = s
+	event.SchedulerSilent.Log(b.Log, "scheduler", scheduler, "forMs", s.next.Milliseconds())
 }
 
-// SilentError says that a home did not answer.
-type SilentError struct{ Home string }
+// SilentError says that a scheduler did not answer.
+type SilentError struct{ Scheduler string }
 
-func (e *SilentError) Error() string { return "broker: no reply from " + e.Home }
+func (e *SilentError) Error() string { return "broker: no reply from " + e.Scheduler }
 
-// remote asks another instance, and asks again until it replies.
-func (b *Broker) remote(ctx context.Context, home string, a schedule.Request) (*Reservation, error) {
+// ask asks another instance, and asks again until it replies.
+func (b *Broker) ask(ctx context.Context, scheduler string, a schedule.Request) (*Reservation, error) {
 	b.mu.Lock()
 	b.seq++
 	seq := b.seq
-	replies := make(chan *peers.Reply, 4)
+	replies := make(chan *peers.Reserved, 4)
 	b.pending[seq] = replies
 	b.mu.Unlock()
 	defer func() {
@@ -239,8 +239,8 @@
 		delete(b.pending, seq)
 		b.mu.Unlock()
 	}()
-	b.Peers.Send(home, &peers.Message{Ask: wireAsk(seq, &a)})
-	timer := time.NewTimer(askAgain)
+	b.Peers.Send(scheduler, &peers.Message{Reserve: encode(seq, &a)})
+	timer := time.NewTimer(resendAfter)
 	defer timer.Stop()
 	for silent := 0; ; {
 		select {
@@ -249,35 +249,35 @@
 				continue
 			}
 			if !r.Queued {
-				b.trust(home)
-				return b.replied(home, seq, &a, r)
+				b.trust(scheduler)
+				return b.replied(scheduler, seq, &a, r)
 			}
 			silent = 0
-			timer.Reset(queuedAgain)
+			timer.Reset(resendQueuedAfter)
 		case <-timer.C:
 			if silent++; silent >= giveUpAfter {
-				b.done(home, seq, schedule.Abandoned, 0)
-				return nil, &SilentError{Home: home}
+				b.done(scheduler, seq, schedule.Abandoned, 0)
+				return nil, &SilentError{Scheduler: scheduler}
 			}
-			b.Peers.Send(home, &peers.Message{Ask: wireAsk(seq, &a)})
-			timer.Reset(askAgain)
+			b.Peers.Send(scheduler, &peers.Message{Reserve: encode(seq, &a)})
+			timer.Reset(resendAfter)
 		case <-ctx.Done():
-			b.done(home, seq, schedule.Abandoned, 0)
+			b.done(scheduler, seq, schedule.Abandoned, 0)
 			return nil, ctx.Err()
 		}
 	}
 }
 
-func (b *Broker) trust(home string) {
+func (b *Broker) trust(scheduler string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.suspects, home)
+	delete(b.suspects, scheduler)
 }
 
-// isForeign tells whether a reply answers another ask: of this instance's former
+// isForeign tells whether a reply answers another request: of this instance's former
 // life, under the same number. Its target would run the request, since it is
 // called by its own name, though the request's service has no part in it.
-func (b *Broker) isForeign(a *schedule.Request, r *peers.Reply) bool {
+func (b *Broker) isForeign(a *schedule.Request, r *peers.Reserved) bool {
 	if r.Target == "" {
 		return false
 	}
@@ -285,7 +285,7 @@
 	return a.Target != "" && r.Target != a.Target || t != nil && t.Service != a.Service
 }
 
-func (b *Broker) replied(home string, seq uint64, a *schedule.Request, r *peers.Reply) (*Reservation, error) {
+func (b *Broker) replied(scheduler string, seq uint64, a *schedule.Request, r *peers.Reserved) (*Reservation, error) {
 	switch {
 	case r.NoTarget:
 		return nil, &schedule.NoTargetError{Service: a.Service}
@@ -294,20 +294,20 @@
 	}
 	t := b.Roster.Load().Targets[r.Target]
 	if t == nil || t.Born != r.Born || a.Target == "" && t.Draining {
-		b.done(home, seq, schedule.Abandoned, 0)
+		b.done(scheduler, seq, schedule.Abandoned, 0)
 		return nil, &schedule.NoTargetError{Service: a.Service}
 	}
 	began := time.Now()
-	return &Reservation{Target: t, release: func(out schedule.Result) { b.done(home, seq, out, time.Since(began)) }}, nil
+	return &Reservation{Target: t, release: func(out schedule.Result) { b.done(scheduler, seq, out, time.Since(began)) }}, nil
 }
 
-func (b *Broker) done(home string, seq uint64, out schedule.Result, took time.Duration) {
-	b.Peers.Send(home, &peers.Message{Done: &peers.Done{Seq: seq, Result: int(out), TookUs: took.Microseconds()}})
+func (b *Broker) done(scheduler string, seq uint64, out schedule.Result, took time.Duration) {
+	b.Peers.Send(scheduler, &peers.Message{Release: &peers.Release{Seq: seq, Result: int(out), TookUs: took.Microseconds()}})
 }
 
-func wireAsk(seq uint64, a *schedule.Request) *peers.Ask {
+func encode(seq uint64, a *schedule.Request) *peers.Reserve {
 	now := time.Now()
-	w := &peers.Ask{
+	w := &peers.Reserve{
 		Seq: seq, Service: a.Service, Kind: a.Kind, Target: a.Target, Zone: a.Zone, Priority: a.Priority, OnTime: a.OnTime,
 		ObjectiveMs: a.Objective.Sub(now).Milliseconds(), DeadlineMs: a.Deadline.Sub(now).Milliseconds(),
 	}
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -66,18 +66,18 @@
 	return all
 }
 
-func ask(soon, latest time.Duration) schedule.Request {
+func request(objective, deadline time.Duration) schedule.Request {
 	now := time.Now()
-	return schedule.Request{Service: "s", Zone: "z", Objective: now.Add(soon), Deadline: now.Add(latest)}
+	return schedule.Request{Service: "s", Zone: "z", Objective: now.Add(objective), Deadline: now.Add(deadline)}
 }
 
-// A target has one slot. Whichever instance asks, one of them counts: of three
+// A target has one slot. Whichever instance sent, one of them counts: of three
 // instances' requests only one has room.
 func TestSlotsAreCountedOnceForAll(t *testing.T) {
 	all := nodes(t, "a", "b", "c")
 	var places []*broker.Reservation
 	for _, n := range all {
-		p, err := n.broker.Acquire(t.Context(), ask(time.Millisecond, 50*time.Millisecond))
+		p, err := n.broker.Acquire(t.Context(), request(time.Millisecond, 50*time.Millisecond))
 		if err != nil {
 			var busy *schedule.BusyError
 			assert.Assert(t, errors.As(err, &busy), err)
@@ -91,7 +91,7 @@
 	}
 	for _, n := range all {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			p, err := n.broker.Acquire(t.Context(), ask(time.Second, 3*time.Second))
+			p, err := n.broker.Acquire(t.Context(), request(time.Second, 3*time.Second))
 			if err != nil {
 				return poll.Continue("%v", err)
 			}
@@ -103,32 +103,32 @@
 
 // The instance that decides is gone without a word. The others decide by
 // themselves: a request waits a little and is not refused.
-func TestSilentHomeIsGoneRound(t *testing.T) {
+func TestSilentSchedulerIsGoneRound(t *testing.T) {
 	all := nodes(t, "a", "b", "c")
 	for _, n := range all {
 		n.stop()
 	}
 	for _, n := range all {
-		p, err := n.broker.Acquire(t.Context(), ask(20*time.Second, 60*time.Second))
+		p, err := n.broker.Acquire(t.Context(), request(20*time.Second, 60*time.Second))
 		assert.NilError(t, err)
 		p.Release(schedule.Answered)
 	}
 }
 
-func TestCallerThatGoesAwayWithdrawsItsAsk(t *testing.T) {
+func TestCallerThatGoesAwayWithdrawsItsRequest(t *testing.T) {
 	all := nodes(t, "a", "b", "c")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	for _, n := range all {
 		for range 5 {
-			if p, err := n.broker.Acquire(ctx, ask(time.Second, time.Minute)); err == nil {
+			if p, err := n.broker.Acquire(ctx, request(time.Second, time.Minute)); err == nil {
 				p.Release(schedule.Abandoned)
 			}
 		}
 	}
 	for _, n := range all {
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			p, err := n.broker.Acquire(t.Context(), ask(time.Second, 3*time.Second))
+			p, err := n.broker.Acquire(t.Context(), request(time.Second, 3*time.Second))
 			if err != nil {
 				return poll.Continue("%v", err)
 			}
@@ -138,9 +138,9 @@
 	}
 }
 
-// All requests of a zone ask the home of a service. It is one of the instances
+// All requests of a zone ask the scheduler of a service. It is one of the instances
 // with the most of a processor; for single targets all take their part.
-func TestStrongInstanceIsHomeOfService(t *testing.T) {
+func TestStrongInstanceIsSchedulerOfService(t *testing.T) {
 	all := map[string]peers.Instance{}
 	for _, name := range []string{"a", "b", "c", "d"} {
 		all[name] = peers.Instance{Name: name, Zone: "z", Cores: 0.16, Datagram: "127.0.0.1:9"}
@@ -149,30 +149,30 @@
 	p := &peers.Peers{Self: all["a"], Log: slog.New(slog.DiscardHandler)}
 	p.Know(all)
 	b := broker.New(broker.Options{Self: p.Self, Peers: p})
-	homes := map[string]bool{}
+	schedulers := map[string]bool{}
 	for _, id := range []string{"t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8"} {
-		assert.Equal(t, b.Home(&schedule.Request{Service: id, Zone: "z"}), "strong")
-		homes[b.Home(&schedule.Request{Service: "s", Zone: "z", Target: id})] = true
+		assert.Equal(t, b.Scheduler(&schedule.Request{Service: id, Zone: "z"}), "strong")
+		schedulers[b.Scheduler(&schedule.Request{Service: "s", Zone: "z", Target: id})] = true
 	}
-	assert.Assert(t, len(homes) > 2)
+	assert.Assert(t, len(schedulers) > 2)
 }
 
-// A request waits at its home for most of a second, as many do when targets
+// A request waits at its scheduler for most of a second, as many do when targets
 // are busy. Asking again every 50 ms was most of what went between regions.
 func TestWaitingRequestAsksSeldom(t *testing.T) {
-	all := nodes(t, "a", "home")
-	var asks atomic.Int64
-	home := all["home"].peers
+	all := nodes(t, "a", "scheduler")
+	var sent atomic.Int64
+	scheduler := all["scheduler"].peers
 	queue := func(m *peers.Message) {
-		if m.Ask != nil {
-			asks.Add(1)
-			home.Send(m.From, &peers.Message{Reply: &peers.Reply{Seq: m.Ask.Seq, Queued: true}})
+		if m.Reserve != nil {
+			sent.Add(1)
+			scheduler.Send(m.From, &peers.Message{Reserved: &peers.Reserved{Seq: m.Reserve.Seq, Queued: true}})
 		}
 	}
-	all["home"].instead.Store(&queue)
+	all["scheduler"].instead.Store(&queue)
 	id := ""
 	for i := 0; id == ""; i++ {
-		if a := (&schedule.Request{Service: "s", Zone: "z", Target: "t" + strconv.Itoa(i)}); all["a"].broker.Home(a) == "home" {
+		if a := (&schedule.Request{Service: "s", Zone: "z", Target: "t" + strconv.Itoa(i)}); all["a"].broker.Scheduler(a) == "scheduler" {
 			id = a.Target
 		}
 	}
@@ -180,12 +180,12 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
 	defer cancel()
 	began := time.Now()
-	a := ask(time.Second, time.Minute)
+	a := request(time.Second, time.Minute)
 	a.Target = id
 	_, err := all["a"].broker.Acquire(ctx, a)
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
 	most := 2 + int64(time.Since(began)/(300*time.Millisecond))
-	assert.Assert(t, asks.Load() <= most, "%d asks, at most %d", asks.Load(), most)
+	assert.Assert(t, sent.Load() <= most, "%d sent, at most %d", sent.Load(), most)
 }
 
 // An instance was killed and is back under its name. A reply to its former life
@@ -193,25 +193,25 @@
 // service. That target would run the request, since it is called by its own
 // name. The reply is passed over, and the right one is waited for.
 func TestReplyToAFormerLifeIsPassedOver(t *testing.T) {
-	for name, stray := range map[string]*peers.Reply{
+	for name, stray := range map[string]*peers.Reserved{
 		"another service's target": {Target: "other", Born: 7},
 		"another target":           {Target: "second", Born: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			all := nodes(t, "a", "home")
-			home := all["home"].peers
+			all := nodes(t, "a", "scheduler")
+			scheduler := all["scheduler"].peers
 			answer := func(m *peers.Message) {
-				if m.Ask == nil {
+				if m.Reserve == nil {
 					return
 				}
 				r := *stray
-				r.Seq = m.Ask.Seq
-				home.Send(m.From, &peers.Message{Reply: &r})
-				home.Send(m.From, &peers.Message{Reply: &peers.Reply{Seq: m.Ask.Seq, Target: m.Ask.Target, Born: 1}})
+				r.Seq = m.Reserve.Seq
+				scheduler.Send(m.From, &peers.Message{Reserved: &r})
+				scheduler.Send(m.From, &peers.Message{Reserved: &peers.Reserved{Seq: m.Reserve.Seq, Target: m.Reserve.Target, Born: 1}})
 			}
-			all["home"].instead.Store(&answer)
-			a := ask(time.Second, time.Minute)
-			for i := 0; a.Target == "" || all["a"].broker.Home(&a) != "home"; i++ {
+			all["scheduler"].instead.Store(&answer)
+			a := request(time.Second, time.Minute)
+			for i := 0; a.Target == "" || all["a"].broker.Scheduler(&a) != "scheduler"; i++ {
 				a.Target = "t" + strconv.Itoa(i)
 			}
 			all["a"].list.Replace(time.Now(), []*roster.Target{
@@ -226,24 +226,24 @@
 	}
 }
 
-// The numbers of an instance's asks do not begin anew with it, so a reply to a
+// The numbers of an instance's sent do not begin anew with it, so a reply to a
 // former life hardly ever finds an ask at all.
-func TestNumbersOfAsksDifferBetweenLives(t *testing.T) {
+func TestNumbersOfRequestsDifferBetweenLives(t *testing.T) {
 	var first []uint64
 	for range 2 {
-		all := nodes(t, "a", "home")
+		all := nodes(t, "a", "scheduler")
 		seen := make(chan uint64, 1)
 		note := func(m *peers.Message) {
-			if m.Ask != nil {
+			if m.Reserve != nil {
 				select {
-				case seen <- m.Ask.Seq:
+				case seen <- m.Reserve.Seq:
 				default:
 				}
 			}
 		}
-		all["home"].instead.Store(&note)
-		a := ask(time.Second, time.Minute)
-		for i := 0; a.Target == "" || all["a"].broker.Home(&a) != "home"; i++ {
+		all["scheduler"].instead.Store(&note)
+		a := request(time.Second, time.Minute)
+		for i := 0; a.Target == "" || all["a"].broker.Scheduler(&a) != "scheduler"; i++ {
 			a.Target = "t" + strconv.Itoa(i)
 		}
 		all["a"].list.Replace(time.Now(), []*roster.Target{{ID: a.Target, Born: 1, Service: "s", Zone: "z", Slots: 1}}, 2)
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -134,8 +134,8 @@
 	resigning bool
 	cancel    context.CancelFunc
 	ctx       context.Context
-	// lanes and suspects bound the grants under way.
-	lanes    *semaphore.Weighted
+	// grants and suspects bound the grants under way.
+	grants   *semaphore.Weighted
 	suspects *semaphore.Weighted
 }
 
@@ -378,7 +378,7 @@
 		lease: mine, revision: revision, wroteAt: time.Now(), since: time.Now(),
 		told:   map[string]toldOf{},
 		epochs: &ownership.Epochs{Term: mine.Term}, keepers: map[string]*ownership.Keeper{}, pending: map[string]*ownership.Record{},
-		lanes: semaphore.NewWeighted(grantsAtOnce), suspects: semaphore.NewWeighted(suspectsAtOnce),
+		grants: semaphore.NewWeighted(grantsAtOnce), suspects: semaphore.NewWeighted(suspectsAtOnce),
 		ctx: ctx, cancel: cancel,
 	}
 }
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -53,14 +53,14 @@
 }
 
 func (c *Coordinator) grant(l *leading, k *ownership.Keeper, o *ownership.Grant) {
-	lanes := l.lanes
+	grants := l.grants
 	if o.Suspect {
-		lanes = l.suspects
+		grants = l.suspects
 	}
-	if lanes.Acquire(l.ctx, 1) != nil {
+	if grants.Acquire(l.ctx, 1) != nil {
 		return
 	}
-	defer lanes.Release(1)
+	defer grants.Release(1)
 	sent, err := c.sendGrant(l, k.Service, o)
 	out := outcome(err)
 	now := time.Now()
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -35,25 +35,25 @@
 
 // attempt sends the request once.
 func (f *Front) attempt(ctx context.Context, c *call) (*answer, *refusal) {
-	ask := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.avoid, Priority: c.route.Priority}
-	ask.Objective = c.arrived.Add(c.route.Objective)
-	ask.Deadline = c.deadline
+	request := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.excluded, Priority: c.route.Priority}
+	request.Objective = c.arrived.Add(c.route.Objective)
+	request.Deadline = c.deadline
 	if c.sharded {
 		owner, failed := f.owner(c)
 		if failed != nil {
 			return nil, failed
 		}
-		ask.Target = owner
+		request.Target = owner
 	}
 	began := time.Now()
-	place, err := f.Broker.Acquire(ctx, ask)
+	reservation, err := f.Broker.Acquire(ctx, request)
 	c.queued += time.Since(began)
 	if err != nil {
-		return nil, f.noPlace(c, err)
+		return nil, f.notReserved(c, err)
 	}
 	c.sends++
-	c.target = place.Target.ID
-	return f.send(ctx, c, place)
+	c.target = reservation.Target.ID
+	return f.send(ctx, c, reservation)
 }
 
 // owner returns the target that has the request's key.
@@ -71,7 +71,7 @@
 	return p.Owner, nil
 }
 
-func (f *Front) noPlace(c *call, err error) *refusal {
+func (f *Front) notReserved(c *call, err error) *refusal {
 	var busy *schedule.BusyError
 	var none *schedule.NoTargetError
 	switch {
@@ -93,10 +93,10 @@
 }
 
 // send writes the request to the target and reads the answer.
-func (f *Front) send(ctx context.Context, c *call, place *broker.Reservation) (*answer, *refusal) {
-	t := place.Target
+func (f *Front) send(ctx context.Context, c *call, reservation *broker.Reservation) (*answer, *refusal) {
+	t := reservation.Target
 	began := time.Now()
-	lane := f.Lanes.To(t)
+	connections := f.Pools.To(t)
 	req := &pool.Request{
 		Method: c.method, Target: c.uri, Host: c.host, Header: c.header,
 		Proved: !c.route.Idempotent,
@@ -114,11 +114,11 @@
 	} else if c.method == http.MethodPost || c.method == http.MethodPut {
 		req.Body = bytes.NewReader(nil)
 	}
-	res, err := lane.Do(ctx, req)
+	res, err := connections.Do(ctx, req)
 	if err != nil {
-		return nil, f.sendFailed(ctx, c, place, err)
+		return nil, f.sendFailed(ctx, c, reservation, err)
 	}
-	a, failed := f.read(ctx, c, place, res)
+	a, failed := f.read(ctx, c, reservation, res)
 	if a != nil {
 		f.learn(c.route.Name, time.Since(began))
 	}
@@ -126,7 +126,7 @@
 }
 
 // sendFailed says what a request without an answer proves.
-func (f *Front) sendFailed(ctx context.Context, c *call, place *broker.Reservation, err error) *refusal {
+func (f *Front) sendFailed(ctx context.Context, c *call, reservation *broker.Reservation, err error) *refusal {
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
 	r := notRun("connectFailed", retryTarget)
@@ -140,35 +140,35 @@
 		if wrote {
 			r.status = http.StatusGatewayTimeout
 		}
-		place.Release(schedule.Abandoned)
+		reservation.Release(schedule.Abandoned)
 	case ctx.Err() != nil:
-		place.Release(schedule.Abandoned)
+		reservation.Release(schedule.Abandoned)
 	default:
-		place.Release(schedule.Failed)
+		reservation.Release(schedule.Failed)
 	}
 	r.forOwner = c.sharded && !wrote
-	f.avoid(c, place.Target.ID)
+	f.exclude(c, reservation.Target.ID)
 	f.logAttempt(c, r, err)
 	return r
 }
 
-func (f *Front) avoid(c *call, id string) {
-	if c.avoid == nil {
-		c.avoid = map[string]bool{}
+func (f *Front) exclude(c *call, id string) {
+	if c.excluded == nil {
+		c.excluded = map[string]bool{}
 	}
-	c.avoid[id] = true
+	c.excluded[id] = true
 }
 
 // read takes the answer's body and tells whether it is one to pass on.
-func (f *Front) read(ctx context.Context, c *call, place *broker.Reservation, res *http.Response) (*answer, *refusal) {
+func (f *Front) read(ctx context.Context, c *call, reservation *broker.Reservation, res *http.Response) (*answer, *refusal) {
 	if res.Header.Get(f.Wire.NotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest {
-		return nil, f.notExecuted(c, place, res)
+		return nil, f.notExecuted(c, reservation, res)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, bufferLimit))
 	if err == nil && int64(len(body)) == bufferLimit {
 		return &answer{response: res, body: body, rest: res.Body, finish: func(whole bool) {
 			_ = res.Body.Close()
-			place.Release(resultOf(whole))
+			reservation.Release(resultOf(whole))
 		}}, nil
 	}
 	_ = res.Body.Close()
@@ -178,18 +178,18 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.status = http.StatusGatewayTimeout
 		}
-		place.Release(schedule.Failed)
-		f.avoid(c, place.Target.ID)
+		reservation.Release(schedule.Failed)
+		f.exclude(c, reservation.Target.ID)
 		f.logAttempt(c, r, err)
 		return nil, r
 	}
 	if refused := f.unusable(c, res); refused != nil {
-		place.Release(schedule.Failed)
-		f.avoid(c, place.Target.ID)
+		reservation.Release(schedule.Failed)
+		f.exclude(c, reservation.Target.ID)
 		f.logAttempt(c, refused, nil)
 		return nil, refused
 	}
-	place.Release(schedule.Answered)
+	reservation.Release(schedule.Answered)
 	return &answer{response: res, body: body}, nil
 }
 
@@ -221,7 +221,7 @@
 }
 
 // notExecuted handles a target's own word that the request did not run.
-func (f *Front) notExecuted(c *call, place *broker.Reservation, res *http.Response) *refusal {
+func (f *Front) notExecuted(c *call, reservation *broker.Reservation, res *http.Response) *refusal {
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
 	_ = res.Body.Close()
 	r := notRun("shed", f.latency(c.route.Name))
@@ -232,18 +232,18 @@
 		r.forOwner = c.sharded
 		result := schedule.Abandoned
 		id := res.Header.Get(f.Wire.AnsweringTarget)
-		if other := id != "" && id != place.Target.ID; other || !c.sharded {
+		if other := id != "" && id != reservation.Target.ID; other || !c.sharded {
 			// Another one lives at the address. Since it answers at once, the one
 			// meant would look free and draw all requests until its entry goes.
 			r.cause, result = "otherTarget", schedule.Failed
-			f.Lanes.Drop(place.Target)
+			f.Pools.Drop(reservation.Target)
 		}
-		place.Release(result)
+		reservation.Release(result)
 	} else {
-		place.Release(schedule.Shed)
+		reservation.Release(schedule.Shed)
 		r.forOwner = c.sharded
 	}
-	f.avoid(c, place.Target.ID)
+	f.exclude(c, reservation.Target.ID)
 	f.logAttempt(c, r, nil)
 	return r
 }
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -45,7 +45,7 @@
 	runs       int
 	sends      int
 	doubt      bool
-	avoid      map[string]bool
+	excluded   map[string]bool
 	newer      <-chan struct{}
 	ownerTries int
 	target     string
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -23,7 +23,7 @@
 	Wire   routing.Wire
 	Broker *broker.Broker
 	Roster *roster.Roster
-	Lanes  *Lanes
+	Pools  *Pools
 	// Table returns the routes in force, or nil.
 	Table func() *routing.Table
 	// Owners returns a service's assignment, or nil, and a channel that is
@@ -178,7 +178,7 @@
 		if !f.awaitOwner(ctx, c) {
 			return false
 		}
-		c.avoid = nil
+		c.excluded = nil
 	}
 	if !failed.arrived {
 		// A request that never left costs the targets nothing.
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -49,7 +49,7 @@
 		Broker: broker.New(broker.Options{
 			Self: p.Self, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: b.roster}, Roster: b.roster, Log: log,
 		}),
-		Roster: b.roster, Lanes: &front.Lanes{}, Table: b.table.Load,
+		Roster: b.roster, Pools: &front.Pools{}, Table: b.table.Load,
 		Owners:  func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		Loads:   &front.Loads{},
 		Retries: func() front.Retries { return front.Retries{Ratio: 0.2, Slack: 60, Members: 1} },
--- a/gateway/front/lanes.go
+++ b/gateway/front/pools.go
@@ -11,9 +11,9 @@
 // than its slots.
 const idlePerTarget = 6
 
-// Lanes holds the connections to all targets, by lifetime: another lifetime at
+// Pools holds the connections to all targets, by lifetime: another lifetime at
 // the same address is another target.
-type Lanes struct {
+type Pools struct {
 	Dial pool.DialFunc
 
 	mu    sync.Mutex
@@ -21,7 +21,7 @@
 }
 
 // To returns the connections to a target.
-func (l *Lanes) To(t *roster.Target) *pool.Pool {
+func (l *Pools) To(t *roster.Target) *pool.Pool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.pools == nil {
@@ -36,7 +36,7 @@
 }
 
 // Drop closes the idle connections to a target.
-func (l *Lanes) Drop(t *roster.Target) {
+func (l *Pools) Drop(t *roster.Target) {
 	l.mu.Lock()
 	p := l.pools[t.Life()]
 	delete(l.pools, t.Life())
@@ -47,7 +47,7 @@
 }
 
 // Keep closes the connections to targets that are not in the view.
-func (l *Lanes) Keep(v *roster.View) {
+func (l *Pools) Keep(v *roster.View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for life, p := range l.pools {
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -212,7 +212,7 @@
 func (h *housekeeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, housekeepEvery)
-		h.lanes.Keep(h.state.roster.Load())
+		h.pools.Keep(h.state.roster.Load())
 		h.dispatcher.Forget()
 	}
 	return ctx.Err()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -93,7 +93,7 @@
 	coordinator *coordinator.Coordinator
 	dispatcher  *dispatch.Dispatcher
 	broker      *broker.Broker
-	lanes       *front.Lanes
+	pools       *front.Pools
 	loads       *front.Loads
 	front       *front.Front
 	store       *platform.Store
@@ -137,9 +137,9 @@
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Regions: s.Regions, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 	})
-	i.lanes = &front.Lanes{Dial: targetDialer.DialContext}
+	i.pools = &front.Pools{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
-		Wire: platform.Wire(), Broker: i.broker, Roster: i.state.roster, Lanes: i.lanes, Table: i.state.table.Load,
+		Wire: platform.Wire(), Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Table: i.state.table.Load,
 		Owners: i.state.owners, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		Retries: func() front.Retries {
 			now := i.tunable.Load()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -18,9 +18,9 @@
 	Report    *Report
 	News      *News
 	Hello     *Instance
-	Ask       *Ask
-	Reply     *Reply
-	Done      *Done
+	Reserve   *Reserve
+	Reserved  *Reserved
+	Release   *Release
 	// Bye is set in the last message of an instance that ends.
 	Bye    bool
 	Reader *Reader
@@ -62,8 +62,8 @@
 	Removed  bool
 }
 
-// Ask asks for a place at a target.
-type Ask struct {
+// Reserve asks for a slot of a target.
+type Reserve struct {
 	_ struct{} `cbor:",toarray"`
 
 	Seq         uint64
@@ -78,8 +78,8 @@
 	DeadlineMs  int64
 }
 
-// Reply answers an ask: with a target, with Queued, or with a refusal.
-type Reply struct {
+// Reserved answers it: with a target, with Queued, or with a refusal.
+type Reserved struct {
 	_ struct{} `cbor:",toarray"`
 
 	Seq      uint64
@@ -91,8 +91,8 @@
 	Waiting  int
 }
 
-// Done gives a place back, or withdraws an ask.
-type Done struct {
+// Release gives a slot back, or withdraws a request for one.
+type Release struct {
 	_ struct{} `cbor:",toarray"`
 
 	Seq    uint64
