Speeds by an average request's work; kinds that do not come any more are forgotten

Cause, read: a target's speed was told as its slowness times the mean over all kinds, each counted once. A route that hardly anybody uses, known to one instance and not to another, would make their targets seem unlike in speed (TestRareKindDoesNotChangeSpeeds). Kinds and arrivals of routes that are gone stayed for ever.

Change: the work of an average request is learnt by itself; after ten minutes without an answer a kind is dropped.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -132,7 +132,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.schedule.Roster = d.Roster
-	d.schedule.Forget()
+	d.schedule.Forget(time.Now())
 }
 
 // Speeds returns what was learnt of targets.
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -13,6 +13,8 @@
 	// slowness, workShare the same in a kind's work. The first answers have more.
 	slownessShare = 0.1
 	workShare     = 0.025
+	// kindFor is how long a kind is known after its last answer: routes come and go.
+	kindFor = 10 * time.Minute
 	// leastWork is taken for answers that came sooner than the messages account for.
 	leastWork = time.Millisecond
 	// mostRatio bounds what one answer is taken for: some take many times as long
@@ -25,6 +27,8 @@
 	// work is what an average target needs for one, in seconds.
 	work    float64
 	answers int
+	// at is when the last answer came.
+	at time.Time
 }
 
 // work returns what an average target needs for a request of the kind, in seconds.
@@ -32,19 +36,15 @@
 	if k := s.kinds[number]; k != nil {
 		return k.work
 	}
-	return s.meanWork()
+	return s.usualWork()
 }
 
-// meanWork is the work of an average kind.
-func (s *service) meanWork() float64 {
-	if len(s.kinds) == 0 {
-		return startWork
+// usualWork is the work of an average request, whatever its kind.
+func (s *service) usualWork() float64 {
+	if s.mean > 0 {
+		return s.mean
 	}
-	sum := 0.0
-	for _, k := range s.kinds {
-		sum += k.work
-	}
-	return sum / float64(len(s.kinds))
+	return startWork
 }
 
 // usual is the time of an answer from a target that has room, in seconds.
@@ -74,8 +74,13 @@
 	ratio := min(took.Seconds()/(k.work*slowness), mostRatio)
 	st.answers++
 	k.answers++
+	k.at = now
 	st.slowness *= 1 + weight(slownessShare, st.answers+1)*(ratio-1)
 	k.work *= 1 + weight(workShare, k.answers)*(ratio-1)
+	if s.mean == 0 {
+		s.mean = k.work
+	}
+	s.mean += workShare * (k.work - s.mean)
 }
 
 // weight is what the newest of some answers counts, at least the given share.
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"basilcross.example/basilcross/roster"
@@ -79,6 +80,8 @@
 	states map[roster.Life]*state
 	queues map[queueKey]*queue
 	kinds  map[uint32]*kind
+	// mean is the work of an average request, in seconds; 0 before the first answer.
+	mean float64
 }
 
 // Ticket is a request's turn: it has a target's slot if Target is set, and waits
@@ -171,10 +174,12 @@
 	return sv
 }
 
-// Forget drops what is known of lifetimes that are over.
-func (s *Schedule) Forget() {
+// Forget drops what is known of lifetimes that are over, and of kinds of requests
+// that do not come any more.
+func (s *Schedule) Forget(now time.Time) {
 	view := s.Roster.Load()
 	for _, sv := range s.services {
+		maps.DeleteFunc(sv.kinds, func(_ uint32, k *kind) bool { return now.Sub(k.at) > kindFor })
 		for life, st := range sv.states {
 			t := view.Targets[life.ID]
 			if len(st.inFlight) == 0 && (t == nil || t.Born != life.Born) {
@@ -182,6 +187,7 @@
 			}
 		}
 		for key, q := range sv.queues {
+			maps.DeleteFunc(q.arrivals, func(_ uint32, a *arrivals) bool { return now.Sub(a.at) > kindFor })
 			if len(q.waiting) == 0 && key.target != "" && view.Targets[key.target] == nil {
 				delete(sv.queues, key)
 			}
@@ -189,7 +195,7 @@
 	}
 }
 
-// Speed is a target's usual time of an answer, over all kinds of requests.
+// Speed is a target's usual time of an answer to an average request.
 type Speed struct {
 	Service string
 	Target  string
@@ -204,7 +210,7 @@
 	for name, sv := range s.services {
 		for life, st := range sv.states {
 			if t := view.Targets[life.ID]; t != nil && t.Born == life.Born && st.answers > 0 {
-				speeds = append(speeds, Speed{name, life.ID, seconds(sv.meanWork() * st.slowness)})
+				speeds = append(speeds, Speed{name, life.ID, seconds(sv.usualWork() * st.slowness)})
 			}
 		}
 	}
--- a/basilcross/schedule/schedule_test.go
+++ b/basilcross/schedule/schedule_test.go
@@ -88,6 +88,19 @@
 	assert.Assert(t, ratio > 2.5 && ratio < 3.5, "slow / fast is %.2f, not 3", ratio)
 }
 
+// A route that hardly anybody uses is known to one instance and not to another. If
+// it counted as much as the others, their targets would seem unlike in speed.
+func TestRareKindDoesNotChangeSpeeds(t *testing.T) {
+	s := newSchedule(&roster.Target{ID: "a", Slots: 1})
+	at := teach(t, s, now, map[string]float64{"a": 1})
+	before := s.Speeds()[0].Latency
+	rare := enter(t, s, at, request(at, 99, "a"))
+	at = at.Add(2 * time.Millisecond)
+	s.Release(at, rare, schedule.Answered)
+	after := float64(s.Speeds()[0].Latency) / float64(before)
+	assert.Assert(t, after > 0.9 && after < 1.1, "%.2f of before", after)
+}
+
 // All slots are always taken, as on the heaviest days. If only answers to requests
 // that found a slot free counted, a target that turns slow would never be noticed.
 func TestSpeedIsLearntWhileAllSlotsAreTaken(t *testing.T) {
