--- a/basilcross/ownership/chance_test.go
+++ b/basilcross/ownership/chance_test.go
@@ -7,9 +7,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Requests for keys that are all alike come by chance. Of a hundred targets some
-// always look busy and some idle; moving keys between them costs a pause each time
-// and evens out nothing.
+// Guards against moves between targets that differ in load only by chance.
 func TestKeysAreNotMovedByChance(t *testing.T) {
 	const targets, seconds = 100, 10
 	s := newShift(targets)
--- a/basilcross/schedule/schedule_test.go
+++ b/basilcross/schedule/schedule_test.go
@@ -66,8 +66,19 @@
 	return at
 }
 
-// A service's kinds differ six times in work, and its targets in speed. With one
-// mean for all, a target that happens to get more of the long kind looks slow.
+// urgentTraffic lets urgent requests come to a target all the time for a while. It
+// returns the time after the last one's answer.
+func urgentTraffic(t *testing.T, s *schedule.Schedule, at time.Time) time.Time {
+	t.Helper()
+	for range 20 {
+		ticket := enter(t, s, at, request(at, urgent, "a"))
+		s.Release(at.Add(40*time.Millisecond), ticket, schedule.Answered)
+		at = at.Add(60 * time.Millisecond)
+	}
+	return at
+}
+
+// Guards against a target that looks slow because it gets more of a long kind.
 func TestWorkAndSpeedAreLearntApart(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "fast", Slots: 1}, &roster.Target{ID: "slow", Slots: 1})
 	at := teach(t, s, now, map[string]float64{"fast": 0.5, "slow": 1.5})
@@ -88,8 +99,7 @@
 	assert.Assert(t, ratio > 2.5 && ratio < 3.5, "slow / fast is %.2f, not 3", ratio)
 }
 
-// A route that hardly anybody uses is known to one instance and not to another. If
-// it counted as much as the others, their targets would seem unlike in speed.
+// Guards against speeds that differ because one instance knows a rare kind.
 func TestRareKindDoesNotChangeSpeeds(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 1})
 	at := teach(t, s, now, map[string]float64{"a": 1})
@@ -101,8 +111,7 @@
 	assert.Assert(t, after > 0.9 && after < 1.1, "%.2f of before", after)
 }
 
-// All slots are always taken, as on the heaviest days. If only answers to requests
-// that found a slot free counted, a target that turns slow would never be noticed.
+// Guards against a slow target that is not noticed while its slots are always taken.
 func TestSpeedIsLearntWhileAllSlotsAreTaken(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 1})
 	at := teach(t, s, now, map[string]float64{"a": 1})
@@ -119,16 +128,11 @@
 	assert.Assert(t, s.Speeds()[0].Latency > 3*before)
 }
 
-// Requests of the long kind take every slot of a target. The urgent ones that come
-// meanwhile wait longer than their objective, which no order can mend any more.
+// Guards against long requests that take every slot while urgent ones come.
 func TestLastSlotIsKeptForUrgentRequests(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 2})
 	at := teach(t, s, now, map[string]float64{"a": 1})
-	for range 20 {
-		at = at.Add(60 * time.Millisecond)
-		ticket := enter(t, s, at, request(at, urgent, "a"))
-		s.Release(at.Add(40*time.Millisecond), ticket, schedule.Answered)
-	}
+	at = urgentTraffic(t, s, at)
 	first := enter(t, s, at, request(at, long, "a"))
 	assert.Assert(t, first.Target != nil)
 	second := enter(t, s, at, request(at, long, "a"))
@@ -136,36 +140,26 @@
 	assert.Assert(t, enter(t, s, at, request(at, urgent, "a")).Target != nil)
 }
 
-// The same once the first long request is about to end: then a slot is free again
-// soon enough, and keeping the other one would only leave it idle.
+// Guards against a slot that stays idle though another one is free soon enough.
 func TestSlotIsNotKeptIfAnotherIsFreeSoon(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 2})
 	at := teach(t, s, now, map[string]float64{"a": 1})
-	for range 20 {
-		at = at.Add(60 * time.Millisecond)
-		ticket := enter(t, s, at, request(at, urgent, "a"))
-		s.Release(at.Add(40*time.Millisecond), ticket, schedule.Answered)
-	}
+	at = urgentTraffic(t, s, at)
 	enter(t, s, at, request(at, long, "a"))
 	second := enter(t, s, at, request(at, long, "a"))
 	placed := s.Admit(at.Add(200*time.Millisecond), second)
 	assert.Equal(t, len(placed), 1)
 }
 
-// A target has one slot, and urgent requests come all the time. Kept for them, it
-// would never be given to any other kind.
+// Guards against an only slot that no kind but the most urgent ever gets.
 func TestOnlySlotIsNotKept(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 1})
 	at := teach(t, s, now, map[string]float64{"a": 1})
-	for range 20 {
-		at = at.Add(60 * time.Millisecond)
-		ticket := enter(t, s, at, request(at, urgent, "a"))
-		s.Release(at.Add(40*time.Millisecond), ticket, schedule.Answered)
-	}
-	assert.Assert(t, enter(t, s, at.Add(40*time.Millisecond), request(at, long, "a")).Target != nil)
+	at = urgentTraffic(t, s, at)
+	assert.Assert(t, enter(t, s, at, request(at, long, "a")).Target != nil)
 }
 
-// Without urgent requests nothing is kept.
+// Guards against a slot kept for a kind that does not come any more.
 func TestSlotIsNotKeptForNobody(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 2})
 	at := teach(t, s, now, map[string]float64{"a": 1}).Add(time.Minute)
@@ -174,8 +168,7 @@
 	}
 }
 
-// The one who asks is in another region. If its request were sent only after the
-// word of a free slot had come and gone, the slot would be idle meanwhile.
+// Guards against slots that are idle while messages go to another region and back.
 func TestRequestFromAfarIsSentAheadOfTheSlot(t *testing.T) {
 	for _, c := range []struct {
 		transit time.Duration
@@ -196,9 +189,7 @@
 	}
 }
 
-// A request misses its objective while it waits. Refused, it would come back and
-// look like a new one that can still be in time, at the cost of one that can. It
-// waits behind those instead, and is refused at last.
+// Guards against late requests that come back as new ones and displace those in time.
 func TestLateRequestWaitsBehindAllInTime(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 1})
 	at := teach(t, s, now, map[string]float64{"a": 1})
@@ -214,8 +205,7 @@
 	assert.Equal(t, len(s.Release(late.Until, inTime, schedule.Answered)), 0)
 }
 
-// Every target of a zone has failed twice in a row, as some do that lose answers
-// now and then. Requests were refused as if there were no target at all.
+// Guards against refusals while there are targets that lose only some answers.
 func TestTargetsThatAllFailedAreUsed(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 2}, &roster.Target{ID: "b", Slots: 2})
 	for range 6 {
@@ -229,8 +219,7 @@
 	assert.Assert(t, errors.As(err, &none), "another zone may still do: %v", err)
 }
 
-// A target that was paused for failures answers one that was under way. It would
-// be left alone for seconds more, though it works.
+// Guards against a pause that goes on though the target answers again.
 func TestAnswerEndsAPause(t *testing.T) {
 	s := newSchedule(&roster.Target{ID: "a", Slots: 4})
 	under := enter(t, s, now, request(now, urgent, "a"))
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -285,8 +285,7 @@
 	}
 }
 
-// Only another divided service's target takes keys that were not meant for it.
-// Without one nobody is asked for a name, since each answer costs a target's slot.
+// Guards against health checks, which take slots, where no other service has keys.
 func TestNamesAreAskedForOnlyAmongDividedServices(t *testing.T) {
 	one := routing.Service{Name: "lists", Sharded: true, HealthPath: "/lists"}
 	other := routing.Service{Name: "others", Sharded: true, HealthPath: "/others"}
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -227,9 +227,7 @@
 	assert.Assert(t, len(text) <= 1400, "%d bytes", len(text))
 }
 
-// An instance that ends takes over from a coordinator that has just given up, since
-// all others wait their turn: its term lasts until the process is gone, and every
-// key of a lost target waits once more.
+// Guards against a coordinator that takes over while its own process ends.
 func TestEndingInstanceDoesNotTakeOver(t *testing.T) {
 	c := New(Options{Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Life: "a"}, Log: slog.New(slog.DiscardHandler)})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -45,8 +45,7 @@
 // nearBound is the share of the bound's worth that is aimed at, on every load.
 const nearBound = 0.95
 
-// Slots are wasted, or given to those that gain little by them, while the targets
-// could still do all that comes.
+// Guards against slots that are wasted while the targets could do all that comes.
 func TestScheduleComesNearTheBound(t *testing.T) {
 	for _, l := range loads(t) {
 		if len(l.Bursts) > 0 {
@@ -56,7 +55,7 @@
 	}
 }
 
-// The same when more comes than the targets can do, always or in bursts.
+// Guards against the same when more comes than the targets can do.
 func TestScheduleComesNearTheBoundInOverload(t *testing.T) {
 	for _, l := range loads(t) {
 		for _, level := range []float64{1, 1.2, 1.5} {
@@ -65,8 +64,7 @@
 	}
 }
 
-// Requests that wait at their targets in order of arrival miss their objectives
-// together, once a queue has grown. Whoever decides must do better at any load.
+// Guards against decisions that are worse than none.
 func TestScheduleServesMoreThanArrivalOrder(t *testing.T) {
 	for _, l := range loads(t) {
 		for _, level := range l.Levels {
@@ -76,7 +74,7 @@
 	}
 }
 
-// Urgent kinds take all slots, and the least urgent one is not served at all.
+// Guards against a kind that is not served because others are more urgent.
 func TestNobodyStarves(t *testing.T) {
 	for _, l := range loads(t) {
 		for _, level := range l.Levels {
@@ -94,7 +92,7 @@
 	}
 }
 
-// A caller is counted twice, or lost, when it comes back.
+// Guards against callers that are counted twice, or lost, when they come back.
 func TestEveryRequestIsCountedOnce(t *testing.T) {
 	for _, l := range loads(t) {
 		for _, r := range []*Report{l.Play(1.2, 2), l.Bound(1.2, 2), l.ArrivalOrder(1.2, 2)} {
@@ -131,7 +129,7 @@
 	assert.Assert(t, strings.Contains(string(text), "schedule") && strings.Contains(string(text), "bound"))
 }
 
-// All that is wrong with a load is told at once, by the names of its fields.
+// Guards against faults of a load that are told one at a time, or without a field.
 func TestBadLoad(t *testing.T) {
 	_, err := Parse([]byte(`{"name": "x", "levels": [0], "targets": [{"count": 1, "slots": 2}], "kinds": [{"objectiveMs": 5}], "busyShare": 0.5}`))
 	for _, field := range []string{
