--- a/standin/experiment.go
+++ b/standin/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 
@@ -54,6 +55,9 @@
 	if plots == "" {
 		return nil
 	}
+	if err := os.MkdirAll(plots, 0o755); err != nil {
+		return err
+	}
 	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file)) + ".svg"
 	return experiment.WritePlot(filepath.Join(plots, name), l.Name, reports)
 }
