peers: a hello costs the same however many instances are known

Cause: each hello made new maps of all instances and resolved every address again; each instance of a fleet that starts hears three hellos of each other one. Other work that grew with the fleet: a request's scheduler was looked for among all instances instead of its zone's.

Change: instances are kept in one map with their resolved addresses; the lists by zone and of all are made when they are asked for and kept until one changes. Find, Zone and Count replace copies of the map. One message to a zone is encoded once.

--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -191,17 +191,17 @@
 	best, most, cores := "", uint64(0), 0.0
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for name, i := range b.Peers.All() {
-		if i.Zone != a.Zone || now.Before(b.suspects[name].until) {
+	for _, i := range b.Peers.Zone(a.Zone) {
+		if len(b.suspects) > 0 && now.Before(b.suspects[i.Name].until) {
 			continue
 		}
 		strength := 0.0
 		if a.Target == "" {
 			strength = i.Cores
 		}
-		h := xxhash.Sum64String(name + "\x00" + key)
+		h := xxhash.Sum64String(i.Name + "\x00" + key)
 		if best == "" || strength > cores || strength == cores && h > most {
-			best, most, cores = name, h, strength
+			best, most, cores = i.Name, h, strength
 		}
 	}
 	return best
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -298,7 +298,7 @@
 	c.looking = false
 	c.lookAt = time.Now().Add(lookEvery/2 + rand.N(lookEvery))
 	if err != nil {
-		c.lookAt = time.Now().Add(lookEvery/2 + rand.N(max(lookEvery, 2*lookShare*time.Duration(len(c.Peers.All())))))
+		c.lookAt = time.Now().Add(lookEvery/2 + rand.N(max(lookEvery, 2*lookShare*time.Duration(c.Peers.Count()))))
 		c.storeFailed("read lease", err)
 		return
 	}
@@ -323,10 +323,10 @@
 
 // takeOverDelay is the wait before an instance tries to take over. The wait is
 // spread over those that are as strong as itself.
-func takeOverDelay(self peers.Instance, all map[string]peers.Instance) time.Duration {
+func takeOverDelay(self peers.Instance, all []peers.Instance) time.Duration {
 	alike, weak := 1, false
-	for name, i := range all {
-		if name == self.Name {
+	for _, i := range all {
+		if i.Name == self.Name {
 			continue
 		}
 		weak = weak || i.Cores > self.Cores
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -79,9 +79,8 @@
 			return false
 		}
 	}
-	all := c.Peers.All()
 	for name, at := range c.members {
-		if now.Sub(at) < memberFor && all[name].Cores > muchStronger*c.Self.Cores {
+		if now.Sub(at) < memberFor && c.Peers.Find(name).Cores > muchStronger*c.Self.Cores {
 			return true
 		}
 	}
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -101,12 +103,13 @@
 		all[name] = peers.Instance{Name: name, Cores: 0.16}
 	}
 	all["strong"] = peers.Instance{Name: "strong", Cores: 0.8}
+	list := slices.Collect(maps.Values(all))
 	for range 100 {
-		assert.Assert(t, takeOverDelay(all["strong"], all) < weakDelay)
-		assert.Assert(t, takeOverDelay(all["small7"], all) >= weakDelay)
+		assert.Assert(t, takeOverDelay(all["strong"], list) < weakDelay)
+		assert.Assert(t, takeOverDelay(all["small7"], list) >= weakDelay)
 	}
 	delete(all, "strong")
-	assert.Assert(t, takeOverDelay(all["small7"], all) < 40*spread)
+	assert.Assert(t, takeOverDelay(all["small7"], slices.Collect(maps.Values(all))) < 40*spread)
 }
 
 // crowd counts how many calls are under way at once.
--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -47,7 +47,7 @@
 		select {
 		case <-ctx.Done():
 		case f := <-c.replicator.fetches:
-			c.ask(ctx, c.peers.All()[f.from].Control, []*mirror.Mirror{f.of})
+			c.ask(ctx, c.peers.Find(f.from).Control, []*mirror.Mirror{f.of})
 		case <-tick.C:
 			if wanted := c.wanted(time.Now(), behind); len(wanted) > 0 {
 				c.fetch(ctx, wanted)
@@ -87,7 +87,7 @@
 	if t == nil || !c.replicator.listens.Load() {
 		return ""
 	}
-	return c.peers.All()[c.replicator.readerAhead(m.Table, t.revisions[m.Table])].Control
+	return c.peers.Find(c.replicator.readerAhead(m.Table, t.revisions[m.Table])).Control
 }
 
 // isBehind tells of a copy that was never read, or that another instance has
@@ -144,13 +144,14 @@
 // nearest that are known; without any, a seed. Bytes between zones and regions
 // are paid.
 func (c *catchUp) askWhom() string {
-	all := c.peers.All()
-	if t := c.state.told.Load(); t != nil && all[t.from].Control != "" {
-		return all[t.from].Control
+	if t := c.state.told.Load(); t != nil {
+		if control := c.peers.Find(t.from).Control; control != "" {
+			return control
+		}
 	}
 	var tiers [3][]string
-	for name, p := range all {
-		if name != c.settings.Instance {
+	for _, p := range c.peers.All() {
+		if p.Name != c.settings.Instance {
 			n := c.distance(p.Zone)
 			tiers[n] = append(tiers[n], p.Control)
 		}
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -149,7 +149,7 @@
 		i.peers.Add(*m.Hello)
 	case m.Bye:
 		i.peers.Remove(m.From)
-	case m.Report != nil && i.peers.All()[m.From].Name == "":
+	case m.Report != nil && i.peers.Find(m.From).Name == "":
 		i.instances.Again()
 	}
 	i.state.noteRevisions(m.From, m.Revisions)
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -207,7 +207,7 @@
 // coordinator has heard few reports yet: taken alone, its count would give
 // each instance a large part of the whole budget at once.
 func (i *Instance) countMembers() int {
-	return max(1, int(i.members.Load()), len(i.peers.All()))
+	return max(1, int(i.members.Load()), i.peers.Count())
 }
 
 // Ready tells whether callers should be sent here: it knows the configuration
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -97,15 +97,7 @@
 	return lead != nil && *lead == s.settings.Instance
 }
 
-func (s *replicator) zoneSize() int {
-	n := 0
-	for _, i := range s.peers.All() {
-		if i.Zone == s.settings.Zone {
-			n++
-		}
-	}
-	return n
-}
+func (s *replicator) zoneSize() int { return len(s.peers.Zone(s.settings.Zone)) }
 
 // goesBefore orders instances as readers: those with more of a processor first,
 // since a reader sends each change to its whole zone; alike ones by chance, but
@@ -120,7 +112,6 @@
 // count returns how many readers that go before this instance were heard, and
 // how many in all.
 func (s *replicator) count() (before, all int) {
-	known := s.peers.All()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -130,7 +121,7 @@
 			continue
 		}
 		all++
-		other := known[name]
+		other := s.peers.Find(name)
 		other.Name = name
 		if goesBefore(other, s.peers.Self) {
 			before++
@@ -168,11 +159,14 @@
 
 // tell sends a message to the zone's other instances.
 func (s *replicator) tell(m *peers.Message) {
-	for name, i := range s.peers.All() {
-		if i.Zone == s.settings.Zone && name != s.settings.Instance {
-			s.peers.Send(name, m)
+	zone := s.peers.Zone(s.settings.Zone)
+	names := make([]string, 0, len(zone))
+	for _, i := range zone {
+		if i.Name != s.settings.Instance {
+			names = append(names, i.Name)
 		}
 	}
+	s.peers.SendAll(names, m)
 }
 
 // refresh begins the feeds anew.
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,9 +23,18 @@
 	Receive func(m *Message)
 
 	mu    sync.Mutex
-	known map[string]*net.UDPAddr
-	all   map[string]Instance
-	conn  *net.UDPConn
+	known map[string]peer
+	// all, zones and others are made from known when they are asked for.
+	all    []Instance
+	zones  map[string][]Instance
+	others []netip.AddrPort
+	conn   *net.UDPConn
+}
+
+// peer is an instance that can be sent to.
+type peer struct {
+	instance Instance
+	addr     netip.AddrPort
 }
 
 // Listen opens the socket.
@@ -43,7 +53,7 @@
 	defer stop()
 	buffer := make([]byte, 2*maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := p.conn.ReadFromUDP(buffer)
+		n, _, err := p.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				event.DatagramFailed.Log(p.Log, "error", err)
@@ -62,74 +72,141 @@
 
 // Know takes in the list of all instances.
 func (p *Peers) Know(list map[string]Instance) {
-	known := map[string]*net.UDPAddr{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.known
+	p.known = make(map[string]peer, len(list))
+	p.all, p.zones, p.others = nil, nil, nil
 	for name, i := range list {
-		addr, err := net.ResolveUDPAddr("udp4", i.Datagram)
-		if err != nil {
-			event.DatagramFailed.Log(p.Log, "instance", name, "error", err)
+		if same, ok := old[name]; ok && same.instance == i {
+			p.known[name] = same
 			continue
 		}
-		known[name] = addr
+		p.take(name, i)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.known, p.all = known, list
 }
 
 // Add takes in one instance.
 func (p *Peers) Add(i Instance) {
-	all := map[string]Instance{i.Name: i}
-	for name, known := range p.All() {
-		if name != i.Name {
-			all[name] = known
-		}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old, ok := p.known[i.Name]
+	if ok && old.instance == i {
+		return
 	}
-	p.Know(all)
+	if p.known == nil {
+		p.known = map[string]peer{}
+	}
+	p.take(i.Name, i)
+	p.all, p.others = nil, nil
+	delete(p.zones, i.Zone)
+	delete(p.zones, old.instance.Zone)
+}
+
+// take notes an instance and its address.
+func (p *Peers) take(name string, i Instance) {
+	addr, err := net.ResolveUDPAddr("udp4", i.Datagram)
+	if err != nil {
+		event.DatagramFailed.Log(p.Log, "instance", name, "error", err)
+	}
+	// Without an address it counts as known, and nothing is sent to it.
+	at := addr.AddrPort()
+	p.known[name] = peer{instance: i, addr: netip.AddrPortFrom(at.Addr().Unmap(), at.Port())}
 }
 
 // Remove forgets an instance that ends.
 func (p *Peers) Remove(name string) {
-	all := map[string]Instance{}
-	for other, known := range p.All() {
-		if other != name {
-			all[other] = known
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.zones, p.known[name].instance.Zone)
+	delete(p.known, name)
+	p.all, p.others = nil, nil
+}
+
+// Find returns an instance; its name is empty if it is not known.
+func (p *Peers) Find(name string) Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[name].instance
+}
+
+// Count returns the number of instances known, this one included.
+func (p *Peers) Count() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.known)
+}
+
+// All returns the instances known, this one included. The list must not be changed.
+func (p *Peers) All() []Instance {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.all == nil {
+		p.all = make([]Instance, 0, len(p.known))
+		for _, known := range p.known {
+			p.all = append(p.all, known.instance)
 		}
 	}
-	p.Know(all)
+	return p.all
 }
 
-// All returns the instances known, this one included.
-func (p *Peers) All() map[string]Instance {
+// Zone returns those of an availability zone. The list must not be changed.
+func (p *Peers) Zone(zone string) []Instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.all
+	list, ok := p.zones[zone]
+	if ok {
+		return list
+	}
+	for _, known := range p.known {
+		if known.instance.Zone == zone {
+			list = append(list, known.instance)
+		}
+	}
+	if p.zones == nil {
+		p.zones = map[string][]Instance{}
+	}
+	p.zones[zone] = list
+	return list
 }
 
 // Send sends a message to one instance. Datagrams may get lost; whoever needs
 // an answer sends again.
-func (p *Peers) Send(to string, m *Message) {
+func (p *Peers) Send(to string, m *Message) { p.SendAll([]string{to}, m) }
+
+// SendAll sends a message to several instances.
+func (p *Peers) SendAll(to []string, m *Message) {
+	addrs := make([]netip.AddrPort, 0, len(to))
 	p.mu.Lock()
-	addr := p.known[to]
-	p.mu.Unlock()
-	if addr != nil {
-		p.write(m, addr)
+	for _, name := range to {
+		if known := p.known[name]; known.addr.IsValid() {
+			addrs = append(addrs, known.addr)
+		}
 	}
+	p.mu.Unlock()
+	p.write(m, addrs)
 }
 
 // Broadcast sends a message to all other instances.
 func (p *Peers) Broadcast(m *Message) {
 	p.mu.Lock()
-	addrs := make([]*net.UDPAddr, 0, len(p.known))
-	for name, a := range p.known {
-		if name != p.Self.Name {
-			addrs = append(addrs, a)
+	if p.others == nil {
+		p.others = make([]netip.AddrPort, 0, len(p.known))
+		for name, known := range p.known {
+			if name != p.Self.Name && known.addr.IsValid() {
+				p.others = append(p.others, known.addr)
+			}
 		}
 	}
+	others := p.others
 	p.mu.Unlock()
-	p.write(m, addrs...)
+	p.write(m, others)
 }
 
-func (p *Peers) write(m *Message, addrs ...*net.UDPAddr) {
+func (p *Peers) write(m *Message, addrs []netip.AddrPort) {
+	if len(addrs) == 0 {
+		return
+	}
 	m.From, m.Life = p.Self.Name, p.Self.Life
 	text, err := cbor.Marshal(m)
 	if err != nil {
@@ -137,7 +214,7 @@
 		return
 	}
 	for _, a := range addrs {
-		if _, err := p.conn.WriteToUDP(text, a); err != nil {
+		if _, err := p.conn.WriteToUDPAddrPort(text, a); err != nil {
 			event.DatagramFailed.Log(p.Log, "to", a.String(), "error", err)
 		}
 	}
