Assignments: a change that is told costs a walk over the pieces, no JSON

Cause: each change of an assignment that an instance is told of was laid over it piece by piece, with a copy of all pieces for each; the result was encoded as a row and parsed again. The coordinator tells of changes up to ten times a second, and every instance does this work.

Change: pieces are laid over in one walk; the result is put in force as it is, and encoded only when another instance asks for the copy.

Ruled out: nothing; found by reading and timed by itself.

--- a/basilcross/ownership/assignment.go
+++ b/basilcross/ownership/assignment.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sort"
 
 	"basilcross.example/basilcross/roster"
@@ -93,37 +94,35 @@
 	return changed
 }
 
-// With returns the assignment with other pieces laid over it.
+// With returns the assignment with other pieces laid over it, which do not overlap.
 func (a *Assignment) With(term int64, pieces []Piece) *Assignment {
-	next := &Assignment{Service: a.Service, Term: term, Pieces: a.Pieces}
-	for _, p := range pieces {
-		next.Pieces = overlay(next.Pieces, p)
+	over := slices.Clone(pieces)
+	slices.SortFunc(over, func(p, q Piece) int { return p.First - q.First })
+	next := &Assignment{Service: a.Service, Term: term, Pieces: make([]Piece, 0, len(a.Pieces)+2*len(over))}
+	first := 0
+	rest := a.Pieces
+	for _, p := range over {
+		rest = next.copyUntil(rest, first, p.First-1)
+		next.Pieces = append(next.Pieces, p)
+		first = p.Last + 1
 	}
+	next.copyUntil(rest, first, Keys-1)
 	return next
 }
 
-func overlay(pieces []Piece, p Piece) []Piece {
-	next := make([]Piece, 0, len(pieces)+2)
-	done := false
-	for _, old := range pieces {
-		if old.Last < p.First {
-			next = append(next, old)
-			continue
+// copyUntil appends what others' pieces say of the keys from first to last. It
+// returns the pieces that may say something of the keys after these.
+func (a *Assignment) copyUntil(others []Piece, first, last int) (rest []Piece) {
+	for len(others) > 0 {
+		p := others[0]
+		p.First, p.Last = max(p.First, first), min(p.Last, last)
+		if p.First <= p.Last {
+			a.Pieces = append(a.Pieces, p)
 		}
-		if old.First < p.First {
-			head := old
-			head.Last = p.First - 1
-			next = append(next, head)
-		}
-		if !done {
-			next = append(next, p)
-			done = true
-		}
-		if old.Last > p.Last {
-			tail := old
-			tail.First = max(old.First, p.Last+1)
-			next = append(next, tail)
+		if others[0].Last > last {
+			break
 		}
+		others = others[1:]
 	}
-	return next
+	return others
 }
--- /dev/null
+++ b/basilcross/ownership/assignment_test.go
@@ -0,0 +1,58 @@
+package ownership_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"basilcross.example/basilcross/ownership"
+	"gotest.tools/v3/assert"
+)
+
+// randomAssignment cuts the keys into pieces of random owners.
+func randomAssignment(random *rand.Rand, pieces int) *ownership.Assignment {
+	a := &ownership.Assignment{Service: "s"}
+	for first := 0; first < ownership.Keys; {
+		last := min(ownership.Keys-1, first+random.IntN(2*ownership.Keys/pieces))
+		a.Pieces = append(a.Pieces, ownership.Piece{First: first, Last: last, Owner: fmt.Sprintf("t%d", random.IntN(pieces))})
+		first = last + 1
+	}
+	return a
+}
+
+// Guards against keys that are lost, or in two pieces, when a change comes in
+// several datagrams of any order.
+func TestChangesInAnyOrderMakeTheNextAssignment(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 200 {
+		base, next := randomAssignment(random, 12), randomAssignment(random, 12)
+		changes := base.Differences(next)
+		random.Shuffle(len(changes), func(i, j int) { changes[i], changes[j] = changes[j], changes[i] })
+		got := base.With(2, changes)
+		covered := 0
+		for _, p := range got.Pieces {
+			assert.Equal(t, p.First, covered)
+			covered = p.Last + 1
+		}
+		assert.Equal(t, covered, ownership.Keys)
+		for _, p := range next.Pieces {
+			assert.Equal(t, got.Find(p.First).Owner, p.Owner)
+			assert.Equal(t, got.Find(p.Last).Owner, p.Owner)
+		}
+	}
+}
+
+// A change of 36 pieces, as fits into a datagram, is laid over an assignment.
+func BenchmarkWith(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("pieces=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			random := rand.New(rand.NewPCG(5, 6))
+			base := randomAssignment(random, n)
+			changes := append([]ownership.Piece(nil), base.Pieces[:36]...)
+			for b.Loop() {
+				base.With(2, changes)
+			}
+		})
+	}
+}
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -197,12 +197,8 @@
 		// A listener asks a reader, once the next beat shows that it is behind.
 		return
 	}
-	text, err := json.Marshal(next)
-	if err != nil {
-		event.RowUnusable.Log(i.log, "table", coordinator.AssignmentTable, "key", n.Service, "revision", n.Revision, "error", err)
-		return
-	}
-	i.assignments.Inject(platform.Row{Table: coordinator.AssignmentTable, Key: n.Service, Value: text, Revision: n.Revision})
+	i.state.putAssignment(n.Service, next, n.Revision)
+	i.assignments.Inject(platform.Row{Table: coordinator.AssignmentTable, Key: n.Service, Revision: n.Revision})
 }
 
 // rowCollector forgets targets that are gone.
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -187,7 +187,9 @@
 		m.Passed = func(p mirror.Passage) { i.replicator.pass(m.Table, p) }
 		i.replicator.tables = append(i.replicator.tables, add(m))
 	}
-	i.assignments = add(&mirror.Mirror{Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments})
+	i.assignments = add(&mirror.Mirror{
+		Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments, Encode: i.state.encodeAssignment,
+	})
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Late: introduceTimeout, Changed: func(c mirror.Change) {
 		i.peers.Know(i.state.takeInstances(c))
 	}})
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -11,6 +11,7 @@
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
@@ -119,17 +120,8 @@
 }
 
 func (s *state) takeAssignments(c mirror.Change) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.assignments == nil {
-		s.assignments = map[string]*assigned{}
-	}
 	for _, r := range c.Rows {
-		if r.Removed {
-			continue
-		}
-		old := s.assignments[r.Key]
-		if old != nil && old.revision >= r.Revision {
+		if r.Removed || s.hasAssignment(r.Key, r.Revision) {
 			continue
 		}
 		a, err := ownership.Parse(r.Value)
@@ -137,12 +129,46 @@
 			event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
 			continue
 		}
-		s.assignments[r.Key] = &assigned{assignment: a, revision: r.Revision, newer: make(chan struct{})}
-		if old != nil {
-			close(old.newer)
-		}
-		event.AssignmentLoaded.Log(s.log, "service", r.Key, "term", a.Term, "revision", r.Revision, "pieces", len(a.Pieces))
+		s.putAssignment(r.Key, a, r.Revision)
+	}
+}
+
+// hasAssignment tells whether a service's assignment is known as of a revision.
+func (s *state) hasAssignment(service string, revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.assignments[service]
+	return a != nil && a.revision >= revision
+}
+
+// putAssignment puts a service's assignment in force unless a newer one is.
+func (s *state) putAssignment(service string, a *ownership.Assignment, revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignments == nil {
+		s.assignments = map[string]*assigned{}
+	}
+	old := s.assignments[service]
+	if old != nil && old.revision >= revision {
+		return
+	}
+	s.assignments[service] = &assigned{assignment: a, revision: revision, newer: make(chan struct{})}
+	if old != nil {
+		close(old.newer)
+	}
+	event.AssignmentLoaded.Log(s.log, "service", service, "term", a.Term, "revision", revision, "pieces", len(a.Pieces))
+}
+
+// encodeAssignment returns the row of a service's assignment in force.
+func (s *state) encodeAssignment(service string) platform.Row {
+	s.mu.Lock()
+	a := s.assignments[service]
+	s.mu.Unlock()
+	text, err := json.Marshal(a.assignment)
+	if err != nil {
+		panic("instance: assignment does not encode: " + err.Error())
 	}
+	return platform.Row{Table: coordinator.AssignmentTable, Key: service, Value: text, Revision: a.revision}
 }
 
 // owners returns a service's assignment and a channel that is closed when
--- /dev/null
+++ b/gateway/instance/state_test.go
@@ -0,0 +1,66 @@
+package instance
+
+import (
+	"fmt"
+	"testing"
+
+	"basilcross.example/basilcross/ownership"
+	"basilcross.example/gateway/coordinator"
+	"basilcross.example/gateway/fleet"
+	"basilcross.example/gateway/peers"
+	"basilcross.example/platform"
+	"gotest.tools/v3/assert"
+)
+
+// evenAssignment has n pieces of n owners.
+func evenAssignment(n int) *ownership.Assignment {
+	a := &ownership.Assignment{Service: "s", Term: 1}
+	for k := range n {
+		a.Pieces = append(a.Pieces, ownership.Piece{
+			First: k * ownership.Keys / n, Last: (k+1)*ownership.Keys/n - 1, Owner: fmt.Sprintf("bakery-svc-%04d", k),
+			Born: 1700000000000, Address: "10.1.2.3:8080",
+		})
+	}
+	return a
+}
+
+func injectAssignment(t testing.TB, i *Instance, a *ownership.Assignment, revision uint64) {
+	t.Helper()
+	text, err := a.MarshalJSON()
+	assert.NilError(t, err)
+	i.assignments.Inject(platform.Row{Table: coordinator.AssignmentTable, Key: a.Service, Value: text, Revision: revision})
+}
+
+// Guards against an instance that gives others an assignment without the changes
+// that it was told of since it read the row.
+func TestChangesAreGivenToOthers(t *testing.T) {
+	i := testInstance()
+	injectAssignment(t, i, evenAssignment(4), 10)
+	i.takeNews(&peers.News{Service: "s", Term: 2, Base: 10, Revision: 12, Parts: 1, Pieces: []ownership.Piece{{First: 0, Last: 5, Owner: "x"}}})
+	answer, err := i.State(t.Context(), &fleet.StateRequest{Tables: []string{coordinator.AssignmentTable}})
+	assert.NilError(t, err)
+	row := answer.Tables[0].Rows[0]
+	assert.Equal(t, row.Revision, uint64(12))
+	a, err := ownership.Parse(row.Value)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Term, int64(2))
+	assert.Equal(t, a.Find(5).Owner, "x")
+	assert.Equal(t, a.Find(6).Owner, "bakery-svc-0000")
+}
+
+// An instance is told of a change of 36 pieces.
+func BenchmarkTakeNews(b *testing.B) {
+	for _, n := range []int{100, 300, 1000, 3000} {
+		b.Run(fmt.Sprintf("pieces=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			i := testInstance()
+			a := evenAssignment(n)
+			injectAssignment(b, i, a, 1)
+			revision := uint64(1)
+			for b.Loop() {
+				i.takeNews(&peers.News{Service: "s", Term: 1, Base: revision, Revision: revision + 1, Parts: 1, Pieces: a.Pieces[:36]})
+				revision++
+			}
+		})
+	}
+}
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -69,6 +69,8 @@
 	Log   *slog.Logger
 	// Changed is told of news, one call at a time.
 	Changed func(c Change)
+	// Encode returns the present row of a key that was injected without its value.
+	Encode func(key string) platform.Row
 	// Passed, if set, is told of what the feed brought: the changes after one
 	// revision up to another.
 	Passed func(p Passage)
--- a/gateway/mirror/state.go
+++ b/gateway/mirror/state.go
@@ -23,6 +23,9 @@
 	defer m.mu.Unlock()
 	s := State{Table: m.Table, Revision: m.revision}
 	for _, r := range m.rows {
+		if r.Value == nil {
+			r = m.Encode(r.Key)
+		}
 		s.Rows = append(s.Rows, r)
 	}
 	return s, m.loaded
@@ -43,7 +46,8 @@
 	return !m.loaded || !m.failing.IsZero()
 }
 
-// Inject takes in a row that another instance wrote and told of.
+// Inject takes in a row that another instance wrote and told of. Without a value it
+// is encoded when the copy is asked for; Encode must be set then.
 func (m *Mirror) Inject(r platform.Row) {
 	m.apply(Change{Rows: []platform.Row{r}})
 }
