Store calls are counted by table, and told in a line at debug level

Which table was read, by whom and when could be seen in no line.

Change: the metric has the label table; line 610 tells of each call's end, with what it took, at debug level only.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -58,6 +58,7 @@
 	StoreCallFailed   = Event{607, "storeCallFailed", slog.LevelInfo, "A call to the store failed or got no answer.", ""}
 	RowUnusable       = Event{608, "rowUnusable", slog.LevelWarn, "A row of the store cannot be used; it changes nothing.", "See who writes it."}
 	PeerStateTaken    = Event{609, "peerStateTaken", slog.LevelInfo, "A newer copy of a table came from another instance.", ""}
+	StoreCalled       = Event{610, "storeCalled", slog.LevelDebug, "A call to the store has ended.", ""}
 	LeadGained        = Event{206, "leadGained", slog.LevelInfo, "This instance coordinates: it alone grants keys.", ""}
 	LeadLost          = Event{207, "leadLost", slog.LevelWarn, "This instance no longer coordinates.", "Look for a pause of this instance, or a loss of its way to the store."}
 	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance gave up coordinating: it ends, or a stronger one takes over.", ""}
@@ -93,7 +94,7 @@
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent,
 		ConfigInForce, ConfigAccepted, ConfigStale,
 		PlatformDown, PlatformBack, RelayInUse,
-		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, RowUnusable, PeerStateTaken,
+		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
 	}
 }
 
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"basilcross.example/basilcross/event"
+	"basilcross.example/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -46,10 +48,13 @@
 		return n
 	})
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "basilcross_store_calls_total", Help: "Calls to the platform's store by kind and outcome.",
-	}, []string{"call", "outcome"})
+		Name: "basilcross_store_calls_total", Help: "Calls to the platform's store by kind, table and outcome.",
+	}, []string{"call", "table", "outcome"})
 	r.MustRegister(calls)
-	i.store.Called = func(call, outcome string) { calls.WithLabelValues(call, outcome).Inc() }
+	i.store.Called = func(c platform.Call) {
+		calls.WithLabelValues(c.Kind, c.Table, c.Outcome).Inc()
+		event.StoreCalled.Log(i.log, "call", c.Kind, "table", c.Table, "outcome", c.Outcome, "tookMs", c.Took.Milliseconds())
+	}
 	r.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "basilcross_log_bytes_total", Help: "Bytes of log lines written.",
 	}, func() float64 { return float64(i.sink.Written.Load()) }))
