Readers prove their way to the store, and one instance after the other begins to read

Change: - An instance that starts takes its first copies from those that go first as readers of its zone, and reads itself after 0.5 s if nobody has them. - One reader in zones of up to six instances, two in larger ones. The coordinator counts as one, since it follows the feeds anyway. - A reader gives signs of life only while its way to the store is proved: by the coordinator's signs of life, or by an answer of the store in the last 1.2 s, for which its feeds then wait 0.6 s only. So listeners need only their readers. - When no reader is heard, the zone's instances begin to read in turn, 0.1 s apart; the first one is heard before most others' turn. Pauses after failed calls grow with the place in that order. - The coordinator answers a hello with its sign of life, which saves a look at the lease; looks at a lease in an outage are 0.1 s apart for the fleet instead of 0.04 s. Two hellos to all instead of three, if the row is written.

TestListenersNeedTheCoordinator asserted that a listener leaves its readers when it does not hear the coordinator.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -41,7 +41,7 @@
 	// lookShare is the mean time between two looks of the whole fleet while the
 	// store does not answer: each call is paid, and one that is answered is
 	// enough.
-	lookShare = 40 * time.Millisecond
+	lookShare = 100 * time.Millisecond
 	// lookSeldom is the same while its holder is seen to renew it.
 	lookSeldom = 1500 * time.Millisecond
 	// spread is the random wait per member before trying to take over, so that
@@ -75,8 +75,9 @@
 	Table func() *routing.Table
 	// Revisions returns how far this instance's copies go.
 	Revisions func() map[string]uint64
-	// Leads is told, with each sign of life, how many instances report.
-	Leads func(members int)
+	// Leads is told, with each sign of life, how many instances report and whether
+	// the store answers.
+	Leads func(members int, inDoubt bool)
 	// Refresh begins the feeds of this instance's copies anew: others compare
 	// theirs with them, and feeds may hang that the store took while it did
 	// not answer.
@@ -203,6 +204,10 @@
 		if m.Report != nil && c.leading != nil {
 			c.takeLoads(now, m.Report)
 		}
+		if m.Hello != nil && c.leading != nil {
+			// It need not look at the lease's row, which is a call.
+			c.Peers.Send(m.From, c.signOfLife(c.leading))
+		}
 	})
 }
 
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -93,11 +93,14 @@
 		return
 	}
 	l.beatAt = now.Add(beatEvery)
-	members := c.countMembers(now)
-	c.Leads(members)
-	c.Peers.Broadcast(&peers.Message{Revisions: c.Revisions(), Beat: &peers.Beat{
-		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: members, InDoubt: l.inDoubt,
-	}})
+	c.Leads(c.countMembers(now), l.inDoubt)
+	c.Peers.Broadcast(c.signOfLife(l))
+}
+
+func (c *Coordinator) signOfLife(l *leading) *peers.Message {
+	return &peers.Message{Revisions: c.Revisions(), Beat: &peers.Beat{
+		Term: l.lease.Term, Lease: l.revision, LeaseMs: l.lease.LeaseMs, Members: c.countMembers(time.Now()), InDoubt: l.inDoubt,
+	}}
 }
 
 func (c *Coordinator) countMembers(now time.Time) int {
--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -60,6 +60,7 @@
 // wanted returns the copies that are to be asked for. Behind is since when each
 // table's copy is behind.
 func (c *catchUp) wanted(now time.Time, behind map[string]time.Time) (wanted []*mirror.Mirror) {
+	joined := c.replicator.joined.Load()
 	for _, m := range c.mirrors {
 		if !c.isBehind(m) {
 			delete(behind, m.Table)
@@ -69,9 +70,10 @@
 		switch {
 		case !ok:
 			behind[m.Table] = now
-			if m.OnDemand && !c.replicator.listens.Load() {
+			if m.OnDemand && joined && !c.replicator.listens.Load() {
 				m.Again()
 			}
+		case !joined:
 		case now.Sub(since) >= behindFor, m.OnDemand && c.aheadOf(m) != "":
 			behind[m.Table] = now
 			wanted = append(wanted, m)
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -47,6 +47,7 @@
 		event.StoreCallFailed.Log(i.log, "call", "introduce", "error", err)
 		sleep(ctx, introduceRetry/2+rand.N(introduceRetry))
 	}
+	i.registered.Store(true)
 	// Whoever came before is read from the store; whoever comes later does the
 	// same, and says hello.
 	i.instances.Again()
@@ -59,16 +60,21 @@
 // away, so it does not wait for its row to be written.
 type announcer struct{ *Instance }
 
-// helloAfter are the pauses between its words: datagrams may get lost, and
+// helloAgain are the pauses between its hellos: datagrams may get lost, and
 // others become known during the first seconds. In a large fleet that starts at
-// once each word is a datagram from all to all, so there are few.
-var helloAfter = []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2 * time.Second}
+// once each is a datagram from all to all, so there are few.
+var helloAgain = []time.Duration{900 * time.Millisecond, 2 * time.Second}
 
-// Serve says hello a few times.
+// Serve says hello as soon as others are known, and again while the platform's
+// table may not have told them of this instance.
 func (g *announcer) Serve(ctx context.Context) error {
-	for _, pause := range helloAfter {
+	g.awaitInstances(ctx)
+	g.peers.Broadcast(&peers.Message{Hello: &g.peers.Self})
+	for n, pause := range helloAgain {
 		sleep(ctx, pause)
-		g.peers.Broadcast(&peers.Message{Hello: &g.peers.Self})
+		if n == 0 || !g.registered.Load() {
+			g.peers.Broadcast(&peers.Message{Hello: &g.peers.Self})
+		}
 	}
 	<-ctx.Done()
 	return ctx.Err()
@@ -165,10 +171,11 @@
 		i.beatAt.Store(nil)
 		return
 	}
-	if wasHeard {
+	if wasHeard || i.replicator.rank() >= readersOf(i.replicator.zoneSize()) {
 		return
 	}
-	// The store answers a coordinator again: what fails need not wait longer.
+	// The store answers a coordinator again: what fails at those who read for the
+	// zone need not wait longer. The others hear them.
 	for _, table := range i.mirrors {
 		if table.Failing() {
 			table.Again()
@@ -176,6 +183,15 @@
 	}
 }
 
+// leads notes that this instance coordinates. While the store does not answer, its
+// authority proves nothing of its copies.
+func (i *Instance) leads(members int, inDoubt bool) {
+	i.noteLead(i.settings.Instance, members)
+	if inDoubt {
+		i.beatAt.Store(nil)
+	}
+}
+
 // noteLead notes who coordinates, and how many instances report to it.
 func (i *Instance) noteLead(name string, members int) {
 	now := time.Now()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -100,12 +100,14 @@
 	calls       *http.Client
 
 	// tunable are the settings last read; only some may change while running.
-	tunable  atomic.Pointer[Settings]
-	members  atomic.Int64
-	lead     atomic.Pointer[string]
-	beatAt   atomic.Pointer[time.Time]
-	closing  atomic.Bool
-	wasReady atomic.Bool
+	tunable atomic.Pointer[Settings]
+	members atomic.Int64
+	lead    atomic.Pointer[string]
+	beatAt  atomic.Pointer[time.Time]
+	// registered is set once this instance's row is in the store.
+	registered atomic.Bool
+	closing    atomic.Bool
+	wasReady   atomic.Bool
 }
 
 // New puts an instance together.
@@ -129,7 +131,7 @@
 		Self: i.peers.Self, Store: i.store,
 		Channels: &channel.Set{Dial: targetDialer.DialContext}, Releases: &platform.Grants{HTTP: newClient(targetDialer)},
 		Refresh: i.replicator.refresh,
-		Leads:   func(members int) { i.noteLead(s.Instance, members) }, Took: i.takeNews, Missed: i.assignments.Again,
+		Leads:   i.leads, Took: i.takeNews, Missed: i.assignments.Again,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: min(longHold, s.LongestHold-longMargin), Every: renewHolds, Reuse: s.AddressReuse},
 	})
@@ -185,11 +187,14 @@
 		},
 	} {
 		m.Passed = func(p mirror.Passage) { i.replicator.pass(m.Table, p) }
+		m.AwaitOthers(joinFor)
+		m.Retry = i.replicator.retry
 		i.replicator.tables = append(i.replicator.tables, add(m))
 	}
 	i.assignments = add(&mirror.Mirror{
 		Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments, Encode: i.state.encodeAssignment,
 	})
+	i.assignments.AwaitOthers(joinFor)
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Late: introduceTimeout, Changed: func(c mirror.Change) {
 		i.peers.Know(i.state.takeInstances(c))
 	}})
--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -35,6 +35,8 @@
 	targets   map[string]*standin.Target
 	addresses map[string]string
 	requests  atomic.Int64
+	// cores is what instances that are started are told of their processor.
+	cores float64
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -105,7 +107,7 @@
 	s.Instance, s.Zone, s.Region, s.Regions = name, "graz", "ost", map[string]string{"graz": "ost"}
 	s.CallersListen, s.ReadyListen = freeAddress(f.t), freeAddress(f.t)
 	s.ControlListen, s.DatagramListen = freeAddress(f.t), freeAddress(f.t)
-	s.Store, s.Seeds = f.address, seeds
+	s.Store, s.Seeds, s.Cores = f.address, seeds, f.cores
 	assert.NilError(f.t, s.Validate())
 	sink := logsink.New(io.Discard)
 	i := instance.New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
--- /dev/null
+++ b/gateway/instance/join.go
@@ -0,0 +1,103 @@
+package instance
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"basilcross.example/gateway/mirror"
+	"basilcross.example/gateway/peers"
+)
+
+const (
+	// joinFor is how long an instance that starts tries to get its first copies
+	// from others before it reads the store.
+	joinFor = 500 * time.Millisecond
+	// joinRetry is the pause between two tries: others of the zone may be
+	// starting too.
+	joinRetry = 50 * time.Millisecond
+	// joinAsk bounds one call: another instance of the zone may be dead.
+	joinAsk = 200 * time.Millisecond
+	// joinSources is how many instances are asked in turn.
+	joinSources = 3
+	// listFor is how long the list of instances is waited for, listPoll how often
+	// it is looked for.
+	listFor  = 250 * time.Millisecond
+	listPoll = 10 * time.Millisecond
+)
+
+// join gets the first copies of the tables: from those who read for the zone, or,
+// if this instance is to be one of them, from the store. An instance takes up to
+// eight calls to read everything, and a whole fleet may start at once.
+func (s *replicator) join(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinFor)
+	defer cancel()
+	defer s.joined.Store(true)
+	known := s.awaitInstances(ctx)
+	for known && ctx.Err() == nil && s.rank() >= readersOf(s.zoneSize()) {
+		if s.copyFromReaders(ctx) {
+			s.listens.Store(true)
+			// Signs of life come as soon as the readers know of this instance.
+			s.alone = time.Now().Add(readerFor)
+			return
+		}
+		sleep(ctx, joinRetry)
+	}
+	s.listen(false)
+	s.assignments.Again()
+}
+
+// awaitInstances waits for the list of instances, and tells whether it has come.
+func (i *Instance) awaitInstances(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listFor)
+	defer cancel()
+	for ctx.Err() == nil && i.instances.Failing() {
+		sleep(ctx, listPoll)
+	}
+	return !i.instances.Failing()
+}
+
+// copyFromReaders asks those who should read for the zone for their copies, and
+// tells whether all that a listener needs has come.
+func (s *replicator) copyFromReaders(ctx context.Context) bool {
+	for _, source := range s.sources() {
+		callCtx, cancel := context.WithTimeout(ctx, joinAsk)
+		(&catchUp{s.Instance}).ask(callCtx, source.Control, slices.Concat(s.tables, []*mirror.Mirror{s.assignments}))
+		cancel()
+		if s.hasCopies() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *replicator) hasCopies() bool {
+	for _, m := range s.tables {
+		if m.Reached() == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// sources are the instances of the zone that go first as readers, in an order that
+// spreads the calls over the readers.
+func (s *replicator) sources() []peers.Instance {
+	var list []peers.Instance
+	for _, i := range s.peers.Zone(s.settings.Zone) {
+		if i.Name != s.settings.Instance {
+			list = append(list, i)
+		}
+	}
+	slices.SortFunc(list, func(a, b peers.Instance) int {
+		if goesBefore(a, b) {
+			return -1
+		}
+		return 1
+	})
+	list = list[:min(len(list), joinSources)]
+	if n := min(len(list), readersOf(s.zoneSize())); n > 1 && s.rank()%n == 1 {
+		list[0], list[1] = list[1], list[0]
+	}
+	return list
+}
--- a/gateway/instance/passage.go
+++ b/gateway/instance/passage.go
@@ -15,7 +15,7 @@
 // once more: datagrams get lost, and a gap costs each listener a call. Rows too
 // large for a datagram are asked for.
 func (s *replicator) pass(table string, p mirror.Passage) {
-	if s.zoneSize() <= smallZone {
+	if s.zoneSize() <= 1 {
 		return
 	}
 	parts := datagrams(table, s.again.with(table, p))
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -14,21 +14,31 @@
 )
 
 const (
-	// smallZone is the number of instances in a zone up to which each follows
-	// the feeds itself: calls are few then, and nobody depends on another.
+	// smallZone is the number of instances in a zone up to which one follows the
+	// feeds. In a larger one a second covers its loss.
 	smallZone = 6
-	// readers is how many follow the feeds in a larger zone. The second one
-	// covers the loss of the first.
-	readers = 2
+	// checkEvery is how often an instance looks whether it has to read.
+	checkEvery = 100 * time.Millisecond
 	// readerBeat is the time between a reader's signs of life, and readerFor
 	// how long one counts after the last: the users allow two seconds until
 	// news is in force, and the feed must be read in it too.
 	readerBeat = 300 * time.Millisecond
 	readerFor  = 1000 * time.Millisecond
+	// provedFor is how long an answer of the store proves the way to it.
+	provedFor = 1200 * time.Millisecond
+	// proveAfter is how long a reader goes without any proof before it asks the store
+	// for one.
+	proveAfter = 600 * time.Millisecond
+	// turn is how much later each next instance of a zone begins to read when no
+	// reader is heard any more, mostTurn the longest wait: the first one is
+	// usually heard before the others' turn, each of whose calls is paid.
+	turn     = 100 * time.Millisecond
+	mostTurn = 1200 * time.Millisecond
 )
 
-// replicator lets a few instances of a large zone follow the store's feeds and pass
-// the news on: each call is paid. Whoever hears no reader becomes one.
+// replicator lets one or two instances of a zone follow the store's feeds and pass
+// the news on: each call is paid. A reader gives signs of life only while its way
+// to the store is proved; when none is heard, others begin to read, one by one.
 type replicator struct {
 	*Instance
 	tables []*mirror.Mirror
@@ -39,6 +49,12 @@
 	// behind are the listener's copies that are behind a reader's.
 	behind  map[string]gap
 	listens atomic.Bool
+	// joined is set once the first copies have come or are being read.
+	joined atomic.Bool
+	// alone is since when no reader is heard, and nextBeat when the next sign of
+	// life is due. Both belong to Serve.
+	alone    time.Time
+	nextBeat time.Time
 	// unlike counts the signs of life of readers in a row that know other
 	// targets than this instance.
 	unlike int
@@ -56,39 +72,86 @@
 
 // Serve sees to it that there are readers until the context ends.
 func (s *replicator) Serve(ctx context.Context) error {
+	s.join(ctx)
 	for ctx.Err() == nil {
-		sleep(ctx, readerBeat)
-		large := s.zoneSize() > smallZone
-		if wanted := large && s.mayListen(); wanted != s.listens.Load() {
-			s.listen(wanted)
-		}
+		s.check(time.Now())
+		sleep(ctx, checkEvery)
+	}
+	return ctx.Err()
+}
+
+func (s *replicator) check(now time.Time) {
+	if wanted := s.mayListen(now); wanted != s.listens.Load() {
+		s.listen(wanted)
+	}
+	if s.listens.Load() {
+		s.checkReached(now)
+		return
+	}
+	for _, m := range s.tables {
 		switch {
-		case s.listens.Load():
-			s.checkReached(time.Now())
-		case large && s.current():
-			s.beat()
+		case s.heardCoordinator(proveAfter):
+			m.Prove(false)
+		case now.Sub(m.Answered()) > proveAfter:
+			m.Prove(true)
 		}
 	}
-	return ctx.Err()
+	if !now.Before(s.nextBeat) && s.current() && s.certain(now) {
+		s.nextBeat = now.Add(readerBeat)
+		s.beat()
+	}
 }
 
-// mayListen tells whether others follow the feeds for this instance. Readers
-// may be refused by the store without a word; the coordinator's beats tell how
-// far its copies go, and its lease proves its way to the store. Without both,
-// and while it coordinates, an instance reads for itself.
-func (s *replicator) mayListen() bool {
+// mayListen tells whether others follow the feeds for this instance. The
+// coordinator always reads for itself.
+func (s *replicator) mayListen(now time.Time) bool {
 	before, all := s.count()
-	if all == 0 || s.leads() || !s.hearsCoordinator() {
+	switch {
+	case s.leads():
+		return false
+	case all > 0:
+		s.alone = time.Time{}
+		// Whoever is refused by the store itself is better off listening, and does
+		// not press the store.
+		return s.listens.Load() || before >= readersOf(s.zoneSize()) || !s.current()
+	case !s.listens.Load():
 		return false
+	case s.alone.IsZero():
+		s.alone = now
+	}
+	return now.Sub(s.alone) < min(time.Duration(s.rank())*turn, mostTurn)
+}
+
+// readersOf returns how many follow the feeds in a zone of so many instances.
+func readersOf(size int) int {
+	if size <= smallZone {
+		return 1
+	}
+	return 2
+}
+
+// certain tells whether this instance's copies are known to be kept up. The store
+// may refuse a reader without a word; the coordinator's signs of life tell how far
+// its copies go, and its lease proves its way to the store. Without it the store's
+// own answers are the proof.
+func (s *replicator) certain(now time.Time) bool {
+	if s.hearsCoordinator() {
+		return true
 	}
-	// Whoever is refused by the store itself is better off listening, and does
-	// not press the store.
-	return s.listens.Load() || before >= readers || !s.current()
+	for _, m := range s.tables {
+		if now.Sub(m.Answered()) > provedFor {
+			return false
+		}
+	}
+	return true
 }
 
-func (s *replicator) hearsCoordinator() bool {
+func (s *replicator) hearsCoordinator() bool { return s.heardCoordinator(readerFor) }
+
+// heardCoordinator tells whether the coordinator gave a sign of life within a time.
+func (s *replicator) heardCoordinator(within time.Duration) bool {
 	at := s.beatAt.Load()
-	return at != nil && time.Since(*at) < readerFor
+	return at != nil && time.Since(*at) < within
 }
 
 // leads tells whether this instance coordinates, as far as it knows.
@@ -109,6 +172,45 @@
 	return xxhash.Sum64String("reader\x00"+a.Name) < xxhash.Sum64String("reader\x00"+b.Name)
 }
 
+// before tells whether another instance goes before this one as a reader: the
+// coordinator does, since it follows the feeds anyway.
+func (s *replicator) before(other peers.Instance) bool {
+	lead := s.lead.Load()
+	return lead != nil && *lead == other.Name || goesBefore(other, s.peers.Self)
+}
+
+const (
+	// readerRetry and mostReaderRetry are the first and the longest pause of a
+	// reader after a call that the store did not answer.
+	readerRetry     = 100 * time.Millisecond
+	mostReaderRetry = 1600 * time.Millisecond
+	// otherRetry is the first pause of the zone's other instances, and rankRetry
+	// how much longer the longest one is for each next of them: one that is
+	// answered is enough for all.
+	otherRetry = 800 * time.Millisecond
+	rankRetry  = 200 * time.Millisecond
+)
+
+// retry returns the pauses after calls to the store that failed.
+func (s *replicator) retry() (first, most time.Duration) {
+	rank := s.rank()
+	if rank < readersOf(s.zoneSize()) {
+		return readerRetry, mostReaderRetry
+	}
+	return otherRetry, mostReaderRetry + time.Duration(rank)*rankRetry
+}
+
+// rank is how many instances of the zone go before this one as readers.
+func (s *replicator) rank() int {
+	n := 0
+	for _, i := range s.peers.Zone(s.settings.Zone) {
+		if i.Name != s.settings.Instance && s.before(i) {
+			n++
+		}
+	}
+	return n
+}
+
 // count returns how many readers that go before this instance were heard, and
 // how many in all.
 func (s *replicator) count() (before, all int) {
@@ -123,7 +225,7 @@
 		all++
 		other := s.peers.Find(name)
 		other.Name = name
-		if goesBefore(other, s.peers.Self) {
+		if s.before(other) {
 			before++
 		}
 	}
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -20,27 +20,68 @@
 	"gotest.tools/v3/poll"
 )
 
-// The store refuses both readers of a zone without a word. Their signs of life
-// go on, and nobody who listens to them alone would hear of a configuration.
-func TestListenersNeedTheCoordinator(t *testing.T) {
-	sink := logsink.New(io.Discard)
-	i := New(Defaults(), slog.New(slog.NewJSONHandler(sink, nil)), sink)
+// Guards against a zone that goes on listening to readers which the store refuses
+// without a word: nobody would hear of a configuration.
+func TestReaderWithoutProofIsSilent(t *testing.T) {
+	i := testInstance()
+	s := i.replicator
+	now := time.Now()
+	assert.Assert(t, !s.certain(now), "no coordinator was heard, and the store has answered nothing")
+	i.noteLead("c", 3)
+	assert.Assert(t, s.certain(now))
+	long := now.Add(-readerFor)
+	i.beatAt.Store(&long)
+	assert.Assert(t, !s.certain(now), "the coordinator fell silent")
+	i.leads(3, false)
+	assert.Assert(t, s.certain(now), "it coordinates")
+	i.leads(3, true)
+	assert.Assert(t, !s.certain(now), "it coordinates, and the store does not answer")
+}
+
+// Guards against listeners that stay with silent readers, and against all of them
+// calling the store at the same moment.
+func TestListenersLeaveSilentReadersInTurn(t *testing.T) {
+	i := testInstance()
 	s := i.replicator
 	s.listens.Store(true)
 	hear := func(m *peers.Message) { assert.Assert(t, s.receive(m)) }
 	hear(&peers.Message{From: "a", Reader: &peers.Reader{}})
-	hear(&peers.Message{From: "b", Reader: &peers.Reader{}})
-	assert.Assert(t, !s.mayListen(), "no coordinator was heard")
-	i.noteLead("c", 3)
-	assert.Assert(t, s.mayListen())
-	long := time.Now().Add(-readerFor)
-	i.beatAt.Store(&long)
-	assert.Assert(t, !s.mayListen(), "the coordinator fell silent")
+	now := time.Now()
+	assert.Assert(t, s.mayListen(now))
 	i.noteLead(i.settings.Instance, 3)
-	assert.Assert(t, !s.mayListen(), "the coordinator reads itself")
+	assert.Assert(t, !s.mayListen(now), "the coordinator reads itself")
 	i.noteLead("c", 3)
-	s.heard = map[string]time.Time{"a": long}
-	assert.Assert(t, !s.mayListen(), "the readers fell silent")
+	silent := func() { s.heard = map[string]time.Time{"a": now.Add(-readerFor)} }
+	silent()
+	assert.Assert(t, !s.mayListen(now), "the readers fell silent, and it is the first of its zone")
+
+	zone := map[string]peers.Instance{i.settings.Instance: i.peers.Self}
+	for _, name := range []string{"d", "e", "f"} {
+		zone[name] = peers.Instance{Name: name, Zone: i.settings.Zone, Cores: 1, Datagram: "127.0.0.1:9"}
+	}
+	i.peers.Know(zone)
+	s.alone = time.Time{}
+	silent()
+	assert.Assert(t, s.mayListen(now), "three go before it")
+	assert.Assert(t, s.mayListen(now.Add(3*turn-1)))
+	assert.Assert(t, !s.mayListen(now.Add(3*turn)))
+	hear(&peers.Message{From: "d", Reader: &peers.Reader{}})
+	assert.Assert(t, s.mayListen(now.Add(3*turn)), "another one reads")
+}
+
+// Guards against a reader too many: one of a small zone is enough, the coordinator
+// is one, and what it reads anyway nobody else has to.
+func TestCoordinatorReadsForItsZone(t *testing.T) {
+	i := testInstance()
+	s := i.replicator
+	for _, m := range s.tables {
+		m.Inject(platform.Row{Table: m.Table, Key: "x", Revision: 1})
+	}
+	assert.Assert(t, s.current())
+	i.noteLead("c", 3)
+	assert.Assert(t, !s.mayListen(time.Now()), "there is no reader")
+	assert.Assert(t, s.receive(&peers.Message{From: "c", Reader: &peers.Reader{}}))
+	assert.Assert(t, s.mayListen(time.Now()))
 }
 
 func testInstance() *Instance {
@@ -175,18 +216,15 @@
 	assert.Assert(t, goesBefore(small, other) != goesBefore(other, small))
 }
 
-// The coordinator's writes are not answered any more. Its signs of life go on
-// for the rest of its lease, and those who listen would hear of no
-// configuration as long as the store refuses the readers too.
+// Guards against readers that rely on a coordinator whose writes are not answered
+// any more, though its signs of life go on for the rest of its lease.
 func TestCoordinatorInDoubtProvesNothing(t *testing.T) {
 	i := testInstance()
 	s := i.replicator
-	s.listen(true)
-	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
 	i.receive(&peers.Message{From: "c", Beat: &peers.Beat{Term: 1, Lease: 7, LeaseMs: 2000, Members: 3}})
-	assert.Assert(t, s.mayListen())
+	assert.Assert(t, s.certain(time.Now()))
 	i.receive(&peers.Message{From: "c", Beat: &peers.Beat{Term: 1, Lease: 7, LeaseMs: 2000, Members: 3, InDoubt: true}})
-	assert.Assert(t, !s.mayListen())
+	assert.Assert(t, !s.certain(time.Now()))
 }
 
 // The store refuses this instance alone. It listens to its zone's readers,
@@ -196,9 +234,9 @@
 	s := i.replicator
 	i.noteLead("c", 3)
 	assert.Assert(t, !s.current(), "nothing was read yet")
-	assert.Assert(t, !s.mayListen(), "there is no reader")
+	assert.Assert(t, !s.mayListen(time.Now()), "there is no reader")
 	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
-	assert.Assert(t, s.mayListen())
+	assert.Assert(t, s.mayListen(time.Now()))
 }
 
 // An instance that restarts while the store is away asks others for their
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -30,10 +30,13 @@
 	// tell that from having no news.
 	proofWait  = 300 * time.Millisecond
 	proofGrace = 1200 * time.Millisecond
+	// proveEvery is how long a feed waits while its answers are needed as a proof.
+	proveEvery = 600 * time.Millisecond
 	// seriesGap is how long a feed waits at least for news that are not part of
 	// a series.
 	seriesGap = 500 * time.Millisecond
-	// firstRetry and lastRetry bound the pause after a call that failed.
+	// firstRetry and lastRetry bound the pause after a call that failed, unless
+	// Retry is set.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = 1600 * time.Millisecond
 )
@@ -64,7 +67,9 @@
 	// Again is called. Others bring their news.
 	OnDemand bool
 	// Late is how long the first read waits for Again.
-	Late  time.Duration
+	Late time.Duration
+	// Retry, if set, returns the first and the longest pause after calls that failed.
+	Retry func() (first, most time.Duration)
 	Store *platform.Store
 	Log   *slog.Logger
 	// Changed is told of news, one call at a time.
@@ -79,10 +84,16 @@
 	rows     map[string]platform.Row
 	revision uint64
 	// newest is the revision of the newest change taken in.
-	newest   uint64
-	loaded   bool
-	failing  time.Time
+	newest  uint64
+	loaded  bool
+	failing time.Time
+	// answeredAt is when the store answered last.
+	answeredAt time.Time
+	// proving is set while the store's answers are needed as a proof.
+	proving  bool
 	interest chan struct{}
+	// filled is closed when the first copy has come.
+	filled chan struct{}
 	// listening is set while others pass the feed's news on.
 	listening bool
 	// passed is set if others passed on changes since the table was read whole,
@@ -96,23 +107,31 @@
 
 // Serve follows the table until the context ends.
 func (m *Mirror) Serve(ctx context.Context) error {
-	retry := firstRetry
+	retry := time.Duration(0)
 	for ctx.Err() == nil {
 		began := time.Now()
 		pace, err := m.next(ctx)
 		if err != nil {
 			m.failed(err)
+			first, most := m.retries()
+			retry = min(max(2*retry, first), most)
 			m.rest(ctx, retry/2+rand.N(retry))
-			retry = min(2*retry, lastRetry)
 			continue
 		}
-		retry = firstRetry
+		retry = 0
 		m.answered()
 		m.pause(ctx, m.slower(began, pace))
 	}
 	return ctx.Err()
 }
 
+func (m *Mirror) retries() (first, most time.Duration) {
+	if m.Retry == nil {
+		return firstRetry, lastRetry
+	}
+	return m.Retry()
+}
+
 // slower returns the pause after a call that began at a time. News that were
 // there at once, again and again, come in a series: each answer is paid, and a
 // longer pause puts more of them into one.
@@ -153,7 +172,9 @@
 	return reload
 }
 
-func (m *Mirror) init() { m.once.Do(func() { m.interest = make(chan struct{}, 1) }) }
+func (m *Mirror) init() {
+	m.once.Do(func() { m.interest, m.filled = make(chan struct{}, 1), make(chan struct{}) })
+}
 
 func (m *Mirror) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -186,6 +207,7 @@
 	loaded := m.isLoaded()
 	if !loaded && m.Late > 0 {
 		m.await(ctx)
+		loaded = m.isLoaded()
 	}
 	whole, wait := m.takeReload() || !loaded, feedWait
 	if !whole && (m.OnDemand || m.listens()) {
@@ -205,11 +227,14 @@
 // follow asks the feed for what has changed, and waits for it.
 func (m *Mirror) follow(ctx context.Context, wait time.Duration) (pace time.Duration, err error) {
 	m.mu.Lock()
-	after, listening, failing := m.revision, m.listening, !m.failing.IsZero()
+	after, listening, failing, proving := m.revision, m.listening, !m.failing.IsZero(), m.proving
 	m.mu.Unlock()
 	grace := feedGrace
-	if failing {
+	switch {
+	case failing:
 		wait, grace = min(wait, proofWait), proofGrace
+	case proving:
+		wait, grace = min(wait, proveEvery), proofGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+grace)
 	defer cancel()
@@ -247,12 +272,19 @@
 	return m.loaded
 }
 
-// await waits for the first Again, but not for long.
+// AwaitOthers has the copy wait for another instance's before it is read, as one
+// that others keep up. It must be called before Serve.
+func (m *Mirror) AwaitOthers(atMost time.Duration) {
+	m.Late, m.listening = atMost, !m.OnDemand
+}
+
+// await waits for the first Again or another instance's copy, but not for long.
 func (m *Mirror) await(ctx context.Context) {
 	timer := time.NewTimer(m.Late)
 	defer timer.Stop()
 	select {
 	case <-m.interest:
+	case <-m.filled:
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -317,6 +349,10 @@
 		}
 		m.rows[r.Key] = r
 	}
+	if !m.loaded {
+		m.init()
+		close(m.filled)
+	}
 	m.loaded = true
 	m.passed = m.passed && !c.Whole
 	m.revision = max(m.revision, c.Revision)
@@ -338,6 +374,7 @@
 func (m *Mirror) answered() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.answeredAt = time.Now()
 	if m.failing.IsZero() {
 		return
 	}
--- a/gateway/mirror/state.go
+++ b/gateway/mirror/state.go
@@ -1,6 +1,10 @@
 package mirror
 
-import "basilcross.example/platform"
+import (
+	"time"
+
+	"basilcross.example/platform"
+)
 
 // Reached returns how far the copy is complete.
 func (m *Mirror) Reached() uint64 {
@@ -9,6 +13,25 @@
 	return m.revision
 }
 
+// Answered returns when the store answered last; zero if it never did.
+func (m *Mirror) Answered() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answeredAt
+}
+
+// Prove has the feed wait only shortly for news, since its answers are needed as a
+// proof that the copy is kept up; or ends that.
+func (m *Mirror) Prove(on bool) {
+	m.mu.Lock()
+	begins := on && !m.proving
+	m.proving = on
+	m.mu.Unlock()
+	if begins {
+		m.Again()
+	}
+}
+
 // State is a copy of a table at one moment.
 type State struct {
 	Table string
