A fleet's first start: the list of instances comes before everything else

Cause: at the first start of 195 instances 161 read all tables themselves. Each waited 0.25 s for the list of instances, which it read only after its own row was written; the store takes the rows of a fleet one after the other (200 a second), so nobody was known in time. 175 looked at the coordinator's lease before they had heard of one.

Change: the list is read at once, and again after the write only if it did not have the instance's own row of a former life. At the first start of the fleet, which the platform tells (--bootstrap), it is read after the write and waited for, 1.5 s at most. The first look at the lease waits for it too, and whoever knows a stronger instance looks later.

--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -33,7 +33,7 @@
 	maxAge = 10 * time.Minute
 	// defaultIdleLimit bounds idle connections where IdleLimit is zero.
 	defaultIdleLimit = 8
-	bufferSize       = 8 << 10
+	bufferSize       = 4 << 10
 )
 
 // DialFunc opens a connection.
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -79,7 +79,7 @@
 		Releases: &platform.Grants{HTTP: &http.Client{Transport: &http.Transport{}}},
 		Peers:    &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
 		Revisions: func() map[string]uint64 { return nil }, Leads: func(int, bool) {}, Refresh: func() {},
-		Took: func(*peers.News) {}, Missed: func() {}, Log: log,
+		Took: func(*peers.News) {}, Missed: func() {}, Log: log, Joined: func() bool { return true },
 		Holds: ownership.Holds{Usual: 3200 * time.Millisecond, Long: 6 * time.Second, Every: 800 * time.Millisecond, Reuse: 2 * time.Second},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -87,6 +87,8 @@
 	Missed func()
 	Holds  ownership.Holds
 	Log    *slog.Logger
+	// Joined tells whether other instances are known, as far as there are any.
+	Joined func() bool
 }
 
 // Coordinator is the duty. Create it with New.
@@ -155,7 +157,6 @@
 func (c *Coordinator) Serve(ctx context.Context) error {
 	tick := time.NewTicker(stepEvery)
 	defer tick.Stop()
-	c.lookAt = time.Now().Add(rand.N(longestFirstLook(c.Self.Cores)))
 	for {
 		select {
 		case <-ctx.Done():
@@ -169,6 +170,18 @@
 	}
 }
 
+// firstLookAfter is the wait before the first look. Whoever knows a stronger
+// instance lets it take over and be heard first.
+func firstLookAfter(self peers.Instance, all []peers.Instance) time.Duration {
+	longest := longestFirstLook(self.Cores)
+	for _, i := range all {
+		if i.Cores > self.Cores {
+			return longest/2 + rand.N(longest/2)
+		}
+	}
+	return rand.N(longest)
+}
+
 func longestFirstLook(cores float64) time.Duration {
 	if cores <= 0 {
 		return 2 * firstLook
@@ -259,8 +272,14 @@
 		c.lead(ctx)
 		return
 	}
+	if c.retired {
+		return
+	}
 	now := time.Now()
-	if c.retired || now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) || !c.isDue(now) {
+	if c.lookAt.IsZero() && c.Joined() {
+		c.lookAt = now.Add(firstLookAfter(c.Self, c.Peers.All()))
+	}
+	if c.lookAt.IsZero() || now.Sub(c.heard) < silence || c.looking || now.Before(c.lookAt) || !c.isDue(now) {
 		return
 	}
 	c.look(ctx)
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -21,7 +22,8 @@
 	housekeepEvery = 2 * time.Second
 	// introduceRetry is the pause after a row could not be written.
 	introduceRetry = 500 * time.Millisecond
-	// introduceTimeout bounds the write of that row.
+	// introduceTimeout bounds the write of that row: a fleet's rows are written one
+	// after the other.
 	introduceTimeout = 1500 * time.Millisecond
 )
 
@@ -49,8 +51,10 @@
 	}
 	i.registered.Store(true)
 	// Whoever came before is read from the store; whoever comes later does the
-	// same, and says hello.
-	i.instances.Again()
+	// same, and says hello. A list with the row of a former life has all others.
+	if i.settings.Bootstrap || !i.awaitInstances(ctx) || i.peers.Find(i.peers.Self.Name).Name == "" {
+		i.instances.Again()
+	}
 	<-ctx.Done()
 	return ctx.Err()
 }
@@ -249,5 +253,10 @@
 func (i *Instance) metrics() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
+	if i.settings.Pprof {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
 	return mux
 }
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -131,6 +131,7 @@
 		Self: i.peers.Self, Store: i.store,
 		Channels: &channel.Set{Dial: targetDialer.DialContext}, Releases: &platform.Grants{HTTP: newClient(targetDialer)},
 		Refresh: i.replicator.refresh,
+		Joined:  i.replicator.joined.Load,
 		Leads:   i.leads, Took: i.takeNews, Missed: i.assignments.Again,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.table.Load, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Usual: min(usualHold, s.LongestHold), Long: min(longHold, s.LongestHold-longMargin), Every: renewHolds, Reuse: s.AddressReuse},
@@ -187,17 +188,20 @@
 		},
 	} {
 		m.Passed = func(p mirror.Passage) { i.replicator.pass(m.Table, p) }
-		m.AwaitOthers(joinFor)
+		m.AwaitOthers(joinMost)
 		m.Retry = i.replicator.retry
 		i.replicator.tables = append(i.replicator.tables, add(m))
 	}
 	i.assignments = add(&mirror.Mirror{
 		Table: coordinator.AssignmentTable, OnDemand: true, Changed: i.state.takeAssignments, Encode: i.state.encodeAssignment,
 	})
-	i.assignments.AwaitOthers(joinFor)
-	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Late: introduceTimeout, Changed: func(c mirror.Change) {
+	i.assignments.AwaitOthers(joinMost)
+	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, Changed: func(c mirror.Change) {
 		i.peers.Know(i.state.takeInstances(c))
 	}})
+	if i.settings.Bootstrap {
+		i.instances.Late = introduceTimeout
+	}
 }
 
 func (i *Instance) revisions() map[string]uint64 {
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -20,20 +20,25 @@
 	joinAsk = 200 * time.Millisecond
 	// joinSources is how many instances are asked in turn.
 	joinSources = 3
-	// listFor is how long the list of instances is waited for, listPoll how often
-	// it is looked for.
-	listFor  = 250 * time.Millisecond
+	// listFor is how long the list of instances is waited for. firstListFor is the
+	// same at the first start of the fleet, when all write their rows at once, which
+	// the store takes one after the other.
+	listFor      = 250 * time.Millisecond
+	firstListFor = 1500 * time.Millisecond
+	// listPoll is how often the list is looked for.
 	listPoll = 10 * time.Millisecond
+	// joinMost is when a copy is read from the store at the latest.
+	joinMost = firstListFor + joinFor + 500*time.Millisecond
 )
 
 // join gets the first copies of the tables: from those who read for the zone, or,
 // if this instance is to be one of them, from the store. An instance takes up to
 // eight calls to read everything, and a whole fleet may start at once.
 func (s *replicator) join(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, joinFor)
-	defer cancel()
 	defer s.joined.Store(true)
 	known := s.awaitInstances(ctx)
+	ctx, cancel := context.WithTimeout(ctx, joinFor)
+	defer cancel()
 	for known && ctx.Err() == nil && s.rank() >= readersOf(s.zoneSize()) {
 		if s.copyFromReaders(ctx) {
 			s.listens.Store(true)
@@ -49,7 +54,7 @@
 
 // awaitInstances waits for the list of instances, and tells whether it has come.
 func (i *Instance) awaitInstances(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, listFor)
+	ctx, cancel := context.WithTimeout(ctx, i.listFor())
 	defer cancel()
 	for ctx.Err() == nil && i.instances.Failing() {
 		sleep(ctx, listPoll)
@@ -57,6 +62,13 @@
 	return !i.instances.Failing()
 }
 
+func (i *Instance) listFor() time.Duration {
+	if i.settings.Bootstrap {
+		return firstListFor
+	}
+	return listFor
+}
+
 // copyFromReaders asks those who should read for the zone for their copies, and
 // tells whether all that a listener needs has come.
 func (s *replicator) copyFromReaders(ctx context.Context) bool {
--- a/gateway/instance/metrics_test.go
+++ b/gateway/instance/metrics_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -29,3 +31,15 @@
 	}
 	assert.Equal(t, found, 7)
 }
+
+// Guards against profiles that anybody can ask for, and against a setting that does
+// nothing.
+func TestProfilesAreServedOnlyIfAskedFor(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		i := testInstance()
+		i.settings.Pprof = on
+		answer := httptest.NewRecorder()
+		i.metrics().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/debug/pprof/heap", nil))
+		assert.Equal(t, answer.Code == http.StatusOK, on)
+	}
+}
--- a/gateway/instance/settings.go
+++ b/gateway/instance/settings.go
@@ -37,6 +37,8 @@
 	RetryRatio     float64
 	RetrySlack     float64
 	Cores          float64
+	MemoryMB       int
+	Bootstrap      bool
 	LogLevel       string
 	Pprof          bool
 	// File is where some of the settings stand, and Reload reads all anew;
@@ -83,6 +85,8 @@
 	f.Float64Var(&s.RetryRatio, "retry-ratio", s.RetryRatio, "repetitions allowed over all instances, per request")
 	f.Float64Var(&s.RetrySlack, "retry-slack", s.RetrySlack, "repetitions allowed over all instances on top of the ratio")
 	f.Float64Var(&s.Cores, "cores", s.Cores, "share of a processor that this instance has; stronger ones coordinate first")
+	f.IntVar(&s.MemoryMB, "memory-mb", s.MemoryMB, "memory that this instance has, in MB; 0: what the machine says")
+	f.BoolVar(&s.Bootstrap, "bootstrap", s.Bootstrap, "the whole fleet starts for the first time: others are known only once all have written their rows")
 	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
 	f.BoolVar(&s.Pprof, "pprof", s.Pprof, "serve profiles on the metrics address")
 }
@@ -128,6 +132,7 @@
 	check(s.RetryRatio >= 0 && s.RetryRatio <= 1, "retry-ratio", s.RetryRatio, "0 to 1")
 	check(s.RetrySlack >= 0, "retry-slack", s.RetrySlack, "0 or more")
 	check(s.Cores >= 0, "cores", s.Cores, "0 or more")
+	check(s.MemoryMB >= 0, "memory-mb", s.MemoryMB, "0 or more")
 	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
 	return errors.Join(faults...)
 }
--- a/gateway/instance/settings_test.go
+++ b/gateway/instance/settings_test.go
@@ -43,10 +43,10 @@
 func TestFaultsNameTheField(t *testing.T) {
 	_, err := load(t, nil, nil, "BASILCROSS_LONGEST_HOLD=soon\n")
 	assert.ErrorContains(t, err, "longest-hold")
-	s, err := load(t, nil, nil, "BASILCROSS_STORE=nowhere\nBASILCROSS_RETRY_RATIO=7\nBASILCROSS_LOG_LEVEL=loud\n")
+	s, err := load(t, nil, nil, "BASILCROSS_STORE=nowhere\nBASILCROSS_RETRY_RATIO=7\nBASILCROSS_LOG_LEVEL=loud\nBASILCROSS_MEMORY_MB=-1\n")
 	assert.NilError(t, err)
 	err = s.Validate()
-	for _, field := range []string{"--store", "--retry-ratio", "--log-level"} {
+	for _, field := range []string{"--store", "--retry-ratio", "--log-level", "--memory-mb"} {
 		assert.ErrorContains(t, err, field)
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -28,12 +29,12 @@
   basilcross-gateway serve --instance gw-1 --store 10.0.0.1:7000 \
       --callers-listen 10.0.1.1:8080 --ready-listen 10.0.1.1:8083`
 
-// Memory and collector settings: an instance has 284 MB and a third of a core,
-// and its live heap is a few megabytes, so the collector may let it grow
-// several times before it spends processor time.
 const (
-	collectAt   = 400
-	memoryLimit = 160 << 20
+	// collectAt is the growth of the heap in percent at which it is collected.
+	collectAt = 200
+	// heapShare of the instance's memory is where the collector works harder: the
+	// rest is for what is not on the heap, and for data that come at once.
+	heapShare = 0.55
 )
 
 func serveCommand() *cobra.Command {
@@ -82,9 +83,27 @@
 	return s, s.Validate()
 }
 
+// memoryOf returns the bytes of memory that an instance has; 0 if nothing tells.
+func memoryOf(s instance.Settings) int64 {
+	if s.MemoryMB > 0 {
+		return int64(s.MemoryMB) << 20
+	}
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	var kilobytes int64
+	if _, err := fmt.Sscanf(string(text), "MemTotal: %d kB", &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes << 10
+}
+
 func serve(s instance.Settings) error {
 	debug.SetGCPercent(collectAt)
-	debug.SetMemoryLimit(memoryLimit)
+	if memory := memoryOf(s); memory > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(memory)))
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	// The reloader takes this signal; until it runs, it must not end the process.
