Copies: several sources at the start, none counts as behind for a removal

Change: the next source is asked 50 ms after the first; a copy that goes as far as a revision is not behind it; a listener waits 1 s for the copy that it asked for; the first list of targets is one line (316).

Tests: TestCopyReadAfterARemovalIsNotBehind, TestGapIsFilledByAReader.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -69,6 +69,7 @@
 	KeysRecorded      = Event{310, "keysRecorded", slog.LevelInfo, "An assignment of keys was written to the store, or could not be.", ""}
 	OrderDropped      = Event{311, "orderDropped", slog.LevelWarn, "An order to a target was not sent, since the authority to send it had ended.", ""}
 	TargetGone        = Event{312, "targetGone", slog.LevelInfo, "A target is proved to have ended, since another service has its address; its keys are free, or will be when the last order that may have gone astray has run out.", ""}
+	TargetsLoaded     = Event{316, "targetsLoaded", slog.LevelInfo, "The list of targets was read whole by an instance that knew of none; lines 306 and 307 tell of what changes from then on.", ""}
 	StoreInDoubt      = Event{313, "storeInDoubt", slog.LevelWarn, "The store does not answer the coordinator; keys are granted for longer.", "Look at the platform's store."}
 	OrderChannel      = Event{314, "orderChannel", slog.LevelInfo, "A grant under a new epoch goes out on a connection to which the epoch belongs from now on.", ""}
 	KeysInherited     = Event{315, "keysInherited", slog.LevelInfo, "A younger target lives at the address of one that has keys: it may have taken orders meant for that one, so the keys stay at the address, under a new epoch.", ""}
@@ -90,7 +91,7 @@
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
 		LeadGained, LeadLost, LeadResigned, EvictionBegan,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
-		TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
+		TargetsLoaded, TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent,
 		ConfigInForce, ConfigAccepted, ConfigStale,
 		PlatformDown, PlatformBack, RelayInUse,
--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -93,13 +94,14 @@
 }
 
 // isBehind tells of a copy that was never read, or that another instance has
-// newer news of.
+// newer news of. What was read whole after a row was removed has no row of that
+// revision, and still goes further.
 func (c *catchUp) isBehind(m *mirror.Mirror) bool {
 	if m.Failing() && m.Newest() == 0 {
 		return true
 	}
 	t := c.state.told.Load()
-	return t != nil && t.revisions[m.Table] > m.Newest()
+	return t != nil && t.revisions[m.Table] > max(m.Newest(), m.Reached())
 }
 
 // fetch asks another instance for its copies. A reader of the zone that has them
@@ -133,7 +135,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	answer, err := fleet.NewFleetProtobufClient("http://"+address, c.calls).State(callCtx, request)
-	if err != nil {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		// Another one's copy has come.
+		return
+	case err != nil:
 		event.StoreCallFailed.Log(c.log, "call", "state of "+address, "error", err)
 		return
 	}
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -7,6 +7,7 @@
 
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -16,9 +17,11 @@
 	// joinRetry is the pause between two tries: others of the zone may be
 	// starting too.
 	joinRetry = 50 * time.Millisecond
-	// joinAsk bounds one call: another instance of the zone may be dead.
-	joinAsk = 200 * time.Millisecond
-	// joinSources is how many instances are asked in turn.
+	// joinAsk bounds a try. While one instance has not answered for joinNext, the
+	// next one is asked too: the first may be dead.
+	joinAsk  = 300 * time.Millisecond
+	joinNext = 50 * time.Millisecond
+	// joinSources is how many instances are asked.
 	joinSources = 3
 	// listFor is how long the list of instances is waited for. firstListFor is the
 	// same at the first start of the fleet, when all write their rows at once, which
@@ -72,15 +75,24 @@
 // copyFromReaders asks those who should read for the zone for their copies, and
 // tells whether all that a listener needs has come.
 func (s *replicator) copyFromReaders(ctx context.Context) bool {
-	for _, source := range s.sources() {
-		callCtx, cancel := context.WithTimeout(ctx, joinAsk)
-		(&catchUp{s.Instance}).ask(callCtx, source.Control, slices.Concat(s.tables, []*mirror.Mirror{s.assignments}))
-		cancel()
-		if s.hasCopies() {
-			return true
-		}
+	ctx, cancel := context.WithTimeout(ctx, joinAsk)
+	defer cancel()
+	wanted := slices.Concat(s.tables, []*mirror.Mirror{s.assignments})
+	var group errgroup.Group
+	for n, source := range s.sources() {
+		group.Go(func() error {
+			sleep(ctx, time.Duration(n)*joinNext)
+			if ctx.Err() == nil {
+				(&catchUp{s.Instance}).ask(ctx, source.Control, wanted)
+			}
+			if s.hasCopies() {
+				cancel()
+			}
+			return nil
+		})
 	}
-	return false
+	_ = group.Wait()
+	return s.hasCopies()
 }
 
 func (s *replicator) hasCopies() bool {
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -278,11 +278,15 @@
 	}
 }
 
-// gapFor is how long a listener is behind a reader before it asks for its copy:
-// the rows are told once more with the next ones, and come a moment later than
-// the reader's sign of life if its processor is busy. After as long again it
-// calls the store.
-const gapFor = 400 * time.Millisecond
+const (
+	// gapFor is how long a listener is behind a reader before it asks for its copy:
+	// the rows are told once more with the next ones, and come a moment later than
+	// the reader's sign of life if its processor is busy.
+	gapFor = 400 * time.Millisecond
+	// copyFor is how long it waits for that copy before it calls the store: the
+	// whole zone may ask one reader.
+	copyFor = time.Second
+)
 
 // gap is a copy that is behind a reader's.
 type gap struct {
@@ -302,7 +306,7 @@
 		switch {
 		case !ok:
 			s.behind[m.Table] = gap{since: now}
-		case now.Sub(g.since) < gapFor:
+		case !g.asked && now.Sub(g.since) < gapFor, g.asked && now.Sub(g.since) < copyFor:
 		case !g.asked:
 			s.behind[m.Table] = gap{since: now, asked: true}
 			s.askFor(ahead, m)
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -205,6 +205,11 @@
 	assert.Equal(t, (<-s.fetches).from, "reader")
 	s.checkReached(now.Add(2 * gapFor))
 	assert.Equal(t, len(s.fetches), 0, "asked once")
+	_, waits := s.behind[platform.TargetTable]
+	assert.Assert(t, waits, "the copy may be on its way")
+	s.checkReached(now.Add(gapFor + copyFor))
+	_, waits = s.behind[platform.TargetTable]
+	assert.Assert(t, !waits, "the store is called")
 }
 
 // A reader sends each change to its whole zone: 52 new targets filled the link
@@ -258,3 +263,17 @@
 		}
 	}
 }
+
+// Guards against a copy that counts as behind for good, and is read each second: a
+// target was removed before it was read whole, so no row has that revision.
+func TestCopyReadAfterARemovalIsNotBehind(t *testing.T) {
+	i := testInstance()
+	targets := i.replicator.tables[1]
+	row := targetRow("a", "ready", "0s", 7)
+	assert.Assert(t, targets.Offer(mirror.State{Table: platform.TargetTable, Revision: 12, Rows: []platform.Row{row}}))
+	c := &catchUp{i}
+	i.state.noteRevisions("c", map[string]uint64{platform.TargetTable: 9})
+	assert.Assert(t, !c.isBehind(targets))
+	i.state.noteRevisions("c", map[string]uint64{platform.TargetTable: 13})
+	assert.Assert(t, c.isBehind(targets))
+}
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -63,6 +63,7 @@
 func (s *state) takeTargets(c mirror.Change) {
 	now := time.Now()
 	var came, left []*roster.Target
+	first := len(s.roster.Load().Targets) == 0
 	if c.Whole {
 		list := make([]*roster.Target, 0, len(c.Rows))
 		for _, r := range c.Rows {
@@ -82,6 +83,10 @@
 		}
 		came, left = s.roster.Apply(now, changes, c.Revision)
 	}
+	if first && c.Whole {
+		event.TargetsLoaded.Log(s.log, "targets", len(came), "leaving", len(left), "revision", c.Revision)
+		return
+	}
 	for _, t := range came {
 		event.TargetCame.Log(s.log, "target", t.ID, "born", t.Born, "service", t.Service, "zone", t.Zone, "address", t.Address,
 			"slots", t.Slots, "warmingMs", t.Warming.Milliseconds(), "revision", c.Revision)
