Requests wait for their own key's next owner, and do not run twice where it came back

Two faults of requests for keys on the move.

Cause: a request whose key was being released was sent to the former owner again with each change of any key (ten a second), and after 30, 60, 120 ms; each try took from the fleet's budget, which is two or three an instance, so it ended there. Change: it is sent again once its own key has another owner, or after 30 ms (a grant may be on its way), 240, 480.

Change: each instance remembers which keys changed owners; a request is not sent to the target that ran it if its key was elsewhere since, and its target's own failure is passed on.

--- a/basilcross/ownership/assignment.go
+++ b/basilcross/ownership/assignment.go
@@ -94,6 +94,25 @@
 	return changed
 }
 
+// Moved returns the ranges of keys that have another owner in next.
+func (a *Assignment) Moved(next *Assignment) []Piece {
+	var moved []Piece
+	for i, j := 0, 0; i < len(a.Pieces) && j < len(next.Pieces); {
+		old, p := a.Pieces[i], next.Pieces[j]
+		last := min(old.Last, p.Last)
+		if old.Owner != p.Owner {
+			moved = append(moved, Piece{First: max(old.First, p.First), Last: last, Owner: p.Owner})
+		}
+		if old.Last == last {
+			i++
+		}
+		if p.Last == last {
+			j++
+		}
+	}
+	return moved
+}
+
 // With returns the assignment with other pieces laid over it, which do not overlap.
 func (a *Assignment) With(term int64, pieces []Piece) *Assignment {
 	over := slices.Clone(pieces)
--- a/basilcross/ownership/assignment_test.go
+++ b/basilcross/ownership/assignment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"basilcross.example/basilcross/ownership"
@@ -42,6 +43,19 @@
 	}
 }
 
+// Guards against a key whose change of owner is not noticed.
+func TestMovedIsWhatChangedItsOwner(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 8))
+	for range 100 {
+		base, next := randomAssignment(random, 10), randomAssignment(random, 10)
+		moved := base.Moved(next)
+		for key := 0; key < ownership.Keys; key += 97 {
+			in := slices.ContainsFunc(moved, func(p ownership.Piece) bool { return p.First <= key && key <= p.Last })
+			assert.Equal(t, in, base.Find(key).Owner != next.Find(key).Owner, "key %d", key)
+		}
+	}
+}
+
 // A change of 36 pieces, as fits into a datagram, is laid over an assignment.
 func BenchmarkWith(b *testing.B) {
 	for _, n := range []int{100, 300, 1000, 3000} {
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -51,11 +51,23 @@
 	if err != nil {
 		return nil, f.notReserved(c, err)
 	}
+	if c.sharded && c.ran == reservation.Target.ID && f.Moved(c.service, c.key, c.ranAt) {
+		// A second run there would look like one with the first, and the key like one
+		// that was given on while it was worked on.
+		reservation.Release(schedule.Abandoned)
+		return nil, &refusal{status: http.StatusBadGateway, cause: "ranBefore", mayHaveRun: true, final: true}
+	}
 	c.sends++
 	c.target = reservation.Target.ID
 	return f.send(ctx, c, reservation)
 }
 
+// noteRun notes that a target may have run the request.
+func (c *call) noteRun(target string) {
+	c.runs++
+	c.ran, c.ranAt = target, time.Now()
+}
+
 // owner returns the target that has the request's key.
 func (f *Front) owner(c *call) (string, *refusal) {
 	a, newer := f.Owners(c.service)
@@ -132,7 +144,7 @@
 	r := notRun("connectFailed", retryTarget)
 	if wrote {
 		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true, arrived: true}
-		c.runs++
+		c.noteRun(reservation.Target.ID)
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -172,7 +184,7 @@
 		}}, nil
 	}
 	_ = res.Body.Close()
-	c.runs++
+	c.noteRun(reservation.Target.ID)
 	if err != nil {
 		r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true, arrived: true}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -42,8 +42,11 @@
 	deadline time.Time
 
 	// runs counts targets that may have run it, sends all it was sent to.
-	runs       int
-	sends      int
+	runs  int
+	sends int
+	// ran is the target that may have run it last, and ranAt when that was known.
+	ran        string
+	ranAt      time.Time
 	doubt      bool
 	excluded   map[string]bool
 	newer      <-chan struct{}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -29,6 +29,8 @@
 	// Owners returns a service's assignment, or nil, and a channel that is
 	// closed when there is a newer one.
 	Owners func(service string) (*ownership.Assignment, <-chan struct{})
+	// Moved tells whether a key got another owner after a time.
+	Moved func(service string, key int, since time.Time) bool
 	// Loads is told of each key's work.
 	Loads *Loads
 	// Retries limits repetitions over all instances.
@@ -198,27 +200,49 @@
 	// next owner, at most ownerWait: then its caller is told to come back.
 	ownerShare = 0.7
 	ownerWait  = 1200 * time.Millisecond
-	// ownerPause is the first wait before the same owner is asked again; it
-	// doubles each time.
-	ownerPause = 30 * time.Millisecond
+	// grantPause is the first wait before the same owner is asked again: its grant
+	// may be on its way. After that it is more likely to have given the key back, and
+	// each try takes from the budget: the next waits are ownerPause, doubled each time.
+	grantPause = 30 * time.Millisecond
+	ownerPause = 240 * time.Millisecond
 )
 
-// awaitOwner waits for a newer assignment, or a little for the present owner.
+// awaitOwner waits until the key has another owner, or a little for the present one.
 func (f *Front) awaitOwner(ctx context.Context, c *call) bool {
 	until := c.arrived.Add(min(ownerWait, time.Duration(float64(c.route.Objective)*ownerShare)))
-	pause := min(ownerPause<<min(c.ownerTries, 6), time.Until(until))
+	pause := grantPause
+	if c.ownerTries > 0 {
+		pause = ownerPause << min(c.ownerTries-1, 4)
+	}
+	pause = min(pause, time.Until(until))
 	c.ownerTries++
 	if pause <= 0 {
 		return false
 	}
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-c.newer:
+			if f.ownerChanged(c) {
+				return true
+			}
+		}
+	}
+}
+
+// ownerChanged tells whether the key has another owner than the target that the
+// request was last sent to.
+func (f *Front) ownerChanged(c *call) bool {
+	a, newer := f.Owners(c.service)
+	c.newer = newer
+	if a == nil {
 		return false
-	case <-c.newer:
-		return true
-	case <-timer.C:
-		return true
 	}
+	owner := a.Find(c.key).Owner
+	return owner != "" && owner != c.target
 }
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -51,6 +51,7 @@
 		}),
 		Roster: b.roster, Pools: &front.Pools{}, Table: b.table.Load,
 		Owners:  func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
+		Moved:   func(string, int, time.Time) bool { return false },
 		Loads:   &front.Loads{},
 		Retries: func() front.Retries { return front.Retries{Ratio: 0.2, Slack: 60, Members: 1} },
 		Metrics: front.NewMetrics(prometheus.NewRegistry()), Log: log,
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -143,7 +143,7 @@
 	i.pools = &front.Pools{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
 		Wire: platform.Wire(), Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Table: i.state.table.Load,
-		Owners: i.state.owners, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
+		Owners: i.state.owners, Moved: i.state.movedSince, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		Retries: func() front.Retries {
 			now := i.tunable.Load()
 			return front.Retries{Ratio: now.RetryRatio, Slack: now.RetrySlack, Members: i.countMembers()}
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,6 +38,45 @@
 	assignment *ownership.Assignment
 	revision   uint64
 	newer      chan struct{}
+	// moves are the latest changes of owners, the oldest first.
+	moves []move
+}
+
+// move is a range of keys that got another owner.
+type move struct {
+	first, last int
+	at          time.Time
+}
+
+// movesFor is how long changes of owners are kept: longer than any request may be
+// sent once more.
+const movesFor = 15 * time.Second
+
+// noteMoves returns the moves with those that lead to the next assignment.
+func (a *assigned) noteMoves(now time.Time, next *ownership.Assignment) []move {
+	old := 0
+	for old < len(a.moves) && now.Sub(a.moves[old].at) > movesFor {
+		old++
+	}
+	// Whoever reads the former list does not see what is appended.
+	moves := a.moves[old:]
+	for _, p := range a.assignment.Moved(next) {
+		moves = append(moves, move{p.First, p.Last, now})
+	}
+	return moves
+}
+
+// movedSince tells whether a key got another owner after a time.
+func (s *state) movedSince(service string, key int, since time.Time) bool {
+	s.mu.Lock()
+	a := s.assignments[service]
+	s.mu.Unlock()
+	if a == nil {
+		return false
+	}
+	return slices.ContainsFunc(a.moves, func(m move) bool {
+		return m.first <= key && key <= m.last && m.at.After(since)
+	})
 }
 
 // takeConfig puts a newer configuration in force. An older one never follows.
@@ -157,8 +197,10 @@
 	if old != nil && old.revision >= revision {
 		return
 	}
-	s.assignments[service] = &assigned{assignment: a, revision: revision, newer: make(chan struct{})}
+	next := &assigned{assignment: a, revision: revision, newer: make(chan struct{})}
+	s.assignments[service] = next
 	if old != nil {
+		next.moves = old.noteMoves(time.Now(), a)
 		close(old.newer)
 	}
 	event.AssignmentLoaded.Log(s.log, "service", service, "term", a.Term, "revision", revision, "pieces", len(a.Pieces))
--- a/gateway/instance/state_test.go
+++ b/gateway/instance/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/gateway/coordinator"
@@ -48,6 +49,26 @@
 	assert.Equal(t, a.Find(6).Owner, "bakery-svc-0000")
 }
 
+// Guards against a key that went to another target and came back, which nobody
+// remembers.
+func TestMovesAreRemembered(t *testing.T) {
+	i := testInstance()
+	injectAssignment(t, i, evenAssignment(4), 10)
+	began := time.Now()
+	owner := i.state.assignments["s"].assignment.Find(7).Owner
+	for n, next := range []string{"x", owner} {
+		i.takeNews(&peers.News{
+			Service: "s", Term: 2, Base: uint64(10 + n), Revision: uint64(11 + n), Parts: 1,
+			Pieces: []ownership.Piece{{First: 5, Last: 9, Owner: next}},
+		})
+	}
+	assert.Equal(t, i.state.assignments["s"].assignment.Find(7).Owner, owner)
+	assert.Assert(t, i.state.movedSince("s", 7, began))
+	assert.Assert(t, !i.state.movedSince("s", 4, began))
+	assert.Assert(t, !i.state.movedSince("s", 7, time.Now()))
+	assert.Assert(t, !i.state.movedSince("other", 7, began))
+}
+
 // An instance is told of a change of 36 pieces.
 func BenchmarkTakeNews(b *testing.B) {
 	for _, n := range []int{100, 300, 1000, 3000} {
