--- a/standin/main.go
+++ b/standin/main.go
@@ -37,7 +37,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "basilcross-standin", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demoCommand(), namesCommand(), slopesCommand(), experimentCommand(), soakCommand())
+	root.AddCommand(demoCommand(), namesCommand(), experimentCommand(), soakCommand())
 	return root.ExecuteContext(ctx)
 }
 
@@ -97,22 +97,6 @@
 	return errors.Join(r.WriteJSON(f), f.Close())
 }
 
-const usageSlopes = `Run fleets of several sizes without load and fit how the cost of control grows.
-
-Example:
-  go run ./standin slopes --gateways 12,36,72 --shards 80,1024,4096`
-
-func slopesCommand() *cobra.Command {
-	var gateways, shards []int
-	c := &cobra.Command{Use: "slopes", Short: "Measure how the cost of control grows", Long: usageSlopes, Args: cobra.NoArgs}
-	c.Flags().IntSliceVar(&gateways, "gateways", []int{12, 36, 72}, "numbers of gateways")
-	c.Flags().IntSliceVar(&shards, "shards", []int{80, 1024, 4096}, "numbers of shards, at the smallest number of gateways")
-	c.RunE = func(c *cobra.Command, _ []string) error {
-		return demo.Slopes(c.Context(), gateways, shards, c.OutOrStdout())
-	}
-	return c
-}
-
 func namesCommand() *cobra.Command {
 	var name string
 	c := &cobra.Command{Use: "names", Short: "List the names that a scenario may use", Args: cobra.NoArgs}
