A reader that loses its proof says so, and a coordinator's proof ends sooner

Cause: a coordinator counted as certain until its write had been without an answer for 0.8 s (up to 1.3 s after the loss), and its listeners left it a second after its last sign of life. Ruled out: that the configuration was lost on the way in the zone (its reader did not have it either).

Change: a coordinator's proof ends once a write takes longer than 0.4 s; a reader that loses its proof tells its zone at once; a listener waits 0.6 s, not 1 s, for a copy that it asked for before it calls the store.

Tests: TestReaderInDoubtIsLeftAtOnce (new), TestReaderWithoutProofIsSilent.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -75,9 +75,9 @@
 	Table func() *routing.Table
 	// Revisions returns how far this instance's copies go.
 	Revisions func() map[string]uint64
-	// Leads is told, with each sign of life, how many instances report and whether
-	// the store answers.
-	Leads func(members int, inDoubt bool)
+	// Leads is told how many instances report and whether the store answers, with each
+	// sign of life and when that changes.
+	Leads func(members int, answers bool)
 	// Refresh begins the feeds of this instance's copies anew: others compare
 	// theirs with them, and feeds may hang that the store took while it did
 	// not answer.
@@ -124,19 +124,21 @@
 	// recorded is what the store had when the term began; nil until read.
 	recorded map[string]*ownership.Assignment
 	// store is the store's clock when it was read, at storeAt.
-	store     time.Duration
-	storeAt   time.Time
-	reading   bool
-	writing   bool
-	wroteAt   time.Time
-	since     time.Time
-	pending   map[string]*ownership.Record
-	beatAt    time.Time
-	told      map[string]toldOf
-	inDoubt   bool
-	resigning bool
-	cancel    context.CancelFunc
-	ctx       context.Context
+	store   time.Duration
+	storeAt time.Time
+	reading bool
+	writing bool
+	wroteAt time.Time
+	since   time.Time
+	pending map[string]*ownership.Record
+	beatAt  time.Time
+	told    map[string]toldOf
+	inDoubt bool
+	// unanswered is set while a write takes longer than the store needs if it is well.
+	unanswered bool
+	resigning  bool
+	cancel     context.CancelFunc
+	ctx        context.Context
 	// grants and suspects bound the grants under way.
 	grants   *semaphore.Weighted
 	suspects *semaphore.Weighted
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -30,6 +30,10 @@
 		return
 	}
 	now := time.Now()
+	if unanswered := l.writing && now.Sub(l.wroteAt) > calmWithin; unanswered != l.unanswered {
+		l.unanswered = unanswered
+		c.Leads(c.countMembers(now), !unanswered)
+	}
 	c.beat(now)
 	if l.resigning {
 		return
@@ -93,7 +97,7 @@
 		return
 	}
 	l.beatAt = now.Add(beatEvery)
-	c.Leads(c.countMembers(now), l.inDoubt)
+	c.Leads(c.countMembers(now), !l.unanswered)
 	c.Peers.Broadcast(c.signOfLife(l))
 }
 
--- a/gateway/instance/duties.go
+++ b/gateway/instance/duties.go
@@ -189,9 +189,9 @@
 
 // leads notes that this instance coordinates. While the store does not answer, its
 // authority proves nothing of its copies.
-func (i *Instance) leads(members int, inDoubt bool) {
+func (i *Instance) leads(members int, answers bool) {
 	i.noteLead(i.settings.Instance, members)
-	if inDoubt {
+	if !answers {
 		i.beatAt.Store(nil)
 	}
 }
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -96,9 +96,15 @@
 			m.Prove(true)
 		}
 	}
-	if !now.Before(s.nextBeat) && s.current() && s.certain(now) {
+	reads := s.current() && s.certain(now)
+	switch {
+	case reads && !now.Before(s.nextBeat):
 		s.nextBeat = now.Add(readerBeat)
 		s.beat()
+	case !reads && !s.nextBeat.IsZero():
+		// Who listens need not wait until this instance counts as silent.
+		s.nextBeat = time.Time{}
+		s.tell(&peers.Message{Reader: &peers.Reader{}})
 	}
 }
 
@@ -285,7 +291,7 @@
 	gapFor = 400 * time.Millisecond
 	// copyFor is how long it waits for that copy before it calls the store: the
 	// whole zone may ask one reader.
-	copyFor = time.Second
+	copyFor = 600 * time.Millisecond
 )
 
 // gap is a copy that is behind a reader's.
@@ -334,11 +340,7 @@
 func (s *replicator) receive(m *peers.Message) bool {
 	switch {
 	case m.Reader != nil:
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.heard[m.From] = time.Now()
-		s.reached[m.From] = m.Reader.Reached
-		s.compare(m.Reader)
+		s.hear(m.From, m.Reader)
 	case m.Rows != nil:
 		s.take(m.From, m.Rows)
 	default:
@@ -347,6 +349,18 @@
 	return true
 }
 
+func (s *replicator) hear(from string, r *peers.Reader) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.Reached == nil {
+		delete(s.heard, from)
+		return
+	}
+	s.heard[from] = time.Now()
+	s.reached[from] = r.Reached
+	s.compare(r)
+}
+
 // unlikeTries is how many signs of life of readers in a row must tell of other
 // targets than are known here: news may be on their way.
 const unlikeTries = 6
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -32,12 +32,26 @@
 	long := now.Add(-readerFor)
 	i.beatAt.Store(&long)
 	assert.Assert(t, !s.certain(now), "the coordinator fell silent")
-	i.leads(3, false)
-	assert.Assert(t, s.certain(now), "it coordinates")
 	i.leads(3, true)
+	assert.Assert(t, s.certain(now), "it coordinates")
+	i.leads(3, false)
 	assert.Assert(t, !s.certain(now), "it coordinates, and the store does not answer")
 }
 
+// Guards against a zone whose only reader coordinates and loses the store: its
+// listeners waited until it counted as silent, and heard of a configuration 2.3 s
+// after it was acknowledged.
+func TestReaderInDoubtIsLeftAtOnce(t *testing.T) {
+	i := testInstance()
+	s := i.replicator
+	s.listens.Store(true)
+	now := time.Now()
+	assert.Assert(t, s.receive(&peers.Message{From: "a", Reader: &peers.Reader{Reached: map[string]uint64{}}}))
+	assert.Assert(t, s.mayListen(now))
+	assert.Assert(t, s.receive(&peers.Message{From: "a", Reader: &peers.Reader{}}))
+	assert.Assert(t, !s.mayListen(now))
+}
+
 // Guards against listeners that stay with silent readers, and against all of them
 // calling the store at the same moment.
 func TestListenersLeaveSilentReadersInTurn(t *testing.T) {
@@ -45,7 +59,7 @@
 	s := i.replicator
 	s.listens.Store(true)
 	hear := func(m *peers.Message) { assert.Assert(t, s.receive(m)) }
-	hear(&peers.Message{From: "a", Reader: &peers.Reader{}})
+	hear(&peers.Message{From: "a", Reader: &peers.Reader{Reached: map[string]uint64{}}})
 	now := time.Now()
 	assert.Assert(t, s.mayListen(now))
 	i.noteLead(i.settings.Instance, 3)
@@ -65,7 +79,7 @@
 	assert.Assert(t, s.mayListen(now), "three go before it")
 	assert.Assert(t, s.mayListen(now.Add(3*turn-1)))
 	assert.Assert(t, !s.mayListen(now.Add(3*turn)))
-	hear(&peers.Message{From: "d", Reader: &peers.Reader{}})
+	hear(&peers.Message{From: "d", Reader: &peers.Reader{Reached: map[string]uint64{}}})
 	assert.Assert(t, s.mayListen(now.Add(3*turn)), "another one reads")
 }
 
@@ -80,7 +94,7 @@
 	assert.Assert(t, s.current())
 	i.noteLead("c", 3)
 	assert.Assert(t, !s.mayListen(time.Now()), "there is no reader")
-	assert.Assert(t, s.receive(&peers.Message{From: "c", Reader: &peers.Reader{}}))
+	assert.Assert(t, s.receive(&peers.Message{From: "c", Reader: &peers.Reader{Reached: map[string]uint64{}}}))
 	assert.Assert(t, s.mayListen(time.Now()))
 }
 
@@ -240,7 +254,7 @@
 	i.noteLead("c", 3)
 	assert.Assert(t, !s.current(), "nothing was read yet")
 	assert.Assert(t, !s.mayListen(time.Now()), "there is no reader")
-	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{}})
+	s.receive(&peers.Message{From: "reader", Reader: &peers.Reader{Reached: map[string]uint64{}}})
 	assert.Assert(t, s.mayListen(time.Now()))
 }
 
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -32,7 +32,8 @@
 type Reader struct {
 	_ struct{} `cbor:",toarray"`
 
-	// Reached is how far each table's copy is complete.
+	// Reached is how far each table's copy is complete. Without it the sender's way to
+	// the store is not proved any more, and others must not rely on it.
 	Reached map[string]uint64
 	// Targets is the digest of the targets that it knows.
 	Targets uint64
