Serve requests in permitted regions only, not in evacuated zones, and cold targets at their rate

Cause: allowed_regions, op/evacuate/ZONE, warmup and warmup_per_s were decoded nowhere.

Change: package placement decides which zones may serve a request; the broker asks it for the zones by distance and for owners of keys, and the front once more after the wait for a slot. The coordinator treats targets in evacuated zones, or outside the regions that all bound routes to their service permit, as draining, so that their keys move. Evacuations are rows of the operator's table, and spread as configurations do. A scheduler limits a cold target by a token bucket that begins empty; an instance that is not the target's first-choice scheduler sends it nothing.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -20,6 +20,8 @@
 // for concurrent use.
 type Dispatcher struct {
 	Roster *roster.Roster
+	// ColdRate is used as in schedule.Scheduler.
+	ColdRate func(now time.Time, t *roster.Target) (rate float64, cold bool)
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -38,7 +40,7 @@
 // *schedule.BusyError, a *schedule.NoTargetError or the context's.
 func (d *Dispatcher) Acquire(ctx context.Context, r schedule.Request) (*Reservation, error) {
 	d.mu.Lock()
-	d.scheduler.Roster = d.Roster
+	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -46,7 +46,10 @@
 	TargetSilent      = Event{400, "targetSilent", slog.LevelInfo, "A target did not answer a request in time; the open connections to the target are dropped.", "If many targets are affected at once, suspect the network between."}
 	AnswerCut         = Event{401, "answerCut", slog.LevelInfo, "A target's response ended early, or the caller did not receive all of it; the caller's connection was aborted, or the request was refused.", ""}
 	TargetEjected     = Event{402, "targetEjected", slog.LevelWarn, "A target fails too often. If its service is unsharded, it gets no requests for a while.", "Check the target."}
+	PlacementDenied   = Event{407, "placementDenied", slog.LevelDebug, "A request was not sent to any target, since its route permits none of the regions that have targets, or the permitted zones are evacuated. The line names both, and the version of the configuration.", "If it persists, check the route's regions and the evacuated zones."}
 	ConfigInForce     = Event{500, "configInForce", slog.LevelInfo, "A newer configuration is in force on this instance.", ""}
+	ZoneEvacuated     = Event{503, "zoneEvacuated", slog.LevelWarn, "The operator has evacuated an availability zone: its targets get no requests, and its keys move to other zones.", "Watch the refusals of the permitted zones until it is taken back."}
+	ZoneReturned      = Event{504, "zoneReturned", slog.LevelInfo, "The operator has taken an evacuated zone back. Its targets are treated as cold at first.", ""}
 	ConfigAccepted    = Event{501, "configAccepted", slog.LevelInfo, "An operator's configuration was committed in the table service.", ""}
 	ConfigStale       = Event{502, "configStale", slog.LevelWarn, "A configuration that is not newer than the one in force was received and ignored.", ""}
 	PlatformDown      = Event{600, "platformDown", slog.LevelWarn, "The table service does not answer. Zone leaders extend each other's authority; nothing new is decided.", "Check the platform. Targets keep serving their keys."}
@@ -92,8 +95,8 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent,
-		ConfigInForce, ConfigAccepted, ConfigStale,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied,
+		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
 	}
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		slots := float64(t.Slots) * m.relativeSpeed(t.ID)
-		if now.Sub(t.FirstSeen) < t.WarmupLeft {
+		if t.IsCold(now) {
 			slots *= warmupShare
 		}
 		loads[t.ID] = &targetLoad{target: t, slots: slots}
--- a/basilcross/roster/builder.go
+++ b/basilcross/roster/builder.go
@@ -39,10 +39,14 @@
 	}
 	t := *c.Target
 	isNew := old == nil || old.Started != t.Started
-	t.FirstSeen = now
+	t.FirstSeen, t.ColdUntil = now, now.Add(t.WarmupLeft)
 	if !isNew {
 		t.FirstSeen, t.LeavingSince = old.FirstSeen, old.LeavingSince
 	}
+	if !isNew && t.Seq == old.Seq {
+		// The same report, received again.
+		t.ColdUntil = old.ColdUntil
+	}
 	if t.Draining && t.LeavingSince.IsZero() {
 		t.LeavingSince = now
 		leaving = &t
--- a/basilcross/roster/roster.go
+++ b/basilcross/roster/roster.go
@@ -21,8 +21,11 @@
 	// Seq grows with each report of the target.
 	Seq      int64
 	Draining bool
-	// WarmupLeft is how much longer the target is slow, as of its report.
+	// WarmupLeft is how much longer the target is cold, as of its report.
 	WarmupLeft time.Duration
+	// ColdUntil is when the target has warmed up, counted from when this instance received
+	// the report; it is never too early.
+	ColdUntil time.Time
 	// FirstSeen is when this instance first saw the incarnation.
 	FirstSeen time.Time
 	// LeavingSince is when this instance first saw the target draining; zero otherwise.
@@ -38,6 +41,10 @@
 // Incarnation returns the target's identity.
 func (t *Target) Incarnation() Incarnation { return Incarnation{t.ID, t.Started} }
 
+// IsCold reports whether the target is warming up: it is slower then, and may crash under
+// the usual rate of requests.
+func (t *Target) IsCold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
 // View is an immutable snapshot of the list.
 type View struct {
 	Targets   map[string]*Target
--- a/basilcross/routing/config.go
+++ b/basilcross/routing/config.go
@@ -29,6 +29,8 @@
 	MaxAttempts int
 	// Split lists the services of the route, with weights if there are several.
 	Split []Share
+	// Regions are the regions in which the requests may be served; empty: in all.
+	Regions []string
 }
 
 // Share is a service's share of a route's requests.
@@ -47,6 +49,10 @@
 	Sharded bool
 	// WarmupTime is how long keys are slow that a target got without a handover.
 	WarmupTime time.Duration
+	// ColdTime is how long a target is cold after its start. While it is cold, it accepts
+	// ColdRate requests per second from all instances together; 0: any number.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits bound callers' requests; zero is no limit.
--- a/basilcross/routing/table.go
+++ b/basilcross/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strings"
 )
 
@@ -10,11 +11,13 @@
 	Config   *Config
 	hosts    map[string]map[string]*Route
 	services map[string]*Service
+	// ownerRegions are the regions that all bound routes of a service permit.
+	ownerRegions map[string][]string
 }
 
 // New returns the table of a configuration, which must not change afterwards.
 func New(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, services: map[string]*Service{}}
+	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, services: map[string]*Service{}, ownerRegions: map[string][]string{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -22,6 +25,7 @@
 			t.hosts[host] = map[string]*Route{}
 		}
 		t.hosts[host][r.Prefix] = r
+		t.bindOwners(r)
 	}
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
@@ -48,5 +52,27 @@
 	return nil
 }
 
+// bindOwners restricts the owners of the keys of the route's services to its regions.
+func (t *Table) bindOwners(r *Route) {
+	if len(r.Regions) == 0 {
+		return
+	}
+	for _, s := range r.Split {
+		regions, bound := t.ownerRegions[s.Service]
+		if !bound {
+			t.ownerRegions[s.Service] = r.Regions
+			continue
+		}
+		t.ownerRegions[s.Service] = slices.DeleteFunc(slices.Clone(regions), func(region string) bool {
+			return !slices.Contains(r.Regions, region)
+		})
+	}
+}
+
+// OwnerRegions returns the regions that all routes to a service permit, in which the
+// owners of its keys can serve every request. It is empty if no route is bound to regions,
+// or if no region is permitted by all.
+func (t *Table) OwnerRegions(service string) []string { return t.ownerRegions[service] }
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -31,6 +31,7 @@
 	}
 	t.Target, t.state = best, avail.state
 	t.state.add(now, t)
+	t.state.cold.take()
 	return avail
 }
 
@@ -42,14 +43,23 @@
 	for _, c := range s.usableTargets(now, t) {
 		st := t.service.stateOf(c)
 		latency := t.service.expectedLatency(now, c, st, t.Request.Kind)
-		avail.targets++
-		avail.slots += min(float64(c.Slots), max(1, st.limit))
-		rate += min(float64(c.Slots), max(1, st.limit)) / latency
+		slots := min(float64(c.Slots), max(1, st.limit))
 		wait := st.timeToFreeSlot(now, c.Slots)
+		limited, tokenWait := s.coldLimit(now, c, st)
+		if limited > 0 {
+			if t.Request.AvoidCold {
+				continue
+			}
+			slots = min(slots, limited*latency)
+			wait = max(wait, tokenWait)
+		}
+		avail.targets++
+		avail.slots += slots
+		rate += slots / latency
 		if avail.targets == 1 || wait < avail.freeIn {
 			avail.freeIn = wait
 		}
-		if float64(len(st.inFlight)) >= max(1, st.limit) || wait > sendAheadTime(&t.Request) || st.reservesLastSlot(now, t, c.Slots, latency) {
+		if float64(len(st.inFlight)) >= max(1, st.limit) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, c.Slots, latency) {
 			continue
 		}
 		expected := latency + wait.Seconds()
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -54,7 +54,7 @@
 }
 
 func warmupFactor(now time.Time, t *roster.Target) float64 {
-	if now.Sub(t.FirstSeen) < t.WarmupLeft {
+	if t.IsCold(now) {
 		return warmupSlowdown
 	}
 	return 1
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -20,6 +20,8 @@
 	// Target is the ID of the only acceptable target; empty if any of the zone is.
 	Target string
 	Zone   string
+	// Regions are the regions that may serve the request; empty: all.
+	Regions []string
 	// Excluded are the IDs of targets that this request was sent to before.
 	Excluded map[string]bool
 	// Priority 0 is the highest.
@@ -31,6 +33,9 @@
 	OneWayDelay time.Duration
 	// RejectLate requests a refusal if the answer would come after Objective.
 	RejectLate bool
+	// AvoidCold excludes cold targets whose rate of requests is limited. It is set if
+	// another instance may be counting their requests at the same time.
+	AvoidCold bool
 }
 
 // Result is how a request ended at its target.
@@ -47,6 +52,8 @@
 	// Abandoned: the caller disconnected or its deadline passed; this says nothing about
 	// the target.
 	Abandoned
+	// Unreachable: no connection could be opened, so the target may be restarting.
+	Unreachable
 )
 
 // BusyError is returned for a request that cannot be answered in time.
@@ -73,6 +80,9 @@
 // safe for concurrent use.
 type Scheduler struct {
 	Roster *roster.Roster
+	// ColdRate, if set, returns how many requests per second a target accepts while it is
+	// cold, 0 if that is unlimited, and whether it is known to be cold now.
+	ColdRate func(now time.Time, t *roster.Target) (rate float64, cold bool)
 
 	services map[string]*service
 }
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -53,6 +53,9 @@
 	failures int
 	// shedRatio is the share of requests that were shed with slots free.
 	shedRatio float64
+	// cold limits the rate of requests while the target is cold, or may have restarted.
+	cold                  coldBucket
+	restartSuspectedUntil time.Time
 }
 
 func (s *service) stateOf(t *roster.Target) *targetState {
@@ -150,7 +153,10 @@
 	case Shed:
 		st.limit = max(1, st.limit*shedLimitFactor)
 		st.backoffUntil = now.Add(shedBackoff)
-	case Failed:
+	case Failed, Unreachable:
+		if r == Unreachable {
+			st.restartSuspectedUntil = now.Add(restartSuspicion)
+		}
 		st.failures++
 		if st.failures > 1 {
 			st.backoffUntil = now.Add(min(failureBackoff<<min(st.failures-2, 4), maxFailureBackoff))
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -14,6 +14,7 @@
 
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/peers"
@@ -45,8 +46,8 @@
 // Options are the dependencies of a Broker; all must be set.
 type Options struct {
 	Self peers.Instance
-	// Regions maps each zone to its region.
-	Regions    map[string]string
+	// Placement returns the policy in force.
+	Placement  func() *placement.Policy
 	Peers      *peers.Peers
 	Dispatcher *dispatch.Dispatcher
 	Roster     *roster.Roster
@@ -99,13 +100,16 @@
 // has no keys), those of the own zone are tried first, then those of the region, then
 // others: traffic between zones is billed, so a farther zone is used only if a nearer
 // one would answer too late. The error is a *schedule.BusyError, a
-// *schedule.NoTargetError or the context's.
+// *schedule.NoTargetError, a *placement.DeniedError or the context's.
 func (b *Broker) Acquire(ctx context.Context, req schedule.Request) (*Reservation, error) {
 	if req.Target != "" {
 		t := b.Roster.Load().Targets[req.Target]
 		if t == nil {
 			return nil, &schedule.NoTargetError{Service: req.Service}
 		}
+		if err := b.Check(t, &req); err != nil {
+			return nil, err
+		}
 		req.Zone = t.Zone
 		return b.acquireInZone(ctx, req)
 	}
@@ -113,6 +117,10 @@
 	if len(zones) == 0 {
 		return nil, &schedule.NoTargetError{Service: req.Service}
 	}
+	zones, err := b.Placement().Filter(req.Service, zones, req.Regions)
+	if err != nil {
+		return nil, err
+	}
 	var busy *schedule.BusyError
 	for _, zone := range zones {
 		if b.isFull(req.Service, zone) && zone != b.Self.Zone {
@@ -131,10 +139,24 @@
 	return b.acquireInZone(ctx, req)
 }
 
+// evacuatedOwnerTTL is how long the owner of keys in an evacuated zone still gets requests,
+// while its keys move to other zones. The users allow 5 s from the operator's write.
+const evacuatedOwnerTTL = 1500 * time.Millisecond
+
+// Check returns a *placement.DeniedError if the target must not get the request now.
+func (b *Broker) Check(t *roster.Target, req *schedule.Request) error {
+	policy := b.Placement()
+	if req.Target != "" && policy.InRegions(t.Zone, req.Regions) && time.Since(policy.Evacuated[t.Zone]) < evacuatedOwnerTTL {
+		return nil
+	}
+	return policy.Check(req.Service, t.Zone, req.Regions)
+}
+
 // zonesByDistance returns the zones with targets of the service, nearest first.
 func (b *Broker) zonesByDistance(service string) []string {
 	var tiers [3][]string
 	seen := map[string]bool{}
+	regions := b.Placement().Regions
 	for _, t := range b.Roster.Load().ByService[service] {
 		if t.Draining || seen[t.Zone] {
 			continue
@@ -144,7 +166,7 @@
 		switch {
 		case t.Zone == b.Self.Zone:
 			tier = 0
-		case b.Regions[t.Zone] == b.Regions[b.Self.Zone]:
+		case regions[t.Zone] == regions[b.Self.Zone]:
 			tier = 1
 		}
 		tiers[tier] = append(tiers[tier], t.Zone)
@@ -176,6 +198,7 @@
 		}
 		b.markUnresponsive(scheduler)
 	}
+	req.AvoidCold = scheduler != b.Self.Name || !b.isPrimary(&req)
 	res, err := b.Dispatcher.Acquire(ctx, req)
 	if err != nil {
 		return nil, err
@@ -187,7 +210,16 @@
 // is chosen by rendezvous hashing: if an instance leaves, only what it scheduled
 // moves. Of a zone's targets of a service, the scheduler is an instance with the most
 // cores, since all requests of the zone go to it.
-func (b *Broker) Scheduler(req *schedule.Request) string {
+func (b *Broker) Scheduler(req *schedule.Request) string { return b.chooseScheduler(req, true) }
+
+// isPrimary reports whether this instance is the scheduler of a request while all listed
+// instances respond. Only that one sends requests to cold targets, so that one instance
+// counts their rate.
+func (b *Broker) isPrimary(req *schedule.Request) bool {
+	return b.chooseScheduler(req, false) == b.Self.Name
+}
+
+func (b *Broker) chooseScheduler(req *schedule.Request, responsive bool) string {
 	key := req.Target
 	if key == "" {
 		key = req.Service
@@ -197,7 +229,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, i := range b.Peers.Zone(req.Zone) {
-		if len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) {
+		if responsive && len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) {
 			continue
 		}
 		cores := 0.0
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
@@ -51,7 +52,7 @@
 			n.broker.Receive(m)
 		}
 		n.broker = broker.New(broker.Options{
-			Self: n.peers.Self, Peers: n.peers, Dispatcher: &dispatch.Dispatcher{Roster: targets}, Roster: targets, Log: log,
+			Self: n.peers.Self, Placement: func() *placement.Policy { return &placement.Policy{} }, Peers: n.peers, Dispatcher: &dispatch.Dispatcher{Roster: targets}, Roster: targets, Log: log,
 		})
 		assert.NilError(t, n.peers.Listen())
 		ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -74,6 +74,7 @@
 	req.OneWayDelay = b.oneWayDelays[m.From]
 	b.mu.Unlock()
 	time.AfterFunc(time.Until(req.Deadline)+releaseGrace, func() { b.releaseRemote(key, schedule.Abandoned) })
+	req.AvoidCold = !b.isPrimary(&req)
 	b.group.Go(func() error {
 		b.reserveFor(ctx, key, r, req)
 		return nil
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
@@ -76,6 +77,7 @@
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
 		ReleaseClient: &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{}}},
 		Peers:         &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
+		Placement: func() *placement.Policy { return &placement.Policy{} },
 		Revisions: func() map[string]uint64 { return nil }, OnLeading: func(int, bool) {}, RestartFeeds: func() {},
 		OnUpdate: func(*peers.AssignmentUpdate) {}, OnOversizedUpdate: func() {}, Log: log, Joined: func() bool { return true },
 		Holds: ownership.Holds{Normal: 3200 * time.Millisecond, Long: 6 * time.Second, RenewInterval: 800 * time.Millisecond, AddressReuse: 2 * time.Second},
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
@@ -72,8 +73,9 @@
 	ReleaseClient *platform.GrantClient
 	Peers         *peers.Peers
 	Roster        *roster.Roster
-	// Table returns the routing table in force, or nil.
-	Table func() *routing.Table
+	// Table returns the routing table in force, or nil, and Placement the policy in force.
+	Table     func() *routing.Table
+	Placement func() *placement.Policy
 	// Revisions returns the newest revisions of this instance's mirrors, by table.
 	Revisions func() map[string]uint64
 	// OnLeading is called while this instance leads, with each heartbeat and when storeAnswers
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -202,7 +202,7 @@
 			l.managers[s.Name] = manager
 		}
 		c.detectReplacedOwners(manager, table, view)
-		for _, o := range manager.Step(now, view.ByService[s.Name]) {
+		for _, o := range manager.Step(now, placedTargets(view.ByService[s.Name], c.Placement(), table.OwnerRegions(s.Name))) {
 			c.execute(manager, o)
 		}
 	}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/pool"
 	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
@@ -39,6 +40,7 @@
 	request := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.excluded, Priority: c.route.Priority}
 	request.Objective = c.arrived.Add(c.route.Objective)
 	request.Deadline = c.deadline
+	request.Regions = c.route.Regions
 	if c.sharded {
 		owner, failed := f.owner(c)
 		if failed != nil {
@@ -52,6 +54,11 @@
 	if err != nil {
 		return nil, f.reservationRefused(c, err)
 	}
+	if err := f.Broker.Check(reservation.Target, &request); err != nil {
+		// The zone was evacuated while the request waited for the slot.
+		reservation.Release(schedule.Abandoned)
+		return nil, f.reservationRefused(c, err)
+	}
 	if c.sharded && c.lastRunTarget == reservation.Target.ID && f.OwnerChangedSince(c.service, c.key, c.lastRunAt) {
 		// The key had another owner since the first run. Two runs at the same target
 		// would look like one run, during which the key changed its owner.
@@ -86,7 +93,10 @@
 func (f *Front) reservationRefused(c *call, err error) *refusal {
 	var busy *schedule.BusyError
 	var none *schedule.NoTargetError
+	var denied *placement.DeniedError
 	switch {
+	case errors.As(err, &denied):
+		return f.placementDenied(c, denied)
 	case errors.As(err, &busy):
 		r := newNotRun("busy", busy.Wait)
 		r.final = true
@@ -104,6 +114,21 @@
 	}
 }
 
+// placementDenied returns the refusal for a request that no target may serve, because its
+// route is bound to other regions, or the zones in its regions are evacuated. The keys of a
+// sharded service are being moved then.
+func (f *Front) placementDenied(c *call, err *placement.DeniedError) *refusal {
+	cause := "outsideRegions"
+	if len(err.Evacuated) > 0 {
+		cause = "zoneEvacuated"
+	}
+	r := newNotRun(cause, retryAfterDenied)
+	r.awaitOwner, r.final = c.sharded, !c.sharded
+	event.PlacementDenied.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "cause", cause,
+		"regions", err.Regions, "evacuated", err.Evacuated, "version", f.Table().Config.Version)
+	return r
+}
+
 func (f *Front) send(ctx context.Context, c *call, reservation *broker.Reservation) (*targetResponse, *refusal) {
 	t := reservation.Target
 	start := time.Now()
@@ -155,6 +180,8 @@
 		reservation.Release(schedule.Abandoned)
 	case ctx.Err() != nil:
 		reservation.Release(schedule.Abandoned)
+	case !wrote:
+		reservation.Release(schedule.Unreachable)
 	default:
 		reservation.Release(schedule.Failed)
 	}
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -17,6 +17,7 @@
 
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/broker"
@@ -35,6 +36,7 @@
 	server  *httptest.Server
 	roster  *roster.Roster
 	table   atomic.Pointer[routing.Table]
+	policy  atomic.Pointer[placement.Policy]
 	targets []*roster.Target
 	// sent is the number of requests sent by call, and the last request's ID.
 	sent int
@@ -44,11 +46,12 @@
 	t.Helper()
 	f := &fixture{t: t, roster: &roster.Roster{}}
 	log := slog.New(slog.DiscardHandler)
+	f.policy.Store(&placement.Policy{})
 	p := &peers.Peers{Self: peers.Instance{Name: "one", Zone: "z"}, Log: log}
 	f.front = front.New(front.Options{
 		Headers: platform.HeaderNames(),
 		Broker: broker.New(broker.Options{
-			Self: p.Self, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
+			Self: p.Self, Placement: f.policy.Load, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
 		}),
 		Roster: f.roster, Pools: &front.Pools{}, Table: f.table.Load,
 		CurrentAssignment: func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -16,6 +16,9 @@
 	retryAfterNoConfig = 500 * time.Millisecond
 	retryAfterNoTarget = 400 * time.Millisecond
 	retryAfterFailure  = 200 * time.Millisecond
+	// retryAfterDenied is sent while no zone may serve the request: an operator takes a
+	// zone back, or the keys reach another zone, within seconds.
+	retryAfterDenied = time.Second
 )
 
 // refusal describes why a request, or one attempt, has no response to forward.
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -18,6 +18,7 @@
 	"basilcross.example/basilcross/egress"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/channel"
@@ -121,6 +122,7 @@
 	i.state.log = log
 	i.state.roster = &roster.Roster{}
 	i.state.zone = s.Zone
+	i.state.placement.Store(&placement.Policy{Regions: s.Regions})
 	storeDialer := &egress.Dialer{DialTimeout: storeDialTimeout, UserTimeout: storeUserTimeout, KeepAliveInterval: keepAliveInterval}
 	i.store = &platform.Store{Address: s.Store, HTTP: newHTTPClient(storeDialer)}
 	i.peerClient = newHTTPClient(&egress.Dialer{DialTimeout: storeDialTimeout, UserTimeout: storeUserTimeout, KeepAliveInterval: keepAliveInterval})
@@ -136,12 +138,12 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       i.replicator.joined.Load,
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
-		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Revisions: i.revisions, Log: log,
+		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate}
 	i.broker = broker.New(broker.Options{
-		Self: i.peers.Self, Regions: s.Regions, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
+		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 	})
 	i.pools = &front.Pools{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
@@ -184,7 +186,7 @@
 	}
 	i.replicator = newReplicator(i)
 	for _, m := range []*mirror.Mirror{
-		{Table: platform.OperatorTable, BatchDelay: configBatchDelay, MaxBatchDelay: maxConfigBatchDelay, MinorDelay: configBatchDelay, OnUpdate: i.state.applyConfig},
+		{Table: platform.OperatorTable, BatchDelay: configBatchDelay, MaxBatchDelay: maxConfigBatchDelay, MinorDelay: configBatchDelay, OnUpdate: i.state.applyOperatorRows},
 		{
 			Table: platform.TargetTable, BatchDelay: targetBatchDelay, MinorDelay: minorDelay, OnUpdate: i.state.applyTargets,
 			IsMinor: isMinorTargetChange,
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/coordinator"
@@ -23,6 +25,7 @@
 	log            *slog.Logger
 	zone           string
 	routes         atomic.Pointer[routing.Table]
+	placement      atomic.Pointer[placement.Policy]
 	roster         *roster.Roster
 	revisionReport atomic.Pointer[revisionReport]
 
@@ -81,6 +84,64 @@
 	})
 }
 
+// policy returns the placement policy in force.
+func (s *state) policy() *placement.Policy {
+	if p := s.placement.Load(); p != nil {
+		return p
+	}
+	return &placement.Policy{}
+}
+
+// applyOperatorRows applies the operator's configuration and evacuations.
+func (s *state) applyOperatorRows(u mirror.Update) {
+	s.applyEvacuations(u)
+	s.applyConfig(u)
+}
+
+// applyEvacuations updates the placement policy by the rows that evacuate zones.
+func (s *state) applyEvacuations(u mirror.Update) {
+	policy := s.policy()
+	evacuated := map[string]bool{}
+	if !u.Full {
+		for zone := range policy.Evacuated {
+			evacuated[zone] = true
+		}
+	}
+	for _, r := range u.Rows {
+		if zone, ok := platform.EvacuatedZone(r.Key); ok {
+			evacuated[zone] = !r.Removed
+		}
+	}
+	maps.DeleteFunc(evacuated, func(_ string, is bool) bool { return !is })
+	next, added, returned := policy.WithEvacuated(time.Now(), slices.Collect(maps.Keys(evacuated)))
+	if len(added)+len(returned) == 0 {
+		return
+	}
+	s.placement.Store(next)
+	for _, zone := range added {
+		event.ZoneEvacuated.Log(s.log, "zone", zone, "known", policy.Regions[zone] != "", "revision", u.Revision)
+	}
+	for _, zone := range returned {
+		event.ZoneReturned.Log(s.log, "zone", zone, "revision", u.Revision)
+	}
+}
+
+// coldRate returns how many requests per second a target accepts while it is cold, 0 if
+// that is unlimited, and whether it is cold. A target in a zone that was taken back may
+// have turned cold shortly before, and have reported it to no instance yet.
+func (s *state) coldRate(now time.Time, t *roster.Target) (rate float64, cold bool) {
+	table := s.routes.Load()
+	if table == nil {
+		return 0, false
+	}
+	service := table.Service(t.Service)
+	if service == nil || service.ColdRate <= 0 {
+		return 0, false
+	}
+	returned, ok := s.policy().Returned[t.Zone]
+	return service.ColdRate, t.IsCold(now) || ok && now.Sub(returned) < service.ColdTime
+}
+
 // applyConfig puts a configuration in force, unless it is invalid or not newer.
 func (s *state) applyConfig(u mirror.Update) {
 	for _, r := range u.Rows {
@@ -150,7 +211,8 @@
 
 // isMinorTargetChange reports whether a target's row changed only in its warm-up
 // progress, which every instance counts down by itself. All targets of a fleet warm
-// up together, each with a change at every report.
+// up together, each with a change at every report. A target that turns cold again is
+// no minor change.
 func isMinorTargetChange(old, next platform.Row) bool {
 	if old.Removed || next.Removed {
 		return false
@@ -164,7 +226,7 @@
 		return false
 	}
 	return a.Incarnation() == b.Incarnation() && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
-		a.Slots == b.Slots && a.Draining == b.Draining
+		a.Slots == b.Slots && a.Draining == b.Draining && b.WarmupLeft <= a.WarmupLeft
 }
 
 func (s *state) applyAssignments(u mirror.Update) {
--- a/gateway/instance/state_test.go
+++ b/gateway/instance/state_test.go
@@ -6,8 +6,12 @@
 	"time"
 
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/placement"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/fleet"
+	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
 	"gotest.tools/v3/assert"
@@ -48,6 +52,72 @@
 	assert.Equal(t, a.Find(6).Owner, "bakery-svc-0000")
 }
 
+func evacuation(zone string, removed bool) platform.Row {
+	return platform.Row{Table: platform.OperatorTable, Key: platform.EvacuationKey(zone), Value: []byte("{}"), Removed: removed}
+}
+
+// Guards against evacuations that are lost with the next change of another row, that
+// outlast their row, or whose removal during a gap in the feed goes unnoticed.
+func TestEvacuationsFollowTheOperatorsRows(t *testing.T) {
+	s := testInstance().state.policyAfter
+	assert.Assert(t, s(mirror.Update{Rows: []platform.Row{evacuation("graz", false)}}).IsEvacuated("graz"))
+	assert.Assert(t, s(mirror.Update{Rows: []platform.Row{evacuation("wien", false)}}).IsEvacuated("graz"))
+	assert.Assert(t, !s(mirror.Update{Rows: []platform.Row{evacuation("wien", true)}}).IsEvacuated("wien"))
+	policy := s(mirror.Update{Full: true, Rows: []platform.Row{evacuation("linz", false)}})
+	assert.Assert(t, !policy.IsEvacuated("graz") && policy.IsEvacuated("linz"))
+	assert.Assert(t, !policy.Returned["graz"].IsZero())
+}
+
+func (s *state) policyAfter(u mirror.Update) *placement.Policy {
+	s.applyOperatorRows(u)
+	return s.policy()
+}
+
+// Guards against a target that turned cold again and is known to be so by the feed readers
+// alone.
+func TestColdTargetIsForwarded(t *testing.T) {
+	row := func(left string, seq int) platform.Row {
+		return platform.Row{Key: "t", Value: fmt.Appendf(nil, `{"address":"10.0.0.9:80","born":1700,"info":{"service":"s","version":"v1","zone":"z","slots":3},"status":{"state":"ready","seq":%d,"warmup_left":%q}}`, seq, left)}
+	}
+	assert.Assert(t, isMinorTargetChange(row("3s", 1), row("2s", 2)))
+	assert.Assert(t, !isMinorTargetChange(row("0ms", 2), row("3s", 3)))
+}
+
+// Guards against a target that is taken for warm before it has warmed up, because its
+// reports count down from when it was first seen, or that stays cold by a repeated row.
+func TestWarmupIsCountedFromTheReport(t *testing.T) {
+	start := time.Unix(1000, 0)
+	r := &roster.Roster{}
+	report := func(at time.Duration, seq int64, left time.Duration) {
+		r.Apply(start.Add(at), []roster.Change{{ID: "t", Target: &roster.Target{ID: "t", Started: 1, Seq: seq, WarmupLeft: left}}}, 1)
+	}
+	isCold := func(at time.Duration) bool { return r.Load().Targets["t"].IsCold(start.Add(at)) }
+	report(0, 1, 3*time.Second)
+	report(time.Second, 2, 2*time.Second)
+	assert.Assert(t, isCold(2900*time.Millisecond) && !isCold(3*time.Second))
+	report(2*time.Second, 2, 2*time.Second)
+	assert.Assert(t, !isCold(3*time.Second))
+	report(4*time.Second, 3, 3*time.Second)
+	assert.Assert(t, isCold(6*time.Second))
+}
+
+// Guards against a zone that is taken back and gets its full load although its targets
+// turned cold shortly before.
+func TestReturnedZoneCountsAsCold(t *testing.T) {
+	s := &testInstance().state
+	s.routes.Store(routing.New(&routing.Config{Services: []routing.Service{{Name: "s", ColdTime: 3 * time.Second, ColdRate: 5}}}))
+	target := &roster.Target{ID: "t", Service: "s", Zone: "graz"}
+	now := time.Now()
+	_, cold := s.coldRate(now, target)
+	assert.Assert(t, !cold)
+	s.applyOperatorRows(mirror.Update{Rows: []platform.Row{evacuation("graz", false)}})
+	s.applyOperatorRows(mirror.Update{Rows: []platform.Row{evacuation("graz", true)}})
+	rate, cold := s.coldRate(now.Add(2*time.Second), target)
+	assert.Assert(t, cold && rate == 5)
+	_, cold = s.coldRate(now.Add(4*time.Second), target)
+	assert.Assert(t, !cold)
+}
+
 // Guards against owner changes that are lost when a key goes to another target and
 // back.
 func TestOwnerChangesAreRecorded(t *testing.T) {
