Store large assignments in parts, and send other instances the changes they lack

Cause: at 300 instances the store refuses the assignment's row (over 64 KB with 1,316 owners; traced in a trial of 300 instances: the first term recorded nothing in seven seconds and lost its lease), so no key is granted; and instances that miss a datagram fetch the whole table of targets (some 700 KB), one after the other, with the configuration waiting behind it.

Change: an assignment over 48 KB is stored as an index and parts of at most 256 pieces; a write holds the parts that changed. Smaller ones keep the form of a single row, so that versions can be mixed; a former version finds no pieces in an index and does not coordinate. An index has the checksums of its parts, so that rows of different moments are not joined. Mirrors remember which rows changed after which revision, and serve these to instances that name the revision they have; each table is fetched by itself. An update of more than 16 targets is logged as one line.

--- a/basilcross/ownership/assignment.go
+++ b/basilcross/ownership/assignment.go
@@ -61,17 +61,26 @@
 	if err := json.Unmarshal(data, a); err != nil {
 		return nil, fmt.Errorf("parse assignment: %w", err)
 	}
+	if err := a.checkCoverage(); err != nil {
+		return nil, err
+	}
+	return a, nil
+}
+
+// checkCoverage returns an error that wraps a *GapError unless the pieces cover every key
+// exactly once.
+func (a *Assignment) checkCoverage() error {
 	next := 0
 	for _, p := range a.Pieces {
 		if p.First != next || p.Last < p.First {
-			return nil, fmt.Errorf("parse assignment: %w", &GapError{Key: next})
+			return fmt.Errorf("parse assignment: %w", &GapError{Key: next})
 		}
 		next = p.Last + 1
 	}
 	if next != KeyCount {
-		return nil, fmt.Errorf("parse assignment: %w", &GapError{Key: next})
+		return fmt.Errorf("parse assignment: %w", &GapError{Key: next})
 	}
-	return a, nil
+	return nil
 }
 
 // Find returns the piece that contains the key, or nil if there is none.
--- a/basilcross/ownership/encode.go
+++ b/basilcross/ownership/encode.go
@@ -24,22 +24,77 @@
 
 // MarshalJSON encodes the assignment in its stored form.
 func (a *Assignment) MarshalJSON() ([]byte, error) {
-	r := assignmentRecord{Service: a.Service, Term: a.Term, Owners: []ownerRecord{}, Pieces: make([][3]int64, 0, len(a.Pieces))}
+	owners, pieces := split(a.Pieces)
+	return json.Marshal(assignmentRecord{Service: a.Service, Term: a.Term, Owners: owners, Pieces: pieces})
+}
+
+// split returns the owners, each once, and the pieces as in assignmentRecord.
+func split(list []Piece) (owners []ownerRecord, pieces [][3]int64) {
+	owners, pieces = []ownerRecord{}, make([][3]int64, 0, len(list))
 	index := map[ownerRecord]int64{}
-	for _, p := range a.Pieces {
+	for _, p := range list {
 		i := int64(-1)
 		if p.Owner != "" {
 			o := ownerRecord{p.Owner, p.Started, p.Address}
 			found := false
 			if i, found = index[o]; !found {
-				i = int64(len(r.Owners))
+				i = int64(len(owners))
 				index[o] = i
-				r.Owners = append(r.Owners, o)
+				owners = append(owners, o)
+			}
+		}
+		pieces = append(pieces, [3]int64{int64(p.Last), i, p.FreeAt})
+	}
+	return owners, pieces
+}
+
+// join is the reverse of split, for pieces that begin with the key next.
+func join(next int, owners []ownerRecord, pieces [][3]int64) (list []Piece, err error) {
+	for _, t := range pieces {
+		p := Piece{First: next, Last: int(t[0]), FreeAt: t[2]}
+		if i := int(t[1]); i >= 0 {
+			if i >= len(owners) {
+				return nil, fmt.Errorf("piece from key %d: owner index %d, but only %d owners", next, i, len(owners))
 			}
+			p.Owner, p.Started, p.Address = owners[i].ID, owners[i].Started, owners[i].Address
 		}
-		r.Pieces = append(r.Pieces, [3]int64{int64(p.Last), i, p.FreeAt})
+		list = append(list, p)
+		next = p.Last + 1
 	}
-	return json.Marshal(r)
+	return list, nil
+}
+
+// partRecord is the stored form of a part of an assignment. The owners are in columns, since
+// the names of their fields would take a third of the row.
+type partRecord struct {
+	IDs       []string   `json:"ids"`
+	Started   []int64    `json:"born"`
+	Addresses []string   `json:"addresses"`
+	Pieces    [][3]int64 `json:"pieces"`
+}
+
+func (a *Assignment) encodePart() []byte {
+	owners, pieces := split(a.Pieces)
+	r := partRecord{Pieces: pieces}
+	for _, o := range owners {
+		r.IDs, r.Started, r.Addresses = append(r.IDs, o.ID), append(r.Started, o.Started), append(r.Addresses, o.Address)
+	}
+	return mustMarshal(r)
+}
+
+func decodePart(first int, data []byte) ([]Piece, error) {
+	var r partRecord
+	if err := json.Unmarshal(data, &r); err != nil {
+		return nil, err
+	}
+	if len(r.Started) != len(r.IDs) || len(r.Addresses) != len(r.IDs) {
+		return nil, fmt.Errorf("part from key %d: %d IDs, %d start times, %d addresses", first, len(r.IDs), len(r.Started), len(r.Addresses))
+	}
+	owners := make([]ownerRecord, len(r.IDs))
+	for i := range owners {
+		owners[i] = ownerRecord{r.IDs[i], r.Started[i], r.Addresses[i]}
+	}
+	return join(first, owners, r.Pieces)
 }
 
 // UnmarshalJSON decodes the stored form. Only Parse checks that all keys are
@@ -49,18 +104,10 @@
 	if err := json.Unmarshal(data, &r); err != nil {
 		return err
 	}
-	*a = Assignment{Service: r.Service, Term: r.Term}
-	next := 0
-	for _, t := range r.Pieces {
-		p := Piece{First: next, Last: int(t[0]), FreeAt: t[2]}
-		if i := int(t[1]); i >= 0 {
-			if i >= len(r.Owners) {
-				return fmt.Errorf("piece from key %d: owner index %d, but only %d owners", next, i, len(r.Owners))
-			}
-			p.Owner, p.Started, p.Address = r.Owners[i].ID, r.Owners[i].Started, r.Owners[i].Address
-		}
-		a.Pieces = append(a.Pieces, p)
-		next = p.Last + 1
+	pieces, err := join(0, r.Owners, r.Pieces)
+	if err != nil {
+		return err
 	}
+	*a = Assignment{Service: r.Service, Term: r.Term, Pieces: pieces}
 	return nil
 }
--- a/ctl/command/fleet.go
+++ b/ctl/command/fleet.go
@@ -65,15 +65,19 @@
 	if err != nil {
 		return nil, 0, err
 	}
+	stored, revision := ownership.Rows{}, uint64(0)
 	for _, r := range rows {
-		if r.Key != service {
-			continue
+		stored[r.Key] = r.Value
+		if r.Key == service {
+			revision = r.Revision
 		}
-		a, err := ownership.Parse(r.Value)
-		if err != nil {
-			return nil, 0, &ExitError{Code: ExitInvalid, Cause: fmt.Errorf("service %q: %w", service, err)}
-		}
-		return a, r.Revision, nil
+	}
+	assignments, err := stored.Assemble()
+	switch a := assignments[service]; {
+	case a != nil:
+		return a, revision, nil
+	case revision != 0:
+		return nil, 0, &ExitError{Code: ExitInvalid, Cause: err}
 	}
 	return nil, 0, &ExitError{Code: ExitNotFound, Cause: &NoAssignmentError{Service: service}}
 }
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -128,6 +128,8 @@
 	epochs *ownership.Epochs
 	// recorded holds the assignments in the store when the term began; nil until read.
 	recorded map[string]*ownership.Assignment
+	// rows are the assignments' rows in the store.
+	rows ownership.Rows
 	// storeClock is the store's clock in the response that arrived at storeClockAt.
 	storeClock   time.Duration
 	storeClockAt time.Time
@@ -388,7 +390,7 @@
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(ctx, leaseDuration)
 		defer cancel()
-		result := c.writeLease(callCtx, &lease, expected, nil)
+		result := c.writeLease(callCtx, &lease, expected, platform.Transaction{})
 		c.enqueue(ctx, func() { c.onLeaseAcquired(ctx, lease, sent, result) })
 		return nil
 	})
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -133,16 +133,16 @@
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(l.ctx, attemptTimeout)
 		defer cancel()
-		recorded, announced, clock, err := c.loadAssignments(callCtx) //nolint:contextcheck // as above
+		loaded, err := c.loadAssignments(callCtx) //nolint:contextcheck // as above
 		c.enqueue(ctx, func() {
 			l.reading = false
 			if err != nil {
 				c.logStoreFailure("read assignments", err)
 				return
 			}
-			l.recorded, l.storeClock, l.storeClockAt = recorded, clock, time.Now()
+			l.recorded, l.rows, l.storeClock, l.storeClockAt = loaded.recorded, loaded.rows, loaded.clock, time.Now()
 			// The other instances have these rows: updates can be sent as differences to them.
-			l.announced = announced
+			l.announced = loaded.announced
 		})
 		return nil
 	})
@@ -154,27 +154,39 @@
 	return l.storeClock + now.Sub(l.storeClockAt)
 }
 
-// loadAssignments returns the recorded assignments, the same with their revisions, both by
-// service, and the store's clock.
-func (c *Coordinator) loadAssignments(ctx context.Context) (map[string]*ownership.Assignment, map[string]announcement, time.Duration, error) {
-	recorded, announced := map[string]*ownership.Assignment{}, map[string]announcement{}
+// loadedAssignments are the recorded assignments, the same with their revisions, both by
+// service, their rows, and the store's clock.
+type loadedAssignments struct {
+	recorded  map[string]*ownership.Assignment
+	announced map[string]announcement
+	rows      ownership.Rows
+	clock     time.Duration
+}
+
+func (c *Coordinator) loadAssignments(ctx context.Context) (*loadedAssignments, error) {
 	after := ""
+	rows, revisions := ownership.Rows{}, map[string]uint64{}
 	for {
 		response, err := c.Store.Range(ctx, AssignmentTable, "", after)
 		if err != nil {
-			return nil, nil, 0, err
+			return nil, err
 		}
 		for _, r := range response.Rows {
-			a, err := ownership.Parse(r.Value)
-			if err != nil {
-				return nil, nil, 0, fmt.Errorf("assignment of service %s: %w", r.Key, err)
-			}
-			recorded[r.Key], announced[r.Key] = a, announcement{a, r.Revision}
+			rows[r.Key], revisions[r.Key] = r.Value, r.Revision
 			after = r.Key
 		}
-		if !response.More {
-			return recorded, announced, time.Duration(response.Now), nil
+		if response.More {
+			continue
+		}
+		recorded, err := rows.Assemble()
+		if err != nil {
+			return nil, err
 		}
+		loaded := &loadedAssignments{recorded: recorded, rows: rows, announced: map[string]announcement{}, clock: time.Duration(response.Now)}
+		for service, a := range recorded {
+			loaded.announced[service] = announcement{a, revisions[service]}
+		}
+		return loaded, nil
 	}
 }
 
@@ -230,29 +242,33 @@
 	l := c.leadership
 	next := l.lease
 	next.Seq++
-	var writes []platform.Write
 	records := l.pending
 	l.pending = map[string]*ownership.Record{}
-	for name, r := range records {
-		text, err := json.Marshal(r.Assignment)
-		if err != nil {
-			panic("coordinator: encode assignment: " + err.Error())
-		}
-		writes = append(writes, platform.Write{Table: AssignmentTable, Key: name, Value: text})
+	rows := l.rows
+	for _, r := range records {
+		rows = rows.With(r.Assignment)
+	}
+	set, removed := l.rows.Change(rows)
+	tx := platform.Transaction{}
+	for key, text := range set {
+		tx.Set = append(tx.Set, platform.Write{Table: AssignmentTable, Key: key, Value: text})
+	}
+	for _, key := range removed {
+		tx.Remove = append(tx.Remove, platform.RowName{Table: AssignmentTable, Key: key})
 	}
 	l.writing, l.writeStarted = true, now
 	sent := boottime()
 	expected := l.revision
 	c.group.Go(func() error {
-		result := c.writeLease(l.ctx, &next, expected, writes) //nolint:contextcheck // as above
-		c.enqueue(ctx, func() { c.onLeaseRenewed(l, next, sent, result, records) })
+		result := c.writeLease(l.ctx, &next, expected, tx) //nolint:contextcheck // as above
+		c.enqueue(ctx, func() { c.onLeaseRenewed(l, next, sent, result, records, rows) })
 		return nil
 	})
 }
 
 // onLeaseRenewed applies the result of a write. sent is the boot time at which the write
 // was started.
-func (c *Coordinator) onLeaseRenewed(l *leadership, next Lease, sent time.Duration, result writeResult, records map[string]*ownership.Record) {
+func (c *Coordinator) onLeaseRenewed(l *leadership, next Lease, sent time.Duration, result writeResult, records map[string]*ownership.Record, rows ownership.Rows) {
 	if c.leadership != l {
 		return
 	}
@@ -273,7 +289,7 @@
 		c.stepDown("lease row was changed by " + result.current.Holder)
 		return
 	}
-	l.lease, l.revision = next, result.revision
+	l.lease, l.revision, l.rows = next, result.revision, rows
 	if result.storeClock > 0 {
 		for _, manager := range l.managers {
 			// When the response arrives, the store's clock is ahead of the value in it by no
@@ -402,7 +418,7 @@
 			return
 		}
 		released := Lease{Term: l.lease.Term, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, Seq: l.lease.Seq + 1}
-		result := c.writeLease(ctx, &released, expected, nil)
+		result := c.writeLease(ctx, &released, expected, platform.Transaction{})
 		if result.ok {
 			event.LeadResigned.Log(c.Log, "term", released.Term)
 			c.Peers.Broadcast(&peers.Message{Heartbeat: &peers.Heartbeat{Term: released.Term, LeaseRevision: result.revision, Resigned: true}})
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -14,7 +14,7 @@
 const (
 	// LeaseTable has one row, which the coordinator renews.
 	LeaseTable = "coordinator"
-	// AssignmentTable has a row for each sharded service.
+	// AssignmentTable has a row for each sharded service, or several; see ownership.Rows.
 	AssignmentTable = "assignment"
 	// InstanceTable has a row for each instance.
 	InstanceTable = "instance"
@@ -103,14 +103,12 @@
 }
 
 // writeLease executes a transaction that sets the lease row, on the condition that the row
-// has the expected revision, together with other writes. It retries until it is certain
+// has the expected revision, together with the changes in tx. It retries until it is certain
 // whether the transaction took effect, or the context ends.
-func (c *Coordinator) writeLease(ctx context.Context, lease *Lease, expected uint64, others []platform.Write) writeResult {
+func (c *Coordinator) writeLease(ctx context.Context, lease *Lease, expected uint64, tx platform.Transaction) writeResult {
 	started := time.Now()
-	tx := platform.Transaction{
-		Conditions: []platform.Condition{{Table: LeaseTable, Key: LeaseKey, Revision: expected}},
-		Set:        append([]platform.Write{{Table: LeaseTable, Key: LeaseKey, Value: lease.encode()}}, others...),
-	}
+	tx.Conditions = []platform.Condition{{Table: LeaseTable, Key: LeaseKey, Revision: expected}}
+	tx.Set = append([]platform.Write{{Table: LeaseTable, Key: LeaseKey, Value: lease.encode()}}, tx.Set...)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan storeResponse, 1)
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -70,7 +70,7 @@
 	store, c := newWithStore(t)
 	store.LoseResponses(1)
 	mine := Lease{Term: 1, Holder: "one", Incarnation: "a", LeaseMs: 2000, Seq: 1}
-	s := c.writeLease(context.Background(), &mine, 0, nil)
+	s := c.writeLease(context.Background(), &mine, 0, platform.Transaction{})
 	assert.Assert(t, s.ok)
 	assert.Equal(t, s.revision, store.Row(LeaseTable, LeaseKey).Revision)
 }
@@ -82,7 +82,7 @@
 	other := Lease{Term: 2, Holder: "two", Incarnation: "b", LeaseMs: 2000, Seq: 1}
 	store.Put(LeaseTable, LeaseKey, other.encode())
 	mine := Lease{Term: 1, Holder: "one", Incarnation: "a", LeaseMs: 2000, Seq: 9}
-	s := c.writeLease(context.Background(), &mine, 0, []platform.Write{{Table: AssignmentTable, Key: "s", Value: []byte("x")}})
+	s := c.writeLease(context.Background(), &mine, 0, platform.Transaction{Set: []platform.Write{{Table: AssignmentTable, Key: "s", Value: []byte("x")}}})
 	assert.Assert(t, !s.ok)
 	assert.Equal(t, s.current, other)
 	assert.Equal(t, store.Row(AssignmentTable, "s").Revision, uint64(0))
--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/gateway/fleet"
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/platform"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -37,7 +39,15 @@
 
 // catchUp fetches tables from other instances when this instance's mirrors lag
 // behind theirs, or could not be read from the store.
-type catchUp struct{ *Instance }
+type catchUp struct {
+	*Instance
+
+	group errgroup.Group
+	mu    sync.Mutex
+	// fetching are the mirrors whose tables are being fetched. Each is fetched by itself:
+	// a small table must not wait for a large one.
+	fetching map[*mirror.Mirror]bool
+}
 
 // Serve compares the mirrors, and executes copy requests, until the context ends.
 func (c *catchUp) Serve(ctx context.Context) error {
@@ -48,16 +58,39 @@
 		select {
 		case <-ctx.Done():
 		case r := <-c.replicator.copyRequests:
-			c.requestState(ctx, c.peers.Find(r.from).Control, []*mirror.Mirror{r.mirror})
+			c.start(r.mirror, func() {
+				c.requestState(ctx, c.peers.Find(r.from).Control, []*mirror.Mirror{r.mirror})
+			})
 		case <-tick.C:
-			if due := c.mirrorsToFetch(time.Now(), behind); len(due) > 0 {
-				c.fetch(ctx, due)
+			for _, m := range c.mirrorsToFetch(time.Now(), behind) {
+				c.start(m, func() { c.fetch(ctx, m) })
 			}
 		}
 	}
+	_ = c.group.Wait()
 	return ctx.Err()
 }
 
+// start runs a fetch of the mirror's table, unless one is running.
+func (c *catchUp) start(m *mirror.Mirror, fetch func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.fetching[m] {
+		return
+	}
+	if c.fetching == nil {
+		c.fetching = map[*mirror.Mirror]bool{}
+	}
+	c.fetching[m] = true
+	c.group.Go(func() error {
+		fetch()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.fetching, m)
+		return nil
+	})
+}
+
 // mirrorsToFetch returns the mirrors that are due to be fetched from another
 // instance. It updates behind, which holds since when each table lags.
 func (c *catchUp) mirrorsToFetch(now time.Time, behind map[string]time.Time) (due []*mirror.Mirror) {
@@ -105,24 +138,18 @@
 	return report != nil && report.revisions[m.Table] > max(m.NewestChange(), m.Revision())
 }
 
-// fetch fetches tables from other instances. An up-to-date feed reader of the zone
+// fetch fetches a table from another instance. An up-to-date feed reader of the zone
 // is preferred, since that costs nothing. Without one the mirror also restarts its
 // call to the store.
-func (c *catchUp) fetch(ctx context.Context, mirrors []*mirror.Mirror) {
-	var rest []*mirror.Mirror
-	for _, m := range mirrors {
-		if reader := c.upToDateReader(m); reader != "" {
-			c.requestState(ctx, reader, []*mirror.Mirror{m})
-			continue
-		}
+func (c *catchUp) fetch(ctx context.Context, m *mirror.Mirror) {
+	source := c.upToDateReader(m)
+	if source == "" {
 		// Needed also while the mirror fails: it abandons a call that the store
 		// accepted while unresponsive and never answers.
 		m.Refresh()
-		rest = append(rest, m)
-	}
-	if len(rest) > 0 {
-		c.requestState(ctx, c.choosePeer(), rest)
+		source = c.choosePeer()
 	}
+	c.requestState(ctx, source, []*mirror.Mirror{m})
 }
 
 // requestState fetches tables from the instance at a control address, and applies
@@ -134,6 +161,7 @@
 	request := &fleet.StateRequest{}
 	for _, m := range mirrors {
 		request.Tables = append(request.Tables, m.Table)
+		request.After = append(request.After, m.Revision())
 	}
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
@@ -198,12 +226,12 @@
 		if m.Table != t.Name {
 			continue
 		}
-		s := mirror.Snapshot{Table: t.Name, Revision: t.Revision}
+		s := mirror.Snapshot{Table: t.Name, Revision: t.Revision, ChangedAfter: t.ChangedAfter, Removed: t.Removed}
 		for _, r := range t.Rows {
 			s.Rows = append(s.Rows, platform.Row{Table: t.Name, Key: r.Key, Value: r.Value, Revision: r.Revision})
 		}
 		if m.ApplySnapshot(s) {
-			event.PeerStateTaken.Log(c.log, "table", t.Name, "revision", t.Revision, "rows", len(t.Rows), "from", from)
+			event.PeerStateTaken.Log(c.log, "table", t.Name, "revision", t.Revision, "changedAfter", t.ChangedAfter, "rows", len(t.Rows), "from", from)
 		}
 	}
 }
@@ -212,16 +240,20 @@
 // unknown or not filled yet are left out.
 func (i *Instance) State(_ context.Context, r *fleet.StateRequest) (*fleet.StateResponse, error) {
 	response := &fleet.StateResponse{}
-	for _, name := range r.Tables {
+	for n, name := range r.Tables {
+		after := uint64(0)
+		if n < len(r.After) {
+			after = r.After[n]
+		}
 		for _, m := range i.mirrors {
 			if m.Table != name {
 				continue
 			}
-			s, loaded := m.Snapshot()
+			s, loaded := m.Snapshot(after)
 			if !loaded {
 				continue
 			}
-			t := &fleet.Table{Name: name, Revision: s.Revision}
+			t := &fleet.Table{Name: name, Revision: s.Revision, ChangedAfter: s.ChangedAfter, Removed: s.Removed}
 			for _, row := range s.Rows {
 				t.Rows = append(t.Rows, &fleet.Row{Key: row.Key, Value: row.Value, Revision: row.Revision})
 			}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -198,7 +198,7 @@
 		i.replicator.polledMirrors = append(i.replicator.polledMirrors, add(m))
 	}
 	i.assignments = add(&mirror.Mirror{
-		Table: coordinator.AssignmentTable, OnDemand: true, OnUpdate: i.state.applyAssignments, EncodeRow: i.state.encodeAssignment,
+		Table: coordinator.AssignmentTable, OnDemand: true, Transform: i.state.joinAssignmentRows, OnUpdate: i.state.applyAssignments, EncodeRow: i.state.encodeAssignment,
 	})
 	i.assignments.AwaitPeerCopy(maxFirstCopyDelay)
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, OnUpdate: func(u mirror.Update) {
@@ -292,7 +292,7 @@
 	root.Add(&registrar{i})
 	root.Add(&announcer{i})
 	root.Add(&reporter{i})
-	root.Add(&catchUp{i})
+	root.Add(&catchUp{Instance: i})
 	root.Add(i.replicator)
 	root.Add(&housekeeper{i})
 	root.Add(&reloader{i})
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -81,7 +81,7 @@
 		group.Go(func() error {
 			sleep(ctx, time.Duration(n)*joinHedgeDelay)
 			if ctx.Err() == nil {
-				(&catchUp{s.Instance}).requestState(ctx, source.Control, mirrors)
+				(&catchUp{Instance: s.Instance}).requestState(ctx, source.Control, mirrors)
 			}
 			if s.hasCopies() {
 				cancel()
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -264,7 +264,7 @@
 func TestNearestInstanceIsQueriedFirst(t *testing.T) {
 	i := testInstance()
 	i.settings.Regions = map[string]string{"local": "local", "near": "local", "far": "abroad"}
-	c := &catchUp{i}
+	c := &catchUp{Instance: i}
 	i.liveSettings.Load().Seeds = []string{"10.0.0.1:1"}
 	assert.Equal(t, c.choosePeer(), "10.0.0.1:1")
 	listed := map[string]peers.Instance{}
@@ -286,7 +286,7 @@
 	targets := i.replicator.polledMirrors[1]
 	row := targetRow("a", "ready", "0s", 7)
 	assert.Assert(t, targets.ApplySnapshot(mirror.Snapshot{Table: platform.TargetTable, Revision: 12, Rows: []platform.Row{row}}))
-	c := &catchUp{i}
+	c := &catchUp{Instance: i}
 	i.state.recordRevisions("c", map[string]uint64{platform.TargetTable: 9})
 	assert.Assert(t, !c.isBehind(targets))
 	i.state.recordRevisions("c", map[string]uint64{platform.TargetTable: 13})
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -1,7 +1,9 @@
 package instance
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
@@ -163,6 +165,10 @@
 	}
 }
 
+// maxTargetLines bounds the lines about single targets of an update. While a large fleet
+// starts, they would be most of the log of each instance.
+const maxTargetLines = 16
+
 func (s *state) applyTargets(u mirror.Update) {
 	now := time.Now()
 	var added, leaving []*roster.Target
@@ -190,6 +196,12 @@
 		event.TargetsLoaded.Log(s.log, "targets", len(added), "leaving", len(leaving), "revision", u.Revision)
 		return
 	}
+	if len(added)+len(leaving) > maxTargetLines {
+		event.TargetsChanged.Log(s.log, "came", len(added), "left", len(leaving), "revision", u.Revision)
+		if !s.log.Enabled(context.Background(), slog.LevelDebug) {
+			return
+		}
+	}
 	for _, t := range added {
 		event.TargetCame.Log(s.log, "target", t.ID, "born", t.Started, "service", t.Service, "zone", t.Zone, "address", t.Address,
 			"slots", t.Slots, "warmingMs", t.WarmupLeft.Milliseconds(), "revision", u.Revision)
@@ -229,6 +241,33 @@
 		a.Slots == b.Slots && a.Draining == b.Draining && b.WarmupLeft <= a.WarmupLeft
 }
 
+// joinAssignmentRows replaces the rows of assignments that are stored in parts by a row
+// each, the form in which instances exchange them.
+func (s *state) joinAssignmentRows(stored []platform.Row) ([]platform.Row, error) {
+	rows, revisions := ownership.Rows{}, map[string]uint64{}
+	for _, r := range stored {
+		rows[r.Key], revisions[r.Key] = r.Value, r.Revision
+	}
+	assignments, err := rows.Assemble()
+	var part *ownership.PartError
+	switch {
+	case errors.As(err, &part):
+		// The rows were read in several calls and have changed between them.
+		return nil, err
+	case err != nil:
+		event.RowUnusable.Log(s.log, "table", coordinator.AssignmentTable, "error", err)
+	}
+	var joined []platform.Row
+	for service, a := range assignments {
+		text, err := json.Marshal(a)
+		if err != nil {
+			return nil, err
+		}
+		joined = append(joined, platform.Row{Table: coordinator.AssignmentTable, Key: service, Value: text, Revision: revisions[service]})
+	}
+	return joined, nil
+}
+
 func (s *state) applyAssignments(u mirror.Update) {
 	for _, r := range u.Rows {
 		if r.Removed || s.hasAssignment(r.Key, r.Revision) {
--- a/gateway/mirror/forward.go
+++ b/gateway/mirror/forward.go
@@ -10,22 +10,26 @@
 	return m.passive
 }
 
-// majorChanges returns the changes that must be forwarded to other instances.
-func (m *Mirror) majorChanges(rows []platform.Row) []platform.Row {
+// majorChanges returns the changes that must be forwarded to other instances, and the keys
+// of the rows that have none.
+func (m *Mirror) majorChanges(rows []platform.Row) (major []platform.Row, minor map[string]bool) {
 	if m.IsMinor == nil {
-		return rows
+		return rows, nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var major []platform.Row
 	forwarded := map[string]bool{}
+	minor = map[string]bool{}
 	for _, r := range rows {
 		if old, known := m.rows[r.Key]; forwarded[r.Key] || !known || !m.IsMinor(old, r) {
 			major = append(major, r)
 			forwarded[r.Key] = true
+			delete(minor, r.Key)
+			continue
 		}
+		minor[r.Key] = true
 	}
-	return major
+	return major, minor
 }
 
 // ForwardedUpdate holds the changes of a table after revision From up to To, without
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -50,6 +51,9 @@
 	// Revision is the revision up to which the update is complete; 0 for a single
 	// row that another instance announced.
 	Revision uint64
+
+	// minor are the keys of rows whose changes are all minor.
+	minor map[string]bool
 }
 
 // Mirror is the local copy of a table. Table, Store, Log and OnUpdate must be set.
@@ -78,6 +82,9 @@
 	Log     *slog.Logger
 	// OnUpdate receives each applied update, one call at a time.
 	OnUpdate func(u Update)
+	// Transform, if set, converts the rows that were read from the store. On an error the
+	// table is read again.
+	Transform func(rows []platform.Row) ([]platform.Row, error)
 	// EncodeRow returns the current row of a key that ApplyRow added without a value.
 	EncodeRow func(key string) platform.Row
 	// Forward, if set, receives the changes of each feed response, to be sent to other
@@ -88,6 +95,7 @@
 	rows         map[string]platform.Row
 	revision     uint64
 	newestChange uint64
+	changes      changes
 	loaded       bool
 	// failingSince is when store calls began to fail; zero after a successful one.
 	failingSince time.Time
@@ -259,8 +267,8 @@
 	if err != nil {
 		return 0, err
 	}
-	major := m.majorChanges(got.Rows)
-	m.apply(Update{Rows: got.Rows, Revision: got.Revision})
+	major, minor := m.majorChanges(got.Rows)
+	m.apply(Update{Rows: got.Rows, Revision: got.Revision, minor: minor})
 	if m.Forward != nil && !passive {
 		// Also without rows: passive mirrors advance their revision by it.
 		m.Forward(ForwardedUpdate{From: after, To: got.Revision, NewestChange: m.NewestChange(), Rows: major})
@@ -335,6 +343,12 @@
 		}
 		after = got.Rows[len(got.Rows)-1].Key
 	}
+	if m.Transform != nil {
+		var err error
+		if update.Rows, err = m.Transform(update.Rows); err != nil {
+			return fmt.Errorf("read table %s: %w", m.Table, err)
+		}
+	}
 	m.apply(update)
 	return nil
 }
@@ -349,9 +363,11 @@
 	}
 	if m.rows == nil || u.Full {
 		m.rows = map[string]platform.Row{}
+		m.changes.reset(u.Revision)
 	}
 	for _, r := range u.Rows {
 		m.newestChange = max(m.newestChange, r.Revision)
+		m.changes.record(r, u.minor[r.Key])
 		if r.Removed {
 			delete(m.rows, r.Key)
 			continue
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -118,7 +118,7 @@
 	fake, c := start(t, false)
 	fake.Put("mine", "a", []byte("1"))
 	await(t, c, "a", "1")
-	s, ok := c.Snapshot()
+	s, ok := c.Snapshot(0)
 	assert.Assert(t, ok)
 	newer := mirror.Snapshot{Table: "mine", Revision: s.Revision + 5, Rows: []platform.Row{{Table: "mine", Key: "a", Value: []byte("5"), Revision: s.Revision + 5}}}
 	assert.Assert(t, c.ApplySnapshot(newer))
--- a/gateway/mirror/snapshot.go
+++ b/gateway/mirror/snapshot.go
@@ -32,20 +32,33 @@
 	}
 }
 
-// Snapshot is the content of a mirror at one moment.
+// Snapshot is the content of a mirror at one moment, or what has changed in it.
 type Snapshot struct {
 	Table string
 	// Revision is the revision up to which the rows are complete.
 	Revision uint64
-	Rows     []platform.Row
+	// ChangedAfter is set if Rows are only those with a change after this revision that is
+	// not minor. Removed are the keys of the rows that were removed after it.
+	ChangedAfter uint64
+	Rows         []platform.Row
+	Removed      []string
 }
 
-// Snapshot returns the content of the mirror and whether it has been loaded.
-func (m *Mirror) Snapshot() (Snapshot, bool) {
+// Snapshot returns the content of the mirror, and whether it has been loaded. If the mirror
+// still has all changes after the given revision, the snapshot has only these. A revision
+// of 0 requests all rows.
+func (m *Mirror) Snapshot(after uint64) (Snapshot, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := Snapshot{Table: m.Table, Revision: m.revision}
+	if after > 0 && after >= m.changes.completeAfter && !m.OnDemand && after <= m.revision {
+		s.ChangedAfter = after
+		s.Removed = m.changes.removedAfter(after)
+	}
 	for _, r := range m.rows {
+		if s.ChangedAfter > 0 && m.changes.lastMajor[r.Key] <= after {
+			continue
+		}
 		if r.Value == nil {
 			r = m.EncodeRow(r.Key)
 		}
@@ -78,6 +91,9 @@
 // ApplySnapshot applies another instance's snapshot if it is newer, and reports
 // whether it did.
 func (m *Mirror) ApplySnapshot(s Snapshot) bool {
+	if s.ChangedAfter > 0 {
+		return m.applyChanges(s)
+	}
 	m.mu.Lock()
 	current := m.loaded && s.Revision <= m.revision
 	m.mu.Unlock()
