Relay hellos in other zones instead of sending them from all to all

Cause: at a start of 300 instances two hellos from all to all are some 27 MB, half of them over the link between the regions, which is full for seconds: orders arrive late, tables are not read. Change: a hello goes to the own zone, and to three instances of each other zone of more than six, which relay it once. A starting instance's heartbeat goes to it, not to the relay.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -232,7 +232,7 @@
 		}
 		if m.Hello != nil && c.leadership != nil {
 			// This saves the new instance a read of the lease, which is a store call.
-			c.Peers.Send(m.From, c.heartbeat(c.leadership))
+			c.Peers.Send(m.Hello.Name, c.heartbeat(c.leadership))
 		}
 	})
 }
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -111,12 +111,7 @@
 			list = append(list, i)
 		}
 	}
-	slices.SortFunc(list, func(a, b peers.Instance) int {
-		if ranksBefore(a, b) {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(list, compareRank)
 	list = list[:min(len(list), maxJoinSources)]
 	if n := min(len(list), readerCount(s.zoneSize())); n > 1 && s.rank()%n == 1 {
 		list[0], list[1] = list[1], list[0]
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -183,6 +183,14 @@
 	return xxhash.Sum64String("reader\x00"+a.Name) < xxhash.Sum64String("reader\x00"+b.Name)
 }
 
+// compareRank orders instances by rank, for slices.SortFunc.
+func compareRank(a, b peers.Instance) int {
+	if ranksBefore(a, b) {
+		return -1
+	}
+	return 1
+}
+
 // outrankedBy reports whether another instance ranks before this one as a feed
 // reader. The coordinator does, since it polls the feeds anyway.
 func (s *replicator) outrankedBy(other peers.Instance) bool {
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -58,6 +59,42 @@
 	return ctx.Err()
 }
 
+// helloRelays is how many instances of another zone get a hello and relay it to their zone.
+// When a large fleet starts, hellos from all to all would fill the links between regions.
+const helloRelays = 3
+
+// sendHello sends this instance's description to its zone, and to other zones, directly if
+// they are small and by relays otherwise.
+func (a *announcer) sendHello() {
+	zones := map[string]bool{}
+	for _, i := range a.peers.All() {
+		zones[i.Zone] = true
+	}
+	var to []string
+	for zone := range zones {
+		list := slices.Clone(a.peers.Zone(zone))
+		if zone != a.settings.Zone && len(list) > maxSingleReaderZone {
+			slices.SortFunc(list, compareRank)
+			list = list[:helloRelays]
+		}
+		for _, i := range list {
+			if i.Name != a.settings.Instance {
+				to = append(to, i.Name)
+			}
+		}
+	}
+	a.peers.SendAll(to, &peers.Message{Hello: &a.peers.Self})
+}
+
+// receiveHello adds an instance to the list, and relays the hello to the zone if it came
+// from another zone's instance itself and changed the list.
+func (i *Instance) receiveHello(m *peers.Message) {
+	changed := i.peers.Add(*m.Hello)
+	if changed && m.From == m.Hello.Name && m.Hello.Zone != i.settings.Zone && i.replicator.zoneSize() > maxSingleReaderZone {
+		i.replicator.sendToZone(&peers.Message{Hello: m.Hello})
+	}
+}
+
 // announcer sends a hello to all listed instances. They removed this one when its
 // last incarnation ended, and it receives no updates from them until they list it
 // again. It does not wait for its row to be written: the store may be unreachable.
@@ -72,11 +109,11 @@
 // again if this instance's row is still not in the store.
 func (a *announcer) Serve(ctx context.Context) error {
 	a.awaitInstances(ctx)
-	a.peers.Broadcast(&peers.Message{Hello: &a.peers.Self})
+	a.sendHello()
 	for n, delay := range helloDelays {
 		sleep(ctx, delay)
 		if n == 0 || !a.registered.Load() {
-			a.peers.Broadcast(&peers.Message{Hello: &a.peers.Self})
+			a.sendHello()
 		}
 	}
 	<-ctx.Done()
@@ -156,7 +193,7 @@
 	case m.AssignmentUpdate != nil:
 		i.applyAssignmentUpdate(m.AssignmentUpdate)
 	case m.Hello != nil:
-		i.peers.Add(*m.Hello)
+		i.receiveHello(m)
 	case m.Leaving:
 		i.peers.Remove(m.From)
 	case m.Report != nil && i.peers.Find(m.From).Name == "":
--- a/gateway/peers/peers.go
+++ b/gateway/peers/peers.go
@@ -86,13 +86,14 @@
 	}
 }
 
-// Add adds one instance, or replaces it if it has changed.
-func (p *Peers) Add(i Instance) {
+// Add adds one instance, or replaces it if it has changed. It reports whether the list
+// was changed.
+func (p *Peers) Add(i Instance) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	previous, ok := p.byName[i.Name]
 	if ok && previous.instance == i {
-		return
+		return false
 	}
 	if p.byName == nil {
 		p.byName = map[string]peer{}
@@ -101,6 +102,7 @@
 	p.all, p.broadcastAddrs = nil, nil
 	delete(p.byZone, i.Zone)
 	delete(p.byZone, previous.instance.Zone)
+	return true
 }
 
 func (p *Peers) put(name string, i Instance) {
