Leave slots to requests that are bound to the region

Change: a scheduler refuses a request that can be served in another region while a bound one waits, or while fewer slots are free than one standard deviation of those that bound requests use; its instance then asks the next zone. Full zones are skipped by kind.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -22,6 +22,9 @@
 	Roster *roster.Roster
 	// ColdRate is used as in schedule.Scheduler.
 	ColdRate func(now time.Time, t *roster.Target) (rate float64, cold bool)
+	// IsBound and HasAlternative are used as in schedule.Scheduler.
+	IsBound        func(kind uint32) bool
+	HasAlternative func(r *schedule.Request) bool
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -41,6 +44,7 @@
 func (d *Dispatcher) Acquire(ctx context.Context, r schedule.Request) (*Reservation, error) {
 	d.mu.Lock()
 	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
+	d.scheduler.IsBound, d.scheduler.HasAlternative = d.IsBound, d.HasAlternative
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
--- a/basilcross/routing/config.go
+++ b/basilcross/routing/config.go
@@ -1,7 +1,11 @@
 // Package routing finds the route of a request in the operator's configuration.
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Config is one version of the operator's configuration.
 type Config struct {
@@ -33,6 +37,9 @@
 	Regions []string
 }
 
+// Kind returns the number of the route's requests among kinds of requests.
+func (r *Route) Kind() uint32 { return uint32(xxhash.Sum64String(r.Name)) }
+
 // Share is a service's share of a route's requests.
 type Share struct {
 	Service string
--- a/basilcross/routing/table.go
+++ b/basilcross/routing/table.go
@@ -13,11 +13,12 @@
 	services map[string]*Service
 	// ownerRegions are the regions that all bound routes of a service permit.
 	ownerRegions map[string][]string
+	boundKinds   map[uint32]bool
 }
 
 // New returns the table of a configuration, which must not change afterwards.
 func New(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, services: map[string]*Service{}, ownerRegions: map[string][]string{}}
+	t := &Table{Config: c, hosts: map[string]map[string]*Route{}, services: map[string]*Service{}, ownerRegions: map[string][]string{}, boundKinds: map[uint32]bool{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
@@ -57,6 +58,7 @@
 	if len(r.Regions) == 0 {
 		return
 	}
+	t.boundKinds[r.Kind()] = true
 	for _, s := range r.Split {
 		regions, bound := t.ownerRegions[s.Service]
 		if !bound {
@@ -74,5 +76,8 @@
 // or if no region is permitted by all.
 func (t *Table) OwnerRegions(service string) []string { return t.ownerRegions[service] }
 
+// IsBound reports whether the requests of a kind are bound to regions.
+func (t *Table) IsBound(kind uint32) bool { return t.boundKinds[kind] }
+
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
--- a/basilcross/schedule/arrivals.go
+++ b/basilcross/schedule/arrivals.go
@@ -18,6 +18,7 @@
 // arrivalStats are the arrivals of one kind's requests at a queue.
 type arrivalStats struct {
 	priority     int
+	bound        bool
 	decayedCount float64
 	updated      time.Time
 	// latencyBudget is the average time for waiting and work between arrival and
@@ -25,7 +26,7 @@
 	latencyBudget time.Duration
 }
 
-func (q *queue) recordArrival(now time.Time, r *Request) {
+func (q *queue) recordArrival(now time.Time, r *Request, bound bool) {
 	budget := r.Objective.Sub(now) - answerMessages*r.OneWayDelay
 	a := q.arrivals[r.Kind]
 	if a == nil {
@@ -33,7 +34,7 @@
 		q.arrivals[r.Kind] = a
 	}
 	a.decayedCount = a.decayedCount*a.decay(now) + 1
-	a.updated, a.priority = now, r.Priority
+	a.updated, a.priority, a.bound = now, r.Priority, bound
 	a.latencyBudget += time.Duration(budgetWeight * float64(budget-a.latencyBudget))
 }
 
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -19,6 +19,8 @@
 	slots    float64
 	slowness float64
 	latency  float64
+	// freeSlots is the number of slots without a request.
+	freeSlots float64
 	// freeIn is the expected time until a slot is free.
 	freeIn time.Duration
 }
@@ -55,6 +57,7 @@
 		}
 		avail.targets++
 		avail.slots += slots
+		avail.freeSlots += max(0, slots-float64(len(st.inFlight)))
 		rate += slots / latency
 		if avail.targets == 1 || wait < avail.freeIn {
 			avail.freeIn = wait
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -84,6 +84,12 @@
 	// cold, 0 if that is unlimited, and whether it is known to be cold now.
 	ColdRate func(now time.Time, t *roster.Target) (rate float64, cold bool)
 
+	// IsBound, if set, reports whether requests of a kind can be served in the scheduler's
+	// region only, and HasAlternative whether others of the service can be served in
+	// another region too.
+	IsBound        func(kind uint32) bool
+	HasAlternative func(r *Request) bool
+
 	services map[string]*service
 }
 
@@ -122,8 +128,11 @@
 func (s *Scheduler) Submit(now time.Time, r Request) (*Ticket, error) {
 	svc := s.serviceFor(r.Service)
 	t := &Ticket{Request: r, service: svc, queue: svc.queueFor(&r)}
-	t.queue.recordArrival(now, &r)
+	t.queue.recordArrival(now, &r, s.IsBound != nil && s.IsBound(r.Kind))
 	_, avail := s.bestTarget(now, t)
+	if s.mustYield(now, t, avail) {
+		return nil, &BusyError{Service: r.Service, Wait: avail.freeIn, Queued: len(t.queue.waiting)}
+	}
 	if !t.queue.outranks(now, t, avail.slowness) {
 		avail = s.assign(now, t)
 	}
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -69,7 +69,10 @@
 	oneWayDelays map[string]time.Duration
 }
 
-type fullKey struct{ service, zone string }
+type fullKey struct {
+	service, zone string
+	kind          uint32
+}
 
 type backoff struct {
 	until    time.Time
@@ -123,7 +126,7 @@
 	}
 	var busy *schedule.BusyError
 	for _, zone := range zones {
-		if b.isFull(req.Service, zone) && zone != b.Self.Zone {
+		if b.isFull(&req, zone) && zone != b.Self.Zone {
 			continue
 		}
 		req.Zone, req.RejectLate = zone, true
@@ -132,7 +135,7 @@
 			return res, err
 		}
 		if errors.As(err, &busy) {
-			b.markFull(req.Service, zone)
+			b.markFull(&req, zone)
 		}
 	}
 	req.Zone, req.RejectLate = zones[0], false
@@ -174,16 +177,16 @@
 	return append(append(tiers[0], tiers[1]...), tiers[2]...)
 }
 
-func (b *Broker) isFull(service, zone string) bool {
+func (b *Broker) isFull(req *schedule.Request, zone string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return time.Now().Before(b.fullUntil[fullKey{service, zone}])
+	return time.Now().Before(b.fullUntil[fullKey{req.Service, zone, req.Kind}])
 }
 
-func (b *Broker) markFull(service, zone string) {
+func (b *Broker) markFull(req *schedule.Request, zone string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.fullUntil[fullKey{service, zone}] = time.Now().Add(fullTTL)
+	b.fullUntil[fullKey{req.Service, zone, req.Kind}] = time.Now().Add(fullTTL)
 }
 
 // acquireInZone reserves a slot at the scheduler of the request's target or zone, or
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -12,7 +12,6 @@
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/hopheader"
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -62,7 +61,7 @@
 }
 
 // kind returns the number of the call's route: requests of a route take similar work.
-func (c *call) kind() uint32 { return uint32(xxhash.Sum64String(c.route.Name)) }
+func (c *call) kind() uint32 { return c.route.Kind() }
 
 const (
 	// startupWait is how long after its start an instance delays requests until it
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -141,7 +141,7 @@
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 	})
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -16,6 +16,7 @@
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
@@ -144,6 +145,24 @@
 	return service.ColdRate, t.IsCold(now) || ok && now.Sub(returned) < service.ColdTime
 }
 
+// isBound reports whether requests of a kind may be served in some regions only.
+func (s *state) isBound(kind uint32) bool {
+	table := s.routes.Load()
+	return table != nil && table.IsBound(kind)
+}
+
+// hasAlternative reports whether the service of a request that is not bound has targets in
+// another region than the request's zone.
+func (s *state) hasAlternative(r *schedule.Request) bool {
+	policy := s.policy()
+	for _, t := range s.roster.Load().ByService[r.Service] {
+		if policy.Regions[t.Zone] != policy.Regions[r.Zone] && !t.Draining && !policy.IsEvacuated(t.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // applyConfig puts a configuration in force, unless it is invalid or not newer.
 func (s *state) applyConfig(u mirror.Update) {
 	for _, r := range u.Rows {
