--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -49,6 +49,7 @@
 	PlacementDenied   = Event{407, "placementDenied", slog.LevelDebug, "A request was not sent to any target, since its route permits none of the regions that have targets, or the permitted zones are evacuated. The line names both, and the version of the configuration.", "If it persists, check the route's regions and the evacuated zones."}
 	ConfigInForce     = Event{500, "configInForce", slog.LevelInfo, "A newer configuration is in force on this instance.", ""}
 	ZoneEvacuated     = Event{503, "zoneEvacuated", slog.LevelWarn, "The operator has evacuated an availability zone: its targets get no requests, and its keys move to other zones.", "Watch the refusals of the permitted zones until it is taken back."}
+	RegionUnknown     = Event{505, "regionUnknown", slog.LevelWarn, "A route of the configuration in force permits a region that no availability zone has. Requests are not served there.", "Correct the route's regions, or this instance's setting of the zones' regions."}
 	ZoneReturned      = Event{504, "zoneReturned", slog.LevelInfo, "The operator has taken an evacuated zone back. Its targets are treated as cold at first.", ""}
 	ConfigAccepted    = Event{501, "configAccepted", slog.LevelInfo, "An operator's configuration was committed in the table service.", ""}
 	ConfigStale       = Event{502, "configStale", slog.LevelWarn, "A configuration that is not newer than the one in force was received and ignored.", ""}
@@ -97,7 +98,7 @@
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied,
-		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned,
+		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
 	}
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -12,8 +12,13 @@
 
 const (
 	// joinTimeout is how long an instance that starts tries to copy the tables from
-	// other instances before it reads the store.
-	joinTimeout = 500 * time.Millisecond
+	// other instances before it reads the store, and joinTimeoutStep what is added for
+	// each instance of the zone that ranks before it: if a whole fleet starts and all
+	// read the store, none of them gets the tables in time.
+	joinTimeout     = 500 * time.Millisecond
+	joinTimeoutStep = 50 * time.Millisecond
+	// maxListDelay bounds the wait for the list of instances while the store is sending it.
+	maxListDelay = 3 * time.Second
 	// joinRetryDelay is the pause between two attempts: the zone's other instances
 	// may be starting too.
 	joinRetryDelay = 50 * time.Millisecond
@@ -28,9 +33,9 @@
 	instanceListTimeout  = 250 * time.Millisecond
 	bootstrapListTimeout = 1500 * time.Millisecond
 	listPollInterval     = 10 * time.Millisecond
-	// maxFirstCopyDelay is how long a mirror waits for another instance's copy before
-	// it reads the store.
-	maxFirstCopyDelay = bootstrapListTimeout + joinTimeout + 500*time.Millisecond
+	// maxFirstCopyDelay is how long a mirror waits for another instance's copy before it
+	// reads the store, if join does not end the wait.
+	maxFirstCopyDelay = 8 * time.Second
 )
 
 // join fills the mirrors for the first time: from the zone's feed readers, or from
@@ -38,8 +43,8 @@
 // takes an instance up to eight calls, and a whole fleet may start at once.
 func (s *replicator) join(ctx context.Context) {
 	defer s.joined.Store(true)
-	listed := s.awaitInstances(ctx)
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	listed := s.awaitInstances(ctx) || s.awaitSlowList(ctx)
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout+time.Duration(s.rank())*joinTimeoutStep)
 	defer cancel()
 	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) {
 		if s.copyFromReaders(ctx) {
@@ -63,6 +68,24 @@
 	return !i.instances.Failing()
 }
 
+// awaitSlowList waits for a list of instances that the store has begun to send, or that a
+// seed has. It reports whether the list has arrived.
+func (s *replicator) awaitSlowList(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, maxListDelay)
+	defer cancel()
+	for ctx.Err() == nil && s.instances.Failing() && !s.instances.CallFailed() {
+		for _, seed := range s.liveSettings.Load().Seeds {
+			if seed != s.settings.ControlListen && s.instances.Failing() {
+				attempt, done := context.WithTimeout(ctx, joinAttemptTimeout)
+				(&catchUp{Instance: s.Instance}).requestState(attempt, seed, []*mirror.Mirror{s.instances})
+				done()
+			}
+		}
+		sleep(ctx, joinRetryDelay)
+	}
+	return !s.instances.Failing()
+}
+
 func (i *Instance) listTimeout() time.Duration {
 	if i.settings.Bootstrap {
 		return bootstrapListTimeout
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -21,6 +21,18 @@
 	gauge("basilcross_targets", "Targets that the platform names.", func() float64 {
 		return float64(len(i.state.roster.Load().Targets))
 	})
+	gauge("basilcross_cold_targets", "Targets that are warming up.", func() float64 {
+		n, now := 0.0, time.Now()
+		for _, t := range i.state.roster.Load().Targets {
+			if _, cold := i.state.coldRate(now, t); cold || t.IsCold(now) {
+				n++
+			}
+		}
+		return n
+	})
+	gauge("basilcross_evacuated_zones", "Availability zones that the operator has evacuated.", func() float64 {
+		return float64(len(i.state.policy().Evacuated))
+	})
 	gauge("basilcross_instances", "Instances among which retries are shared.", func() float64 {
 		return float64(i.countMembers())
 	})
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -30,11 +30,13 @@
 	// mirrors check their connection to the store.
 	freshnessCheckDelay = 600 * time.Millisecond
 	// takeoverDelayStep is the additional wait per rank before an instance becomes a
-	// feed reader when the readers have timed out, and maxTakeoverDelay the longest
-	// wait. The first one's heartbeat usually arrives before the others' waits end,
-	// which saves their calls: each call to the store is billed.
+	// feed reader when the readers have timed out, for the first takeoverRanks instances,
+	// and lateTakeoverStep that of the others. The first one's heartbeat usually arrives
+	// before the others' waits end, which saves their calls: each call to the store is
+	// billed, and a large zone's would fill its link.
 	takeoverDelayStep = 100 * time.Millisecond
-	maxTakeoverDelay  = 1200 * time.Millisecond
+	takeoverRanks     = 12
+	lateTakeoverStep  = 50 * time.Millisecond
 )
 
 // replicator has one or two instances of a zone, its feed readers, poll the store's
@@ -133,7 +135,14 @@
 	case s.noReaderSince.IsZero():
 		s.noReaderSince = now
 	}
-	return now.Sub(s.noReaderSince) < min(time.Duration(s.rank())*takeoverDelayStep, maxTakeoverDelay)
+	return now.Sub(s.noReaderSince) < takeoverDelay(s.rank())
+}
+
+// takeoverDelay returns how long an instance of the given rank waits before it becomes a
+// feed reader.
+func takeoverDelay(rank int) time.Duration {
+	early := min(rank, takeoverRanks)
+	return time.Duration(early)*takeoverDelayStep + time.Duration(rank-early)*lateTakeoverStep
 }
 
 func readerCount(size int) int {
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -181,6 +181,7 @@
 		}
 		s.routes.Store(routing.New(config))
 		event.ConfigInForce.Log(s.log, "version", config.Version, "revision", r.Revision, "routes", len(config.Routes))
+		s.logUnknownRegions(config)
 	}
 }
 
@@ -188,6 +189,17 @@
 // starts, they would be most of the log of each instance.
 const maxTargetLines = 16
 
+func (s *state) logUnknownRegions(config *routing.Config) {
+	known := slices.Collect(maps.Values(s.policy().Regions))
+	for _, r := range config.Routes {
+		for _, region := range r.Regions {
+			if !slices.Contains(known, region) {
+				event.RegionUnknown.Log(s.log, "route", r.Name, "region", region, "version", config.Version)
+			}
+		}
+	}
+}
+
 func (s *state) applyTargets(u mirror.Update) {
 	now := time.Now()
 	var added, leaving []*roster.Target
