Use the slowness that targets report, discounted by its age

Cause: on the shifted deployment a fifth of the targets is three times slower for some 400 ms at a time; estimates from response times take about ten answers to follow. Each response says how long work takes there now, which nothing read. Change: the fourth figure of the load header goes to the scheduler with the slot's release. Without reports nothing changes. Releases carry it in the field of the result, so that other versions read them.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -34,6 +34,9 @@
 // Reservation is a slot of a target that a request holds. Release must be called once.
 type Reservation struct {
 	Target *roster.Target
+	// Slowness is the momentary slowness that the target reported; 0 if none. It is set
+	// before Release.
+	Slowness float64
 
 	d      *Dispatcher
 	ticket *schedule.Ticket
@@ -131,6 +134,7 @@
 	d := r.d
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	r.ticket.ReportedSlowness = r.Slowness
 	d.notify(d.scheduler.Release(time.Now(), r.ticket, result))
 }
 
--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -47,6 +47,7 @@
 	AnswerCut         = Event{401, "answerCut", slog.LevelInfo, "A target's response ended early, or the caller did not receive all of it; the caller's connection was aborted, or the request was refused.", ""}
 	TargetEjected     = Event{402, "targetEjected", slog.LevelWarn, "A target fails too often. If its service is unsharded, it gets no requests for a while.", "Check the target."}
 	PlacementDenied   = Event{407, "placementDenied", slog.LevelDebug, "A request was not sent to any target, since its route permits none of the regions that have targets, or the permitted zones are evacuated. The line names both, and the version of the configuration.", "If it persists, check the route's regions and the evacuated zones."}
+	LoadUnusable      = Event{408, "loadUnusable", slog.LevelWarn, "A target reports its load in a form that is not known. It is ignored, and logged once for the service.", ""}
 	ConfigInForce     = Event{500, "configInForce", slog.LevelInfo, "A newer configuration is in force on this instance.", ""}
 	ZoneEvacuated     = Event{503, "zoneEvacuated", slog.LevelWarn, "The operator has evacuated an availability zone: its targets get no requests, and its keys move to other zones.", "Watch the refusals of the permitted zones until it is taken back."}
 	RegionUnknown     = Event{505, "regionUnknown", slog.LevelWarn, "A route of the configuration in force permits a region that no availability zone has. Requests are not served there.", "Correct the route's regions, or this instance's setting of the zones' regions."}
@@ -97,7 +98,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable,
 		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
--- a/basilcross/routing/config.go
+++ b/basilcross/routing/config.go
@@ -80,4 +80,15 @@
 	AnsweringTarget string
 	NotExecuted     string
 	ShardKey        string
+	// Load is the header in which some targets report their load.
+	Load string
+}
+
+// TargetLoad is what a target reports of its load with a response.
+type TargetLoad struct {
+	// Running and Waiting are numbers of requests.
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at the moment, as a multiple of the usual time; 0 if
+	// it is not reported.
+	Slowness float64
 }
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -50,7 +50,13 @@
 // expectedLatency returns the expected response time of a target with a free slot, in
 // seconds. It counts repeated attempts at a target that sheds at random.
 func (s *service) expectedLatency(now time.Time, t *roster.Target, st *targetState, number uint32) float64 {
-	return s.workOf(number) * st.slowness * warmupFactor(now, t) / (1 - min(st.shedRatio, maxShedRatio))
+	return s.workOf(number) * s.slownessOf(now, t, st) / (1 - min(st.shedRatio, maxShedRatio))
+}
+
+// slownessOf returns how long the target needs for work now, as a multiple of an average
+// target's time.
+func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState) float64 {
+	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st)
 }
 
 func warmupFactor(now time.Time, t *roster.Target) float64 {
@@ -65,7 +71,7 @@
 func (s *service) observe(now time.Time, t *Ticket, took time.Duration) {
 	st := t.state
 	took = max(took, minWork)
-	slowness := st.slowness * warmupFactor(now, t.Target)
+	slowness := s.slownessOf(now, t.Target, st)
 	k := s.kinds[t.Request.Kind]
 	if k == nil {
 		k = &kindStats{work: took.Seconds() / slowness}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -101,6 +101,9 @@
 	kinds   map[uint32]*kindStats
 	// meanWork is the average work of a request, in seconds; 0 before the first answer.
 	meanWork float64
+	// meanReported is the average of the momentary slowness that targets report; 0 if they
+	// report none.
+	meanReported float64
 }
 
 // Ticket is a request's place in the schedule: it holds a slot of Target if that is set,
@@ -114,6 +117,9 @@
 	queue   *queue
 	state   *targetState
 	seq     uint64
+	// ReportedSlowness is how long work took at the target at the time of its response, as
+	// a multiple of the usual time. It is set before Release, and 0 if it was not reported.
+	ReportedSlowness float64
 	// late is set if it waits although it cannot meet its objective.
 	late bool
 	// arrivesAt is when the request reaches the target, startedAt when it got a slot
@@ -175,7 +181,7 @@
 		best, avail := s.bestTarget(now, q.waiting[0])
 		if best != nil {
 			// Which requests meet their objective depends on the target that is free.
-			avail.slowness = avail.state.slowness * warmupFactor(now, best)
+			avail.slowness = like.service.slownessOf(now, best, avail.state)
 		}
 		next := q.next(now, avail.slowness)
 		s.assign(now, next)
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -53,6 +53,10 @@
 	failures int
 	// shedRatio is the share of requests that were shed with slots free.
 	shedRatio float64
+	// reported is the momentary slowness in the latest response, and reportedAt when that
+	// arrived.
+	reported   float64
+	reportedAt time.Time
 	// cold limits the rate of requests while the target is cold, or may have restarted.
 	cold                  coldBucket
 	restartSuspectedUntil time.Time
@@ -136,6 +140,7 @@
 
 func (st *targetState) recordResult(now time.Time, t *Ticket, r Result) {
 	st.remove(now, t)
+	t.service.recordSlowness(now, t)
 	if r == Shed && len(st.inFlight) < t.Target.Slots {
 		st.shedRatio += shedWeight * (1 - st.shedRatio)
 		return
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -81,12 +81,15 @@
 
 // Reservation holds a target's slot for a request. Release must be called once.
 type Reservation struct {
-	Target  *roster.Target
-	release func(schedule.Result)
+	Target *roster.Target
+	// Slowness is the momentary slowness that the target reported; 0 if none. It is set
+	// before Release.
+	Slowness float64
+	release  func(result schedule.Result, slowness float64)
 }
 
 // Release returns the slot and reports how the request ended.
-func (r *Reservation) Release(result schedule.Result) { r.release(result) }
+func (r *Reservation) Release(result schedule.Result) { r.release(result, r.Slowness) }
 
 // New returns a broker.
 func New(o Options) *Broker {
@@ -206,7 +209,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Reservation{Target: res.Target, release: res.Release}, nil
+	return &Reservation{Target: res.Target, release: func(result schedule.Result, slowness float64) {
+		res.Slowness = slowness
+		res.Release(result)
+	}}, nil
 }
 
 // Scheduler returns the name of the instance that assigns the slots for a request. It
@@ -297,13 +303,13 @@
 			timer.Reset(queuedResendInterval)
 		case <-timer.C:
 			if unanswered++; unanswered >= maxUnanswered {
-				b.sendRelease(scheduler, seq, schedule.Abandoned, 0)
+				b.sendRelease(scheduler, seq, schedule.Abandoned, 0, 0)
 				return nil, &UnresponsiveError{Scheduler: scheduler}
 			}
 			b.Peers.Send(scheduler, &peers.Message{ReserveRequest: encodeReserveRequest(seq, &req)})
 			timer.Reset(resendInterval)
 		case <-ctx.Done():
-			b.sendRelease(scheduler, seq, schedule.Abandoned, 0)
+			b.sendRelease(scheduler, seq, schedule.Abandoned, 0, 0)
 			return nil, ctx.Err()
 		}
 	}
@@ -335,15 +341,19 @@
 	}
 	t := b.Roster.Load().Targets[r.Target]
 	if t == nil || t.Started != r.Started || req.Target == "" && t.Draining {
-		b.sendRelease(scheduler, seq, schedule.Abandoned, 0)
+		b.sendRelease(scheduler, seq, schedule.Abandoned, 0, 0)
 		return nil, &schedule.NoTargetError{Service: req.Service}
 	}
 	start := time.Now()
-	return &Reservation{Target: t, release: func(result schedule.Result) { b.sendRelease(scheduler, seq, result, time.Since(start)) }}, nil
+	return &Reservation{Target: t, release: func(result schedule.Result, slowness float64) {
+		b.sendRelease(scheduler, seq, result, slowness, time.Since(start))
+	}}, nil
 }
 
-func (b *Broker) sendRelease(scheduler string, seq uint64, result schedule.Result, held time.Duration) {
-	b.Peers.Send(scheduler, &peers.Message{Release: &peers.Release{Seq: seq, Result: int(result), HeldUs: held.Microseconds()}})
+func (b *Broker) sendRelease(scheduler string, seq uint64, result schedule.Result, slowness float64, held time.Duration) {
+	m := &peers.Release{Seq: seq, HeldUs: held.Microseconds()}
+	m.SetResult(int(result), slowness)
+	b.Peers.Send(scheduler, &peers.Message{Release: m})
 }
 
 func encodeReserveRequest(seq uint64, req *schedule.Request) *peers.ReserveRequest {
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -73,7 +73,7 @@
 	b.remoteRequests[key] = r
 	req.OneWayDelay = b.oneWayDelays[m.From]
 	b.mu.Unlock()
-	time.AfterFunc(time.Until(req.Deadline)+releaseGrace, func() { b.releaseRemote(key, schedule.Abandoned) })
+	time.AfterFunc(time.Until(req.Deadline)+releaseGrace, func() { b.releaseRemote(key, schedule.Abandoned, 0) })
 	req.AvoidCold = !b.isPrimary(&req)
 	b.group.Go(func() error {
 		b.reserveFor(ctx, key, r, req)
@@ -124,11 +124,13 @@
 }
 
 func (b *Broker) handleRelease(m *peers.Message) {
-	key, result := remoteKey{m.From, m.Incarnation, m.Release.Seq}, schedule.Result(m.Release.Result)
+	key := remoteKey{m.From, m.Incarnation, m.Release.Seq}
+	number, slowness := m.Release.Result()
+	result := schedule.Result(number)
 	if result == schedule.Answered {
 		b.updateOneWayDelay(key, time.Duration(m.Release.HeldUs)*time.Microsecond)
 	}
-	b.releaseRemote(key, result)
+	b.releaseRemote(key, result, slowness)
 }
 
 const (
@@ -157,7 +159,7 @@
 }
 
 // releaseRemote releases the slot of another instance's request, or cancels it.
-func (b *Broker) releaseRemote(key remoteKey, result schedule.Result) {
+func (b *Broker) releaseRemote(key remoteKey, result schedule.Result, slowness float64) {
 	b.mu.Lock()
 	r := b.remoteRequests[key]
 	delete(b.remoteRequests, key)
@@ -167,6 +169,7 @@
 	}
 	r.cancel()
 	if r.reservation != nil {
+		r.reservation.Slowness = slowness
 		r.reservation.Release(result)
 	}
 }
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -201,6 +201,7 @@
 // readResponse reads the response's body. It returns a refusal if the response must
 // not be forwarded to the caller.
 func (f *Front) readResponse(ctx context.Context, c *call, reservation *broker.Reservation, res *http.Response) (*targetResponse, *refusal) {
+	f.recordLoad(c, reservation, res)
 	if res.Header.Get(f.Headers.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest {
 		return nil, f.notExecuted(c, reservation, res)
 	}
@@ -239,6 +240,23 @@
 	return response, nil
 }
 
+// recordLoad passes on the slowness that the target reports. An invalid report is logged
+// once for its service.
+func (f *Front) recordLoad(c *call, reservation *broker.Reservation, res *http.Response) {
+	text := res.Header.Get(f.Headers.Load)
+	if text == "" {
+		return
+	}
+	load, err := f.ParseLoad(text)
+	if err == nil {
+		reservation.Slowness = load.Slowness
+		return
+	}
+	if _, logged := f.loadErrors.LoadOrStore(c.service, true); !logged {
+		event.LoadUnusable.Log(f.Log, "service", c.service, "target", reservation.Target.ID, "text", text, "error", err)
+	}
+}
+
 func resultOf(complete bool) schedule.Result {
 	if complete {
 		return schedule.Answered
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -22,9 +22,11 @@
 // Options configure a Front. All fields must be set.
 type Options struct {
 	Headers routing.HeaderNames
-	Broker  *broker.Broker
-	Roster  *roster.Roster
-	Pools   *Pools
+	// ParseLoad decodes the header in which targets report their load.
+	ParseLoad func(text string) (routing.TargetLoad, error)
+	Broker    *broker.Broker
+	Roster    *roster.Roster
+	Pools     *Pools
 	// Table returns the routing table in force; nil before the first configuration.
 	Table func() *routing.Table
 	// CurrentAssignment returns a service's assignment, or nil, and a channel that is
@@ -61,6 +63,8 @@
 	budgets           map[string]*retry.Budget
 	// latencies are the average response times by route.
 	latencies map[string]time.Duration
+	// loadErrors has the services of which an invalid load was logged.
+	loadErrors sync.Map
 }
 
 // New returns a Front with the options.
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -147,7 +147,7 @@
 	})
 	i.pools = &front.Pools{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
-		Headers: platform.HeaderNames(), Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Table: i.state.routes.Load,
+		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		RetryLimits: func() front.RetryLimits {
 			now := i.liveSettings.Load()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -3,7 +3,11 @@
 // reservations, and the load per key.
 package peers
 
-import "basilcross.example/basilcross/ownership"
+import (
+	"math"
+
+	"basilcross.example/basilcross/ownership"
+)
 
 // Message is the payload of a datagram. It and its parts are encoded as CBOR
 // arrays: field names would make up most of its bytes, and traffic between
@@ -103,12 +107,28 @@
 type Release struct {
 	_ struct{} `cbor:",toarray"`
 
-	Seq    uint64
-	Result int
+	Seq uint64
+	// ResultAndSlowness holds both, so that versions before the second read the first as
+	// before, unless the target reported its slowness. Use Result and SetResult.
+	ResultAndSlowness int
 	// HeldUs is how long the sender held the slot, in microseconds.
 	HeldUs int64
 }
 
+// resultCount is above every result.
+const resultCount = 16
+
+// SetResult sets the result, and the slowness that the target reported as a multiple of the
+// usual time; 0 if none.
+func (r *Release) SetResult(result int, slowness float64) {
+	r.ResultAndSlowness = result + resultCount*int(math.Round(100*slowness))
+}
+
+// Result returns what SetResult set.
+func (r *Release) Result() (result int, slowness float64) {
+	return r.ResultAndSlowness % resultCount, float64(r.ResultAndSlowness/resultCount) / 100
+}
+
 // Heartbeat is sent by the coordinator to all instances at a fixed interval, and in
 // reply to a Hello.
 type Heartbeat struct {
