Give slow targets fewer keys while the service is not busy

Change: a target's capacity counts to the power 2 of its speed up to a mean utilization of 0.4, falling to its speed at 0.75. The mean latency is no longer summed for each target (quadratic in their number).

--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -67,8 +67,12 @@
 	loadShiftedAt time.Time
 	owners        map[roster.Incarnation]*ownerState
 	latencies     map[string]time.Duration
-	storeClock    storeClockSample
-	paths         map[string]*zonePath
+	// latencySum is the sum of latencies.
+	latencySum time.Duration
+	// meanUtilization is the load of all targets divided by their slots and speeds.
+	meanUtilization float64
+	storeClock      storeClockSample
+	paths           map[string]*zonePath
 	// longHolds is set while the store is in doubt.
 	longHolds bool
 	Moves     MoveCounts
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -50,15 +51,38 @@
 	if m.latencies == nil {
 		m.latencies = map[string]time.Duration{}
 	}
+	m.latencySum += latency - m.latencies[target]
 	m.latencies[target] = latency
 }
 
+func (m *Manager) dropLatency(target string) {
+	m.latencySum -= m.latencies[target]
+	delete(m.latencies, target)
+}
+
+const (
+	// calmUtilization and fullUtilization are the mean utilizations up to which slow targets get
+	// few keys, and from which all targets are needed in proportion to their speed.
+	calmUtilization = 0.4
+	fullUtilization = 0.75
+	// calmExponent is the power of a target's speed to which its capacity counts while calm.
+	calmExponent = 2.0
+)
+
+// speedExponent is the power of a target's speed to which its capacity counts. Requests are
+// served at their key's owner only, and at a slow target many miss their objective however
+// few it gets. So while the service is not busy, slow targets get less than their speed's share.
+func (m *Manager) speedExponent() float64 {
+	busy := (m.meanUtilization - calmUtilization) / (fullUtilization - calmUtilization)
+	return calmExponent + (1-calmExponent)*min(1, max(0, busy))
+}
+
 // dropLatencies drops the latencies of unlisted targets. They would otherwise count
 // for the next incarnation under the name, and in the mean.
 func (m *Manager) dropLatencies(listed map[string]*roster.Target) {
 	for id := range m.latencies {
 		if listed[id] == nil {
-			delete(m.latencies, id)
+			m.dropLatency(id)
 		}
 	}
 }
@@ -70,11 +94,7 @@
 	if own <= 0 {
 		return 1
 	}
-	sum := time.Duration(0)
-	for _, s := range m.latencies {
-		sum += s
-	}
-	return min(max(float64(sum)/float64(len(m.latencies))/float64(own), minRelativeSpeed), maxRelativeSpeed)
+	return min(max(float64(m.latencySum)/float64(len(m.latencies))/float64(own), minRelativeSpeed), maxRelativeSpeed)
 }
 
 // targetLoads returns, by ID, the targets that may be given keys. A moving piece
@@ -85,7 +105,7 @@
 		if !m.mayReceiveKeys(now, t) {
 			continue
 		}
-		slots := float64(t.Slots) * m.relativeSpeed(t.ID)
+		slots := float64(t.Slots) * math.Pow(m.relativeSpeed(t.ID), m.speedExponent())
 		if t.IsCold(now) {
 			slots *= warmupShare
 		}
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -104,7 +104,7 @@
 	if m.OnInherit != nil {
 		m.OnInherit(p.Piece, to.Incarnation())
 	}
-	delete(m.latencies, to.ID)
+	m.dropLatency(to.ID)
 	p.Owner, p.Started = to.ID, to.Started
 	p.cause, p.destination = OwnerLost, ""
 	p.usableUntil = time.Time{}
