--- a/basilcross/ownership/balance.go
+++ b/basilcross/ownership/balance.go
@@ -59,7 +59,6 @@
 		}
 	}
 	mean := all / slots
-	m.recordUtilization(all, targets, loads)
 	if len(m.pieces) > mergeThreshold*len(loads) {
 		m.merge(sums, loads, mean)
 	}
@@ -73,16 +72,6 @@
 	}
 }
 
-func (m *Manager) recordUtilization(all float64, targets []*roster.Target, loads map[string]*targetLoad) {
-	slots := 0.0
-	for _, t := range targets {
-		if loads[t.ID] != nil {
-			slots += float64(t.Slots) * m.relativeSpeed(t.ID)
-		}
-	}
-	m.meanUtilization = all / slots
-}
-
 // mergeCandidate is a piece that could move to a neighbouring piece's owner.
 type mergeCandidate struct {
 	piece *piece
--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -69,8 +69,6 @@
 	latencies     map[string]time.Duration
 	// latencySum is the sum of latencies.
 	latencySum time.Duration
-	// meanUtilization is the load of all targets divided by their slots and speeds.
-	meanUtilization float64
 	storeClock      storeClockSample
 	paths           map[string]*zonePath
 	// longHolds is set while the store is in doubt.
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -1,7 +1,6 @@
 package ownership
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -60,23 +59,6 @@
 	delete(m.latencies, target)
 }
 
-const (
-	// calmUtilization and fullUtilization are the mean utilizations up to which slow targets get
-	// few keys, and from which all targets are needed in proportion to their speed.
-	calmUtilization = 0.4
-	fullUtilization = 0.75
-	// calmExponent is the power of a target's speed to which its capacity counts while calm.
-	calmExponent = 2.0
-)
-
-// speedExponent is the power of a target's speed to which its capacity counts. Requests are
-// served at their key's owner only, and at a slow target many miss their objective however
-// few it gets. So while the service is not busy, slow targets get less than their speed's share.
-func (m *Manager) speedExponent() float64 {
-	busy := (m.meanUtilization - calmUtilization) / (fullUtilization - calmUtilization)
-	return calmExponent + (1-calmExponent)*min(1, max(0, busy))
-}
-
 // dropLatencies drops the latencies of unlisted targets. They would otherwise count
 // for the next incarnation under the name, and in the mean.
 func (m *Manager) dropLatencies(listed map[string]*roster.Target) {
@@ -105,7 +87,7 @@
 		if !m.mayReceiveKeys(now, t) {
 			continue
 		}
-		slots := float64(t.Slots) * math.Pow(m.relativeSpeed(t.ID), m.speedExponent())
+		slots := float64(t.Slots) * m.relativeSpeed(t.ID)
 		if t.IsCold(now) {
 			slots *= warmupShare
 		}
