--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -69,8 +69,8 @@
 	latencies     map[string]time.Duration
 	// latencySum is the sum of latencies.
 	latencySum time.Duration
-	storeClock      storeClockSample
-	paths           map[string]*zonePath
+	storeClock storeClockSample
+	paths      map[string]*zonePath
 	// longHolds is set while the store is in doubt.
 	longHolds bool
 	Moves     MoveCounts
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -44,7 +44,7 @@
 	rate := 0.0
 	for _, c := range s.usableTargets(now, t) {
 		st := t.service.stateOf(c)
-		latency := t.service.expectedLatency(now, c, st, t.Request.Kind)
+		latency := t.service.expectedLatency(now, c, st, &t.Request)
 		slots := min(float64(c.Slots), max(1, st.limit))
 		wait := st.timeToFreeSlot(now, c.Slots)
 		limited, tokenWait := s.coldLimit(now, c, st)
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -49,14 +49,14 @@
 
 // expectedLatency returns the expected response time of a target with a free slot, in
 // seconds. It counts repeated attempts at a target that sheds at random.
-func (s *service) expectedLatency(now time.Time, t *roster.Target, st *targetState, number uint32) float64 {
-	return s.workOf(number) * s.slownessOf(now, t, st) / (1 - min(st.shedRatio, maxShedRatio))
+func (s *service) expectedLatency(now time.Time, t *roster.Target, st *targetState, r *Request) float64 {
+	return s.workOf(r.Kind) * s.slownessOf(now, t, st, r) / (1 - min(st.shedRatio, maxShedRatio))
 }
 
 // slownessOf returns how long the target needs for work now, as a multiple of an average
 // target's time.
-func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState) float64 {
-	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st)
+func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState, r *Request) float64 {
+	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st, r)
 }
 
 func warmupFactor(now time.Time, t *roster.Target) float64 {
@@ -71,7 +71,10 @@
 func (s *service) observe(now time.Time, t *Ticket, took time.Duration) {
 	st := t.state
 	took = max(took, minWork)
-	slowness := s.slownessOf(now, t.Target, st)
+	slowness := st.slowness * warmupFactor(now, t.Target)
+	if t.ReportedSlowness > 0 {
+		slowness *= t.ReportedSlowness
+	}
 	k := s.kinds[t.Request.Kind]
 	if k == nil {
 		k = &kindStats{work: took.Seconds() / slowness}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -181,7 +181,7 @@
 		best, avail := s.bestTarget(now, q.waiting[0])
 		if best != nil {
 			// Which requests meet their objective depends on the target that is free.
-			avail.slowness = like.service.slownessOf(now, best, avail.state)
+			avail.slowness = like.service.slownessOf(now, best, avail.state, &like.Request)
 		}
 		next := q.next(now, avail.slowness)
 		s.assign(now, next)
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -75,7 +75,7 @@
 // taken.
 func (st *targetState) add(now time.Time, t *Ticket) {
 	st.inFlight = append(st.inFlight, t)
-	t.expectedWork = seconds(t.service.expectedLatency(now, t.Target, st, t.Request.Kind))
+	t.expectedWork = seconds(t.service.expectedLatency(now, t.Target, st, &t.Request))
 	t.arrivesAt = now.Add(2 * t.Request.OneWayDelay)
 	if len(st.inFlight) <= t.Target.Slots {
 		t.startedAt = t.arrivesAt
