--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -71,10 +71,7 @@
 func (s *service) observe(now time.Time, t *Ticket, took time.Duration) {
 	st := t.state
 	took = max(took, minWork)
-	slowness := st.slowness * warmupFactor(now, t.Target)
-	if t.ReportedSlowness > 0 {
-		slowness *= t.ReportedSlowness
-	}
+	slowness := s.slownessOf(now, t.Target, st, &t.Request)
 	k := s.kinds[t.Request.Kind]
 	if k == nil {
 		k = &kindStats{work: took.Seconds() / slowness}
