--- a/basilcross/schedule/report.go
+++ b/basilcross/schedule/report.go
@@ -26,14 +26,14 @@
 }
 
 // momentarySlowness returns how long work takes at the target at the moment, as a multiple of
-// the usual time: its last report, discounted by its age; 1 if targets report nothing. For a
-// request that only this target may serve it is the average: the request may wait until the
-// target is faster, and cannot go elsewhere.
+// the usual time: its last report, discounted by its age; 1 if targets report nothing. It is
+// not used for a request that only this target may serve: that may wait until the target is
+// faster, and cannot go elsewhere.
 func (s *service) momentarySlowness(now time.Time, st *targetState, r *Request) float64 {
-	if s.meanReported == 0 {
+	if s.meanReported == 0 || r.Target != "" {
 		return 1
 	}
-	if st.reported == 0 || r.Target != "" {
+	if st.reported == 0 {
 		return s.meanReported
 	}
 	return s.meanReported + (st.reported-s.meanReported)*math.Exp2(-now.Sub(st.reportedAt).Seconds()/reportHalfLife.Seconds())
