Read a zone's instances at a restart, and wait for readers that are starting too

Cause: after all of 300 instances were killed, half of them read the list of instances (75 KB each) over a link of 30 Mbit/s, which takes 3 s; the readers have no tables for longer than the others wait, so these read the table of targets (1 MB each) from the store over the same link. A copy of that table also takes longer than the 0.3 s allowed for it on a link of 10 Mbit/s. Change: each instance writes its row a second time under its zone, and reads its zone alone at a restart; the whole list comes with the copies of the feed readers. While these answer without tables, an instance waits 2 s and 50 ms for each that ranks before it. A copy may take 1.5 s. Attempts are further apart in large zones.

--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -204,6 +204,7 @@
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, OnUpdate: func(u mirror.Update) {
 		i.peers.SetInstances(i.state.applyInstances(u))
 	}})
+	i.instances.InitialWait = maxListDelay
 	if i.settings.Bootstrap {
 		i.instances.InitialWait = registerTimeout
 	}
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"slices"
+	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
 	"golang.org/x/sync/errgroup"
@@ -19,13 +23,19 @@
 	joinTimeoutStep = 50 * time.Millisecond
 	// maxListDelay bounds the wait for the list of instances while the store is sending it.
 	maxListDelay = 3 * time.Second
-	// joinRetryDelay is the pause between two attempts: the zone's other instances
-	// may be starting too.
+	// joinRetryDelay is the pause between two attempts, and joinRetryStep what is added for
+	// each instance of the zone: all of them may be starting.
 	joinRetryDelay = 50 * time.Millisecond
-	// joinAttemptTimeout bounds an attempt. The next instance is queried too when one
-	// has not answered for joinHedgeDelay: it may have crashed.
-	joinAttemptTimeout = 300 * time.Millisecond
-	joinHedgeDelay     = 50 * time.Millisecond
+	joinRetryStep  = 4 * time.Millisecond
+	// maxJoinTime bounds the attempts while the queried instances answer and have no tables
+	// yet: they are starting too, or the store does not answer them. joinTimeoutStep is added
+	// to it as well.
+	maxJoinTime = 2 * time.Second
+	// joinAttemptTimeout bounds an attempt: the tables of a large fleet take most of a second
+	// on a link of 10 Mbit/s. The next instance is queried too when one has not answered for
+	// joinHedgeDelay: it may have crashed.
+	joinAttemptTimeout = 1500 * time.Millisecond
+	joinHedgeDelay     = 100 * time.Millisecond
 	maxJoinSources     = 3
 	// instanceListTimeout bounds the wait for the list of instances, and
 	// bootstrapListTimeout the same at the first start of the fleet: all instances
@@ -43,20 +53,58 @@
 // takes an instance up to eight calls, and a whole fleet may start at once.
 func (s *replicator) join(ctx context.Context) {
 	defer s.joined.Store(true)
-	listed := s.awaitInstances(ctx) || s.awaitSlowList(ctx)
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout+time.Duration(s.rank())*joinTimeoutStep)
+	listed := s.readZone(ctx) || s.awaitInstances(ctx) || s.awaitSlowList(ctx)
+	byRank := time.Duration(s.rank()) * joinTimeoutStep
+	ctx, cancel := context.WithTimeout(ctx, maxJoinTime+byRank)
 	defer cancel()
-	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) {
-		if s.copyFromReaders(ctx) {
+	lastAnswer := time.Now()
+	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) && time.Since(lastAnswer) < joinTimeout+byRank {
+		copied, answered := s.copyFromReaders(ctx)
+		if copied {
 			s.passive.Store(true)
 			// The readers send heartbeats as soon as they list this instance.
 			s.noReaderSince = time.Now().Add(readerTimeout)
 			return
 		}
-		sleep(ctx, joinRetryDelay)
+		if answered {
+			lastAnswer = time.Now()
+		}
+		sleep(ctx, joinRetryDelay+time.Duration(s.zoneSize())*joinRetryStep)
 	}
 	s.setPassive(false)
 	s.assignments.Refresh()
+	s.instances.Refresh()
+}
+
+// readZone reads the instances of the zone from the store, and reports whether any other one
+// is listed. The others are copied from the zone's feed readers, or read by these. At the first
+// start of a fleet the whole list is read once all have written their rows.
+func (s *replicator) readZone(ctx context.Context) bool {
+	if s.settings.Bootstrap {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, instanceListTimeout)
+	defer cancel()
+	rows, err := s.store.Prefix(ctx, coordinator.ZoneInstanceTable, zoneKey(s.settings.Zone))
+	if err != nil {
+		event.StoreCallFailed.Log(s.log, "call", "list zone", "error", err)
+		s.instances.Refresh()
+		return false
+	}
+	for _, r := range rows {
+		var i peers.Instance
+		if err := json.Unmarshal(r.Value, &i); err != nil {
+			event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
+			continue
+		}
+		if i.Name != s.settings.Instance {
+			s.peers.Add(i)
+		}
+	}
+	if s.zoneSize() == 0 {
+		s.instances.Refresh()
+	}
+	return s.zoneSize() > 0
 }
 
 func (i *Instance) awaitInstances(ctx context.Context) bool {
@@ -94,17 +142,21 @@
 }
 
 // copyFromReaders fetches the tables from the instances that should be the zone's
-// feed readers, and reports whether all that a passive instance needs has arrived.
-func (s *replicator) copyFromReaders(ctx context.Context) bool {
+// feed readers, and reports whether all that a passive instance needs has arrived, and
+// whether any of them answered.
+func (s *replicator) copyFromReaders(ctx context.Context) (copied, answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, joinAttemptTimeout)
 	defer cancel()
-	mirrors := slices.Concat(s.polledMirrors, []*mirror.Mirror{s.assignments})
+	mirrors := slices.Concat(s.polledMirrors, []*mirror.Mirror{s.assignments, s.instances})
+	var anyAnswer atomic.Bool
 	var group errgroup.Group
 	for n, source := range s.sources() {
 		group.Go(func() error {
 			sleep(ctx, time.Duration(n)*joinHedgeDelay)
 			if ctx.Err() == nil {
-				(&catchUp{Instance: s.Instance}).requestState(ctx, source.Control, mirrors)
+				if (&catchUp{Instance: s.Instance}).requestState(ctx, source.Control, mirrors) {
+					anyAnswer.Store(true)
+				}
 			}
 			if s.hasCopies() {
 				cancel()
@@ -113,7 +165,7 @@
 		})
 	}
 	_ = group.Wait()
-	return s.hasCopies()
+	return s.hasCopies(), anyAnswer.Load()
 }
 
 func (s *replicator) hasCopies() bool {
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -25,6 +25,9 @@
 	registerTimeout = 1500 * time.Millisecond
 )
 
+// zoneKey is the prefix of the keys of a zone's rows in coordinator.ZoneInstanceTable.
+func zoneKey(zone string) string { return zone + "/" }
+
 // registrar writes this instance's row to the store, by which other instances find it.
 type registrar struct{ *Instance }
 
@@ -37,6 +40,8 @@
 	}
 	tx := platform.Transaction{Set: []platform.Write{{
 		Table: coordinator.InstanceTable, Key: r.peers.Self.Name, Value: row,
+	}, {
+		Table: coordinator.ZoneInstanceTable, Key: zoneKey(r.settings.Zone) + r.peers.Self.Name, Value: row,
 	}}}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -52,6 +57,9 @@
 	// Instances that registered earlier are read from the store; later ones do the
 	// same and announce themselves. A list that has the row of an earlier
 	// incarnation of this instance is complete.
+	for ctx.Err() == nil && !r.settings.Bootstrap && !r.replicator.joined.Load() {
+		sleep(ctx, listPollInterval)
+	}
 	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
 		r.instances.Refresh()
 	}
