Wait for the list of instances with the copies of the tables at a restart

An instance without the whole list reserves slots of other zones' targets by itself, for half a second or more. Change: the copies are complete only with the list; the next source is asked after 50 ms and 1 ms for each instance of the zone, instead of 100 ms.

--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -33,9 +33,10 @@
 	maxJoinTime = 2 * time.Second
 	// joinAttemptTimeout bounds an attempt: the tables of a large fleet take most of a second
 	// on a link of 10 Mbit/s. The next instance is queried too when one has not answered for
-	// joinHedgeDelay: it may have crashed.
+	// joinHedgeDelay, and joinHedgeStep for each instance of the zone: it may have crashed.
 	joinAttemptTimeout = 1500 * time.Millisecond
-	joinHedgeDelay     = 100 * time.Millisecond
+	joinHedgeDelay     = 50 * time.Millisecond
+	joinHedgeStep      = time.Millisecond
 	maxJoinSources     = 3
 	// instanceListTimeout bounds the wait for the list of instances, and
 	// bootstrapListTimeout the same at the first start of the fleet: all instances
@@ -152,7 +153,7 @@
 	var group errgroup.Group
 	for n, source := range s.sources() {
 		group.Go(func() error {
-			sleep(ctx, time.Duration(n)*joinHedgeDelay)
+			sleep(ctx, time.Duration(n)*(joinHedgeDelay+time.Duration(s.zoneSize())*joinHedgeStep))
 			if ctx.Err() == nil {
 				if (&catchUp{Instance: s.Instance}).requestState(ctx, source.Control, mirrors) {
 					anyAnswer.Store(true)
@@ -174,7 +175,8 @@
 			return false
 		}
 	}
-	return true
+	// Without the list, slots of other zones' targets could not be reserved there.
+	return !s.instances.Failing()
 }
 
 // sources returns the zone's highest-ranking other instances, in an order that
