--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -205,9 +205,6 @@
 		i.peers.SetInstances(i.state.applyInstances(u))
 	}})
 	i.instances.InitialWait = maxListDelay
-	if i.settings.Bootstrap {
-		i.instances.InitialWait = registerTimeout
-	}
 }
 
 // revisions returns the revision of the newest change in each replicated table.
--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -23,6 +23,9 @@
 	joinTimeoutStep = 50 * time.Millisecond
 	// maxListDelay bounds the wait for the list of instances while the store is sending it.
 	maxListDelay = 3 * time.Second
+	// smallZone is the size of a zone, in instances, up to which each instance of the fleet reads
+	// the whole list at its start: then it knows the other zones sooner.
+	smallZone = 40
 	// joinRetryDelay is the pause between two attempts, and joinRetryStep what is added for
 	// each instance of the zone: all of them may be starting.
 	joinRetryDelay = 50 * time.Millisecond
@@ -56,7 +59,7 @@
 	defer s.joined.Store(true)
 	listed := s.readZone(ctx) || s.awaitInstances(ctx) || s.awaitSlowList(ctx)
 	byRank := time.Duration(s.rank()) * joinTimeoutStep
-	ctx, cancel := context.WithTimeout(ctx, maxJoinTime+byRank)
+	ctx, cancel := context.WithTimeout(ctx, maxJoinTime+byRank+time.Duration(s.zoneSize())*joinTimeoutStep)
 	defer cancel()
 	lastAnswer := time.Now()
 	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) && time.Since(lastAnswer) < joinTimeout+byRank {
@@ -77,15 +80,16 @@
 	s.instances.Refresh()
 }
 
-// readZone reads the instances of the zone from the store, and reports whether any other one
-// is listed. The others are copied from the zone's feed readers, or read by these. At the first
-// start of a fleet the whole list is read once all have written their rows.
+// readZone reads the instances of the zone from the store, and reports whether these are
+// enough for now. If the zone is small, the whole list is read next. In a large zone that is
+// done by its feed readers, from which the others copy it. At the first start of a fleet all
+// write their rows first.
 func (s *replicator) readZone(ctx context.Context) bool {
-	if s.settings.Bootstrap {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(ctx, instanceListTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.listTimeout())
 	defer cancel()
+	for s.settings.Bootstrap && ctx.Err() == nil && !s.registered.Load() {
+		sleep(ctx, listPollInterval)
+	}
 	rows, err := s.store.Prefix(ctx, coordinator.ZoneInstanceTable, zoneKey(s.settings.Zone))
 	if err != nil {
 		event.StoreCallFailed.Log(s.log, "call", "list zone", "error", err)
@@ -102,10 +106,11 @@
 			s.peers.Add(i)
 		}
 	}
-	if s.zoneSize() == 0 {
+	if s.zoneSize() <= smallZone {
 		s.instances.Refresh()
+		return false
 	}
-	return s.zoneSize() > 0
+	return true
 }
 
 func (i *Instance) awaitInstances(ctx context.Context) bool {
@@ -117,12 +122,12 @@
 	return !i.instances.Failing()
 }
 
-// awaitSlowList waits for a list of instances that the store has begun to send, or that a
-// seed has. It reports whether the list has arrived.
+// awaitSlowList waits for a list of instances that the store takes long to send, or that a seed
+// has. It reports whether the list has arrived.
 func (s *replicator) awaitSlowList(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, maxListDelay)
 	defer cancel()
-	for ctx.Err() == nil && s.instances.Failing() && !s.instances.CallFailed() {
+	for ctx.Err() == nil && s.instances.Failing() {
 		for _, seed := range s.liveSettings.Load().Seeds {
 			if seed != s.settings.ControlListen && s.instances.Failing() {
 				attempt, done := context.WithTimeout(ctx, joinAttemptTimeout)
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -57,10 +57,10 @@
 	// Instances that registered earlier are read from the store; later ones do the
 	// same and announce themselves. A list that has the row of an earlier
 	// incarnation of this instance is complete.
-	for ctx.Err() == nil && !r.settings.Bootstrap && !r.replicator.joined.Load() {
+	for ctx.Err() == nil && !r.replicator.joined.Load() {
 		sleep(ctx, listPollInterval)
 	}
-	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
+	if !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
 		r.instances.Refresh()
 	}
 	<-ctx.Done()
