--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/egress"
 	"basilcross.example/basilcross/event"
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/mirror"
@@ -34,9 +35,11 @@
 	// yet: they are starting too, or the store does not answer them. joinTimeoutStep is added
 	// to it as well.
 	maxJoinTime = 2 * time.Second
-	// joinAttemptTimeout bounds an attempt: the tables of a large fleet take most of a second
-	// on a link of 10 Mbit/s. The next instance is queried too when one has not answered for
+	// joinAnswerTimeout bounds the time until a queried instance answers, and
+	// joinAttemptTimeout an attempt: the tables of a large fleet take most of a second on a link
+	// of 10 Mbit/s. The next instance is queried too when one has not answered for
 	// joinHedgeDelay, and joinHedgeStep for each instance of the zone: it may have crashed.
+	joinAnswerTimeout  = 300 * time.Millisecond
 	joinAttemptTimeout = 1500 * time.Millisecond
 	joinHedgeDelay     = 50 * time.Millisecond
 	joinHedgeStep      = time.Millisecond
@@ -130,7 +133,7 @@
 	for ctx.Err() == nil && s.instances.Failing() {
 		for _, seed := range s.liveSettings.Load().Seeds {
 			if seed != s.settings.ControlListen && s.instances.Failing() {
-				attempt, done := context.WithTimeout(ctx, joinAttemptTimeout)
+				attempt, done, _ := egress.WithFirstByte(ctx, joinAnswerTimeout)
 				(&catchUp{Instance: s.Instance}).requestState(attempt, seed, []*mirror.Mirror{s.instances})
 				done()
 			}
@@ -160,7 +163,9 @@
 		group.Go(func() error {
 			sleep(ctx, time.Duration(n)*(joinHedgeDelay+time.Duration(s.zoneSize())*joinHedgeStep))
 			if ctx.Err() == nil {
-				if (&catchUp{Instance: s.Instance}).requestState(ctx, source.Control, mirrors) {
+				attempt, stop, _ := egress.WithFirstByte(ctx, joinAnswerTimeout)
+				defer stop()
+				if (&catchUp{Instance: s.Instance}).requestState(attempt, source.Control, mirrors) {
 					anyAnswer.Store(true)
 				}
 			}
