--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -39,11 +39,6 @@
 	Long time.Duration
 	// RenewInterval is the time between two renewals.
 	RenewInterval time.Duration
-	// GrantsPerSecond is how many grants the driver can send; 0 if it is not limited. If there
-	// are more pieces than it can renew in time, holds and intervals are longer than normal,
-	// up to Longest.
-	GrantsPerSecond float64
-	Longest         time.Duration
 	// AddressReuse is the minimum time between a target's end and the start of
 	// another service's target at its address; 0 if the platform guarantees none.
 	AddressReuse time.Duration
@@ -78,9 +73,7 @@
 	paths      map[string]*zonePath
 	// longHolds is set while the store is in doubt.
 	longHolds bool
-	// allowedHold is the longest hold that successors count on; 0 if it is the normal one.
-	allowedHold time.Duration
-	Moves       MoveCounts
+	Moves     MoveCounts
 	// OnInherit, if set, is called for each piece that a younger target inherits at
 	// its owner's address.
 	OnInherit func(p Piece, to roster.Incarnation)
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -175,14 +175,13 @@
 }
 
 func (m *Manager) grant(now time.Time, p *piece) Order {
-	hold := max(m.Holds.Normal, min(m.WantedHold(), m.allowedHold))
-	interval := time.Duration(float64(m.Holds.RenewInterval) * float64(hold) / float64(m.Holds.Normal))
+	hold := m.Holds.Normal
 	if m.longHolds {
-		hold = max(hold, m.Holds.Long)
+		hold = m.Holds.Long
 	}
 	p.inFlight = true
 	// The jitter keeps the renewals of all pieces from arriving in one burst.
-	p.renewAt = now.Add(interval - m.jitter(interval/4+1))
+	p.renewAt = now.Add(m.Holds.RenewInterval - m.jitter(m.Holds.RenewInterval/4+1))
 	return &Grant{
 		First: p.First, Last: p.Last, Epoch: p.epoch, Hold: hold,
 		Owner: p.Incarnation(), Address: p.Address, Handover: p.handover, Channel: p.channel,
@@ -190,20 +189,6 @@
 	}
 }
 
-// WantedHold is the hold at which all pieces can be renewed in time. One that is longer than
-// normal is granted only after AllowHold.
-func (m *Manager) WantedHold() time.Duration {
-	if m.Holds.GrantsPerSecond <= 0 {
-		return m.Holds.Normal
-	}
-	stretch := float64(len(m.pieces)) / m.Holds.GrantsPerSecond / m.Holds.RenewInterval.Seconds()
-	return max(m.Holds.Normal, min(m.Holds.Longest, time.Duration(stretch*float64(m.Holds.Normal))))
-}
-
-// AllowHold states that a successor counts on holds of the given length: it is recorded in the
-// store.
-func (m *Manager) AllowHold(hold time.Duration) { m.allowedHold = max(m.allowedHold, hold) }
-
 func (m *Manager) jitter(below time.Duration) time.Duration {
 	if m.Jitter == nil {
 		return 0
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -369,7 +369,7 @@
 	if c.leadership != nil || c.stopping || !c.observed.hasEnded(boottime(), c.Self.Name, c.Self.Incarnation) {
 		return
 	}
-	c.acquireLease(ctx, l)
+	c.acquireLease(ctx)
 }
 
 // takeoverDelay returns the random delay before an instance tries to take over. Its range
@@ -393,11 +393,11 @@
 }
 
 // acquireLease writes the lease's row for the next term, on the condition that the row is
-// still the observed one. former is its value.
-func (c *Coordinator) acquireLease(ctx context.Context, former Lease) {
+// still the observed one.
+func (c *Coordinator) acquireLease(ctx context.Context) {
 	c.leaseCallActive = true
 	sent := boottime()
-	lease := Lease{Term: c.observed.lease.Term + 1, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, LeaseMs: leaseDuration.Milliseconds(), HoldMs: former.HoldMs, Seq: 1}
+	lease := Lease{Term: c.observed.lease.Term + 1, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, LeaseMs: leaseDuration.Milliseconds(), Seq: 1}
 	expected := c.observed.revision
 	c.group.Go(func() error {
 		callCtx, cancel := context.WithTimeout(ctx, leaseDuration)
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -209,8 +209,7 @@
 				Service: s.Name, Term: l.lease.Term, Epochs: l.epochs, Holds: c.Holds,
 				Jitter: rand.N[time.Duration], OnInherit: c.inheritedLogger(s.Name),
 			}
-			manager.BeginTerm(now, l.recorded[s.Name], max(c.Holds.Long, l.lease.longestHold())+orderTimeout, l.storeTime(now))
-			manager.AllowHold(l.lease.longestHold())
+			manager.BeginTerm(now, l.recorded[s.Name], c.Holds.Long+orderTimeout, l.storeTime(now))
 			manager.SetStoreInDoubt(now, l.inDoubt)
 			l.managers[s.Name] = manager
 		}
@@ -243,11 +242,6 @@
 	l := c.leadership
 	next := l.lease
 	next.Seq++
-	for _, manager := range l.managers {
-		if wanted := manager.WantedHold(); wanted > c.Holds.Normal {
-			next.HoldMs = max(next.HoldMs, wanted.Milliseconds())
-		}
-	}
 	records := l.pending
 	l.pending = map[string]*ownership.Record{}
 	rows := l.rows
@@ -296,9 +290,6 @@
 		return
 	}
 	l.lease, l.revision, l.rows = next, result.revision, rows
-	for _, manager := range l.managers {
-		manager.AllowHold(next.longestHold())
-	}
 	if result.storeClock > 0 {
 		for _, manager := range l.managers {
 			// When the response arrives, the store's clock is ahead of the value in it by no
@@ -438,7 +429,7 @@
 		if !ok {
 			return
 		}
-		released := Lease{Term: l.lease.Term, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, HoldMs: l.lease.HoldMs, Seq: l.lease.Seq + 1}
+		released := Lease{Term: l.lease.Term, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, Seq: l.lease.Seq + 1}
 		result := c.writeLease(ctx, &released, expected, platform.Transaction{})
 		if result.ok {
 			event.LeadResigned.Log(c.Log, "term", released.Term)
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -53,15 +53,10 @@
 	Holder      string `json:"holder"`
 	Incarnation string `json:"life"`
 	LeaseMs     int64  `json:"leaseMs"`
-	// HoldMs is the longest hold that any coordinator has granted so far, if that is longer than
-	// normal. It is written before such a hold is granted.
-	HoldMs int64 `json:"holdMs,omitempty"`
 	// Seq numbers the holder's writes, to find out whether one without a response took effect.
 	Seq int64 `json:"seq"`
 }
 
-func (l *Lease) longestHold() time.Duration { return time.Duration(l.HoldMs) * time.Millisecond }
-
 func (l *Lease) encode() []byte {
 	text, err := json.Marshal(l)
 	if err != nil {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -58,9 +58,6 @@
 	longHold = 6 * time.Second
 	// renewalInterval is the time between two renewals of a grant.
 	renewalInterval = 800 * time.Millisecond
-	// grantsPerCore bounds the renewals of a coordinator with a whole processor, which does other
-	// work too.
-	grantsPerCore = 2000
 	// configBatchDelay and targetBatchDelay are the pauses between polls of the
 	// feeds after a response with changes. Targets start in groups, each with
 	// several changes while it warms up; the users allow 2 s for one that leaves.
@@ -142,7 +139,7 @@
 		Joined:       i.replicator.joined.Load,
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
-		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse, GrantsPerSecond: grantsPerCore * s.Cores, Longest: s.LongestHold - longHoldMargin},
+		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative}
 	i.broker = broker.New(broker.Options{
