Relay updates of assignments in other zones

Change: updates go the way of hellos: to the own zone, and to three relays in each other zone of more than six instances.

--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -363,7 +363,7 @@
 		u := *update
 		u.Part = part
 		u.Pieces = withOwnersOnly(changed[min(part*piecesPerDatagram, len(changed)):min((part+1)*piecesPerDatagram, len(changed))])
-		c.Peers.Broadcast(&peers.Message{AssignmentUpdate: &u})
+		c.SendUpdate(&peers.Message{AssignmentUpdate: &u})
 		c.OnUpdate(&u)
 	}
 }
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -67,31 +67,43 @@
 	return ctx.Err()
 }
 
-// helloRelays is how many instances of another zone get a hello and relay it to their zone.
-// When a large fleet starts, hellos from all to all would fill the links between regions.
-const helloRelays = 3
+// relaysPerZone is how many instances of another zone get a message for all instances, and
+// relay it to their zone. Sent from all to all, or to each of some hundred, such messages
+// fill the links between regions.
+const relaysPerZone = 3
 
-// sendHello sends this instance's description to its zone, and to other zones, directly if
-// they are small and by relays otherwise.
-func (a *announcer) sendHello() {
+// sendRelayed sends a message to all instances: directly to the own zone and to small ones,
+// and by relays to others.
+func (i *Instance) sendRelayed(m *peers.Message) {
 	zones := map[string]bool{}
-	for _, i := range a.peers.All() {
-		zones[i.Zone] = true
+	for _, other := range i.peers.All() {
+		zones[other.Zone] = true
 	}
 	var to []string
 	for zone := range zones {
-		list := slices.Clone(a.peers.Zone(zone))
-		if zone != a.settings.Zone && len(list) > maxSingleReaderZone {
+		list := i.peers.Zone(zone)
+		if zone != i.settings.Zone && len(list) > maxSingleReaderZone {
+			list = slices.Clone(list)
 			slices.SortFunc(list, compareRank)
-			list = list[:helloRelays]
+			list = list[:relaysPerZone]
 		}
-		for _, i := range list {
-			if i.Name != a.settings.Instance {
-				to = append(to, i.Name)
+		for _, other := range list {
+			if other.Name != i.settings.Instance {
+				to = append(to, other.Name)
 			}
 		}
 	}
-	a.peers.SendAll(to, &peers.Message{Hello: &a.peers.Self})
+	i.peers.SendAll(to, m)
+}
+
+func (a *announcer) sendHello() { a.sendRelayed(&peers.Message{Hello: &a.peers.Self}) }
+
+// relayUpdate relays an assignment update that came from another zone itself.
+func (i *Instance) relayUpdate(m *peers.Message) {
+	from := i.peers.Find(m.From).Zone
+	if from != "" && from != i.settings.Zone && i.replicator.zoneSize() > maxSingleReaderZone {
+		i.replicator.sendToZone(&peers.Message{AssignmentUpdate: m.AssignmentUpdate})
+	}
 }
 
 // receiveHello adds an instance to the list, and relays the hello to the zone if it came
@@ -199,6 +211,7 @@
 	}
 	switch {
 	case m.AssignmentUpdate != nil:
+		i.relayUpdate(m)
 		i.applyAssignmentUpdate(m.AssignmentUpdate)
 	case m.Hello != nil:
 		i.receiveHello(m)
