--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -19,11 +19,8 @@
 	// that other instances report.
 	catchUpInterval = 250 * time.Millisecond
 	// lagTolerance is how long a mirror may lag behind another instance's before
-	// it is fetched: usually the feed delivers the change a moment later. It doubles with
-	// each fetch after which the mirror still lags, up to maxLagTolerance: a fetch restarts
-	// the mirror's call to the store, whose response may be on a congested link.
-	lagTolerance    = 300 * time.Millisecond
-	maxLagTolerance = 2400 * time.Millisecond
+	// it is fetched: usually the feed delivers the change a moment later.
+	lagTolerance = 300 * time.Millisecond
 	// peerCallTimeout bounds a call: the tables of a large fleet take most of a second on a
 	// link of 10 Mbit/s.
 	peerCallTimeout = 1500 * time.Millisecond
@@ -58,7 +55,7 @@
 func (c *catchUp) Serve(ctx context.Context) error {
 	tick := time.NewTicker(catchUpInterval)
 	defer tick.Stop()
-	behind := map[string]lag{}
+	behind := map[string]time.Time{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -96,31 +93,25 @@
 	})
 }
 
-// lag is since when a mirror is behind, or was fetched, and how long that is tolerated.
-type lag struct {
-	since     time.Time
-	tolerance time.Duration
-}
-
 // mirrorsToFetch returns the mirrors that are due to be fetched from another
-// instance. It updates behind, which holds the lag of each table.
-func (c *catchUp) mirrorsToFetch(now time.Time, behind map[string]lag) (due []*mirror.Mirror) {
+// instance. It updates behind, which holds since when each table lags.
+func (c *catchUp) mirrorsToFetch(now time.Time, behind map[string]time.Time) (due []*mirror.Mirror) {
 	joined := c.replicator.joined.Load()
 	for _, m := range c.mirrors {
 		if !c.isBehind(m) {
 			delete(behind, m.Table)
 			continue
 		}
-		l, ok := behind[m.Table]
+		since, ok := behind[m.Table]
 		switch {
 		case !ok:
-			behind[m.Table] = lag{now, lagTolerance}
+			behind[m.Table] = now
 			if m.OnDemand && joined && !c.replicator.passive.Load() {
 				m.Refresh()
 			}
 		case !joined:
-		case now.Sub(l.since) >= l.tolerance, m.OnDemand && c.upToDateReader(m) != "":
-			behind[m.Table] = lag{now, min(2*l.tolerance, maxLagTolerance)}
+		case now.Sub(since) >= lagTolerance, m.OnDemand && c.upToDateReader(m) != "":
+			behind[m.Table] = now
 			due = append(due, m)
 		}
 	}
