--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -80,9 +80,7 @@
 	}
 	s.setPassive(false)
 	s.assignments.Refresh()
-	if s.instances.Failing() {
-		s.instances.Refresh()
-	}
+	s.instances.Refresh()
 }
 
 // readZone reads the instances of the zone from the store, and reports whether these are
