--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -241,9 +241,6 @@
 	return true
 }
 
-// CountPieces returns the number of pieces.
-func (m *Manager) CountPieces() int { return len(m.pieces) }
-
 func (m *Manager) sortPieces() {
 	sort.Slice(m.pieces, func(i, j int) bool { return m.pieces[i].First < m.pieces[j].First })
 }
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -84,8 +84,6 @@
 	// RestartFeeds restarts the feeds of this instance's mirrors: others compare theirs
 	// with them, and feeds that the store accepted while it was unresponsive may hang.
 	RestartFeeds func()
-	// SendUpdate sends an update of an assignment to all other instances.
-	SendUpdate func(m *peers.Message)
 	// OnUpdate is called for each recorded change of an assignment, and OnOversizedUpdate
 	// for each one that is too large to be sent in datagrams.
 	OnUpdate          func(u *peers.AssignmentUpdate)
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -54,7 +54,7 @@
 	}
 	interval := renewInterval
 	if len(l.pending) > 0 {
-		interval = recordInterval + time.Duration(max(0, l.countPieces()-recordIntervalPieces))*recordIntervalStep
+		interval = recordInterval
 	}
 	if !l.writing && now.Sub(l.writeStarted) >= interval {
 		c.renewLease(ctx, now)
@@ -323,24 +323,12 @@
 	// recordInterval is the least time between two writes with assignments: changes within
 	// it share one call and one datagram.
 	recordInterval = 100 * time.Millisecond
-	// recordIntervalStep is added for each piece above recordIntervalPieces: what has to be sent
-	// for a change grows with the number of instances and targets.
-	recordIntervalStep   = 400 * time.Microsecond
-	recordIntervalPieces = 600
 	// piecesPerDatagram bounds the pieces in one datagram, and maxUpdateParts the datagrams
 	// of one update; larger changes are read from the store.
 	piecesPerDatagram = 36
 	maxUpdateParts    = 8
 )
 
-// countPieces returns the number of pieces of all services.
-func (l *leadership) countPieces() (n int) {
-	for _, manager := range l.managers {
-		n += manager.CountPieces()
-	}
-	return n
-}
-
 // announce sends the change of an assignment to all instances. Those that miss it detect
 // from the revision in the next heartbeat that their mirror is out of date, and read the
 // store.
@@ -363,7 +351,7 @@
 		u := *update
 		u.Part = part
 		u.Pieces = withOwnersOnly(changed[min(part*piecesPerDatagram, len(changed)):min((part+1)*piecesPerDatagram, len(changed))])
-		c.SendUpdate(&peers.Message{AssignmentUpdate: &u})
+		c.Peers.Broadcast(&peers.Message{AssignmentUpdate: &u})
 		c.OnUpdate(&u)
 	}
 }
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -18,10 +18,6 @@
 	AssignmentTable = "assignment"
 	// InstanceTable has a row for each instance.
 	InstanceTable = "instance"
-	// ZoneInstanceTable has the same rows, with keys that begin with the zone's name. An
-	// instance that starts reads those of its zone: in a large fleet that starts at once, the
-	// whole list for each instance would fill the links between regions.
-	ZoneInstanceTable = "zoneInstance"
 
 	LeaseKey = "lease"
 )
--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -20,10 +20,8 @@
 	catchUpInterval = 250 * time.Millisecond
 	// lagTolerance is how long a mirror may lag behind another instance's before
 	// it is fetched: usually the feed delivers the change a moment later.
-	lagTolerance = 300 * time.Millisecond
-	// peerCallTimeout bounds a call: the tables of a large fleet take most of a second on a
-	// link of 10 Mbit/s.
-	peerCallTimeout = 1500 * time.Millisecond
+	lagTolerance    = 300 * time.Millisecond
+	peerCallTimeout = 800 * time.Millisecond
 )
 
 // revisionReport holds the revisions of another instance's mirrors, by table.
@@ -155,10 +153,10 @@
 }
 
 // requestState fetches tables from the instance at a control address, and applies
-// those that are newer. It reports whether the instance answered. An empty address is ignored.
-func (c *catchUp) requestState(ctx context.Context, address string, mirrors []*mirror.Mirror) bool {
+// those that are newer. An empty address is ignored.
+func (c *catchUp) requestState(ctx context.Context, address string, mirrors []*mirror.Mirror) {
 	if address == "" {
-		return false
+		return
 	}
 	request := &fleet.StateRequest{}
 	for _, m := range mirrors {
@@ -171,15 +169,14 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		// Another instance responded first.
-		return false
+		return
 	case err != nil:
 		event.StoreCallFailed.Log(c.log, "call", "state of "+address, "error", err)
-		return false
+		return
 	}
 	for _, t := range response.Tables {
 		c.applyPeerTable(t, address)
 	}
-	return true
 }
 
 // choosePeer returns the control address of the instance to fetch tables from:
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -137,7 +137,7 @@
 		Channels: &channel.Set{Dial: targetDialer.DialContext}, ReleaseClient: &platform.GrantClient{HTTP: newHTTPClient(targetDialer)},
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       i.replicator.joined.Load,
-		OnLeading:    i.recordLeading, SendUpdate: i.sendRelayed, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
+		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
 		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
@@ -204,7 +204,9 @@
 	i.instances = add(&mirror.Mirror{Table: coordinator.InstanceTable, OnDemand: true, OnUpdate: func(u mirror.Update) {
 		i.peers.SetInstances(i.state.applyInstances(u))
 	}})
-	i.instances.InitialWait = maxListDelay
+	if i.settings.Bootstrap {
+		i.instances.InitialWait = registerTimeout
+	}
 }
 
 // revisions returns the revision of the newest change in each replicated table.
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -39,8 +39,6 @@
 	// that was recorded at updatePartsRevision.
 	updateParts         map[int]*peers.AssignmentUpdate
 	updatePartsRevision uint64
-	// earlyUpdates are complete updates whose base has not arrived yet, by service and base.
-	earlyUpdates map[string]map[uint64]*peers.AssignmentUpdate
 }
 
 type versionedAssignment struct {
@@ -333,7 +331,6 @@
 	if old != nil && old.revision >= revision {
 		return
 	}
-	a, revision = s.withEarlyUpdates(service, a, revision)
 	next := &versionedAssignment{assignment: a, revision: revision, superseded: make(chan struct{})}
 	s.assignments[service] = next
 	if old != nil {
@@ -379,7 +376,6 @@
 		}
 	}
 	if a == nil || a.revision < u.Base {
-		s.keepEarly(u)
 		return nil, false
 	}
 	if a.revision >= u.Revision {
@@ -391,31 +387,6 @@
 	return a.assignment.With(u.Term, u.Pieces), false
 }
 
-// maxEarlyUpdates bounds the early updates kept for a service: those of some ten seconds.
-const maxEarlyUpdates = 64
-
-// keepEarly keeps an update whose base is missing. While updates come in quick succession, a
-// copy of the assignment that is fetched meanwhile would be behind them when it arrives.
-func (s *state) keepEarly(u *peers.AssignmentUpdate) {
-	if s.earlyUpdates == nil {
-		s.earlyUpdates = map[string]map[uint64]*peers.AssignmentUpdate{}
-	}
-	if s.earlyUpdates[u.Service] == nil || len(s.earlyUpdates[u.Service]) >= maxEarlyUpdates {
-		s.earlyUpdates[u.Service] = map[uint64]*peers.AssignmentUpdate{}
-	}
-	s.earlyUpdates[u.Service][u.Base] = u
-}
-
-// withEarlyUpdates returns an assignment and its revision after the early updates that follow it.
-func (s *state) withEarlyUpdates(service string, a *ownership.Assignment, revision uint64) (*ownership.Assignment, uint64) {
-	early := s.earlyUpdates[service]
-	for u := early[revision]; u != nil; u = early[revision] {
-		delete(early, revision)
-		a, revision = a.With(u.Term, u.Pieces), u.Revision
-	}
-	return a, revision
-}
-
 // collectParts keeps the parts of an update. It returns nil until all have arrived,
 // and then the complete update.
 func (s *state) collectParts(u *peers.AssignmentUpdate) *peers.AssignmentUpdate {
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -25,9 +25,6 @@
 	registerTimeout = 1500 * time.Millisecond
 )
 
-// zoneKey is the prefix of the keys of a zone's rows in coordinator.ZoneInstanceTable.
-func zoneKey(zone string) string { return zone + "/" }
-
 // registrar writes this instance's row to the store, by which other instances find it.
 type registrar struct{ *Instance }
 
@@ -40,8 +37,6 @@
 	}
 	tx := platform.Transaction{Set: []platform.Write{{
 		Table: coordinator.InstanceTable, Key: r.peers.Self.Name, Value: row,
-	}, {
-		Table: coordinator.ZoneInstanceTable, Key: zoneKey(r.settings.Zone) + r.peers.Self.Name, Value: row,
 	}}}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -57,53 +52,38 @@
 	// Instances that registered earlier are read from the store; later ones do the
 	// same and announce themselves. A list that has the row of an earlier
 	// incarnation of this instance is complete.
-	for ctx.Err() == nil && !r.replicator.joined.Load() {
-		sleep(ctx, listPollInterval)
-	}
-	if !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
+	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
 		r.instances.Refresh()
 	}
 	<-ctx.Done()
 	return ctx.Err()
 }
 
-// relaysPerZone is how many instances of another zone get a message for all instances, and
-// relay it to their zone. Sent from all to all, or to each of some hundred, such messages
-// fill the links between regions.
-const relaysPerZone = 3
+// helloRelays is how many instances of another zone get a hello and relay it to their zone.
+// When a large fleet starts, hellos from all to all would fill the links between regions.
+const helloRelays = 3
 
-// sendRelayed sends a message to all instances: directly to the own zone and to small ones,
-// and by relays to others.
-func (i *Instance) sendRelayed(m *peers.Message) {
+// sendHello sends this instance's description to its zone, and to other zones, directly if
+// they are small and by relays otherwise.
+func (a *announcer) sendHello() {
 	zones := map[string]bool{}
-	for _, other := range i.peers.All() {
-		zones[other.Zone] = true
+	for _, i := range a.peers.All() {
+		zones[i.Zone] = true
 	}
 	var to []string
 	for zone := range zones {
-		list := i.peers.Zone(zone)
-		if zone != i.settings.Zone && len(list) > maxSingleReaderZone {
-			list = slices.Clone(list)
+		list := slices.Clone(a.peers.Zone(zone))
+		if zone != a.settings.Zone && len(list) > maxSingleReaderZone {
 			slices.SortFunc(list, compareRank)
-			list = list[:relaysPerZone]
+			list = list[:helloRelays]
 		}
-		for _, other := range list {
-			if other.Name != i.settings.Instance {
-				to = append(to, other.Name)
+		for _, i := range list {
+			if i.Name != a.settings.Instance {
+				to = append(to, i.Name)
 			}
 		}
 	}
-	i.peers.SendAll(to, m)
-}
-
-func (a *announcer) sendHello() { a.sendRelayed(&peers.Message{Hello: &a.peers.Self}) }
-
-// relayUpdate relays an assignment update that came from another zone itself.
-func (i *Instance) relayUpdate(m *peers.Message) {
-	from := i.peers.Find(m.From).Zone
-	if from != "" && from != i.settings.Zone && i.replicator.zoneSize() > maxSingleReaderZone {
-		i.replicator.sendToZone(&peers.Message{AssignmentUpdate: m.AssignmentUpdate})
-	}
+	a.peers.SendAll(to, &peers.Message{Hello: &a.peers.Self})
 }
 
 // receiveHello adds an instance to the list, and relays the hello to the zone if it came
@@ -211,7 +191,6 @@
 	}
 	switch {
 	case m.AssignmentUpdate != nil:
-		i.relayUpdate(m)
 		i.applyAssignmentUpdate(m.AssignmentUpdate)
 	case m.Hello != nil:
 		i.receiveHello(m)
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -23,9 +23,10 @@
 	feedWait = 25 * time.Second
 	// feedGrace is how much later than feedWait a response may arrive.
 	feedGrace = 3 * time.Second
-	// readTimeout bounds the read of a whole table: that of a large fleet's targets takes
-	// seconds on a link that other instances use too.
-	readTimeout = 10 * time.Second
+	// readTimeout bounds the read of a whole table. The store's slowest responses
+	// take half a second, and a call that it accepted while it was unresponsive is
+	// never answered.
+	readTimeout = 1500 * time.Millisecond
 	// probeWait and probeGrace replace feedWait and feedGrace in the first feed
 	// call after a failure. The store may have accepted the call without ever
 	// answering it; a long wait could not be distinguished from a table without changes.
--- a/gateway/mirror/snapshot.go
+++ b/gateway/mirror/snapshot.go
@@ -82,6 +82,13 @@
 	return !m.loaded || !m.failingSince.IsZero()
 }
 
+// CallFailed reports whether the last store call failed, or got no response in time.
+func (m *Mirror) CallFailed() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return !m.failingSince.IsZero()
+}
+
 // ApplyRow applies a row that another instance wrote and announced. The value may be
 // nil if EncodeRow is set, which then supplies it for snapshots.
 func (m *Mirror) ApplyRow(r platform.Row) {
