Put configurations with uploads in force

Cause: the route type upload was an error of the whole configuration, so a deployment with one such route had no configuration at all: its instances were never ready and answered every request with 503.

Change: the type of a route is a variant (Safe, Unsafe, Upload, Unknown). Only safe requests may run more than once. A type that is not known is no error any more: its requests run at most once, event 506 and a gauge name the route, and the other routes are not affected. A route without a type stays an error, since that is a row that was cut off.

Ruled out: refusing the routes of an unknown type. Their callers would get nothing, while running a request at most once is right for each known type.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -51,6 +51,7 @@
 	ConfigInForce     = Event{500, "configInForce", slog.LevelInfo, "A newer configuration is in force on this instance.", ""}
 	ZoneEvacuated     = Event{503, "zoneEvacuated", slog.LevelWarn, "The operator has evacuated an availability zone: its targets get no requests, and its keys move to other zones.", "Watch the refusals of the permitted zones until it is taken back."}
 	RegionUnknown     = Event{505, "regionUnknown", slog.LevelWarn, "A route of the configuration in force permits a region that no availability zone has. Requests are not served there.", "Correct the route's regions, or this instance's setting of the zones' regions."}
+	RouteTypeUnknown  = Event{506, "routeTypeUnknown", slog.LevelError, "A route of the configuration in force has a type that this version does not know. Its requests run at most once; other routes are not affected.", "Update the gateways, or correct the route's type."}
 	ZoneReturned      = Event{504, "zoneReturned", slog.LevelInfo, "The operator has taken an evacuated zone back. Its targets are treated as cold at first.", ""}
 	ConfigAccepted    = Event{501, "configAccepted", slog.LevelInfo, "An operator's configuration was committed in the table service.", ""}
 	ConfigStale       = Event{502, "configStale", slog.LevelWarn, "A configuration that is not newer than the one in force was received and ignored.", ""}
@@ -99,7 +100,7 @@
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable,
-		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown,
+		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
 	}
--- a/basilcross/routing/config.go
+++ b/basilcross/routing/config.go
@@ -21,8 +21,8 @@
 	Host string
 	// Prefix ends with a slash.
 	Prefix string
-	// Idempotent routes have requests that may run more than once.
-	Idempotent bool
+	// Type may be nil, which is treated as Unsafe.
+	Type RouteType
 	// Timeout is how long a caller waits at most.
 	Timeout time.Duration
 	// Objective is the desired response time; a later answer is worth less.
--- a/ctl/command/fleetroutes.go
+++ b/ctl/command/fleetroutes.go
@@ -36,7 +36,7 @@
 
 func newFleetRoute(r *routing.Route) fleetRoute {
 	f := fleetRoute{
-		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Services: map[string]int{}, Idempotent: r.Idempotent,
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Services: map[string]int{}, Idempotent: r.Idempotent(),
 		MaxAttempts: r.MaxAttempts, ObjectiveMs: r.Objective.Milliseconds(), TimeoutMs: r.Timeout.Milliseconds(), Priority: r.Priority,
 	}
 	for _, s := range r.Split {
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -135,7 +135,7 @@
 	connections := f.Pools.Get(t)
 	req := &pool.Request{
 		Method: c.method, RequestURI: c.uri, Host: c.host, Header: c.header,
-		RequireFresh: !c.route.Idempotent,
+		RequireFresh: !c.route.Idempotent(),
 		Matches: func(h http.Header) bool {
 			id := h.Get(f.Headers.RequestID)
 			return id == c.id || id == ""
@@ -284,7 +284,7 @@
 // mayRetryFailure reports whether a target's failure response to an idempotent
 // request may be replaced by another target's response before the deadline.
 func (f *Front) mayRetryFailure(c *call, res *http.Response) bool {
-	return res.StatusCode >= http.StatusInternalServerError && c.route.Idempotent && c.runs < c.route.MaxAttempts &&
+	return res.StatusCode >= http.StatusInternalServerError && c.route.Idempotent() && c.runs < c.route.MaxAttempts &&
 		time.Until(c.deadline) > f.latency(c.route.Name)
 }
 
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -176,7 +176,7 @@
 // prepareRetry reports whether a failed request may be retried. If its key's owner has
 // to change first, it waits for that.
 func (f *Front) prepareRetry(ctx context.Context, c *call, failed *refusal, budget *retry.Budget) bool {
-	if failed.final || failed.mayHaveRun && !c.route.Idempotent {
+	if failed.final || failed.mayHaveRun && !c.route.Idempotent() {
 		return false
 	}
 	if c.runs >= c.route.MaxAttempts || c.sends >= maxSends {
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -65,14 +65,15 @@
 	return f
 }
 
-// setRoutes puts two routes in force: /safe/ is idempotent, /book/ is not.
+// setRoutes puts three routes in force: /safe/ is idempotent, /book/ and the upload /plan/ are not.
 func (f *fixture) setRoutes(timeout time.Duration) {
 	share := []routing.Share{{Service: "s", Weight: 1}}
 	f.table.Store(routing.New(&routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "s"}}, Limits: routing.Limits{BodyBytes: 1000},
 		Routes: []routing.Route{
-			{Name: "safe", Host: "cakes.example", Prefix: "/safe/", Idempotent: true, Timeout: timeout, Objective: timeout, MaxAttempts: 2, Split: share},
+			{Name: "safe", Host: "cakes.example", Prefix: "/safe/", Type: routing.Safe{}, Timeout: timeout, Objective: timeout, MaxAttempts: 2, Split: share},
 			{Name: "book", Host: "cakes.example", Prefix: "/book/", Timeout: timeout, Objective: timeout, MaxAttempts: 2, Split: share},
+			{Name: "plan", Host: "cakes.example", Prefix: "/plan/", Type: routing.Upload{}, Timeout: timeout, Objective: timeout, MaxAttempts: 2, Split: share},
 		},
 	}))
 }
@@ -186,13 +187,20 @@
 // connection after it received the request, which may have run: no other target may
 // get it, and the status must not state that it did not run.
 func TestNonIdempotentRequestInDoubtIsNotRetried(t *testing.T) {
+	for _, path := range []string{"/book/x", "/plan/x"} {
+		t.Run(path, func(t *testing.T) { testRequestInDoubtIsNotRetried(t, path) })
+	}
+}
+
+func testRequestInDoubtIsNotRetried(t *testing.T, path string) {
+	t.Helper()
 	f := newFixture(t)
 	f.setRoutes(5 * time.Second)
 	f.startTarget("a", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 	next := &standin.Target{ID: "b"}
 	f.startTarget("b", next)
 	for range 4 {
-		res, _ := f.call(t.Context(), http.MethodPost, "/book/x", "")
+		res, _ := f.call(t.Context(), http.MethodPost, path, "")
 		if res.StatusCode != http.StatusOK {
 			assert.Equal(t, res.StatusCode, http.StatusBadGateway)
 			assert.Equal(t, next.RunCount(fmt.Sprintf("id%d", f.sent)), 0)
--- a/gateway/front/owner_test.go
+++ b/gateway/front/owner_test.go
@@ -38,7 +38,7 @@
 	f.table.Store(routing.New(&routing.Config{
 		Version: 1, Services: []routing.Service{{Name: "s", Sharded: true}},
 		Routes: []routing.Route{{
-			Name: "keyed", Host: "cakes.example", Prefix: "/keyed/", Idempotent: true, Timeout: 6 * time.Second, Objective: 2 * time.Second,
+			Name: "keyed", Host: "cakes.example", Prefix: "/keyed/", Type: routing.Safe{}, Timeout: 6 * time.Second, Objective: 2 * time.Second,
 			MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}},
 		}},
 	}))
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/routing"
 	"basilcross.example/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -18,6 +19,17 @@
 		}
 		return 0
 	})
+	gauge("basilcross_unknown_route_types", "Routes of the configuration in force whose type is not known.", func() float64 {
+		n := 0.0
+		if routes := i.state.routes.Load(); routes != nil {
+			for _, r := range routes.Config.Routes {
+				if _, unknown := r.Type.(routing.Unknown); unknown {
+					n++
+				}
+			}
+		}
+		return n
+	})
 	gauge("basilcross_targets", "Targets that the platform names.", func() float64 {
 		return float64(len(i.state.roster.Load().Targets))
 	})
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -182,6 +182,15 @@
 		s.routes.Store(routing.New(config))
 		event.ConfigInForce.Log(s.log, "version", config.Version, "revision", r.Revision, "routes", len(config.Routes))
 		s.logUnknownRegions(config)
+		s.logUnknownTypes(config)
+	}
+}
+
+func (s *state) logUnknownTypes(config *routing.Config) {
+	for _, r := range config.Routes {
+		if unknown, is := r.Type.(routing.Unknown); is {
+			event.RouteTypeUnknown.Log(s.log, "route", r.Name, "type", unknown.Name, "version", config.Version)
+		}
 	}
 }
 
