Let a change of one target share the rest of the list

Cause: each datagram with rows of targets (about three) made every instance copy the maps of all targets and build two indexes anew. In the whole fleet's start (10,000 targets, each row twice from two feed readers) every one of 985 instances does so, most of which have 0.16 of a core.

Change: the view of the roster is persistent (an immutable map by ID and by address, a list for each service and zone); readers use methods. The scheduler and the broker look at the targets of a zone instead of all of a service.

TestChangeOfOneTargetSharesTheRest guards it; its bound is below what the code before allocates.

--- a/basilcross/roster/benchmark_test.go
+++ b/basilcross/roster/benchmark_test.go
@@ -10,7 +10,7 @@
 
 // Measures Apply of one change, a target that starts or stops draining.
 func BenchmarkApplyOneChange(b *testing.B) {
-	for _, n := range []int{100, 300, 1000, 3000} {
+	for _, n := range []int{100, 1000, 10000} {
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			b.ReportAllocs()
 			now := time.Unix(1000, 0)
--- a/basilcross/roster/builder.go
+++ b/basilcross/roster/builder.go
@@ -1,37 +1,30 @@
 package roster
 
 import (
-	"maps"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// viewBuilder applies changes to a copy of a view. Unchanged lists are shared with it.
+// viewBuilder applies changes to a copy of a view.
 type viewBuilder struct {
 	*View
-	changedServices map[string]bool
-	changed         bool
+	// copied are the groups whose lists are not shared with the former view any more.
+	copied map[group]bool
 }
 
 func newViewBuilder(old *View, revision uint64) *viewBuilder {
-	b := &viewBuilder{changedServices: map[string]bool{}, View: &View{
-		Targets: maps.Clone(old.Targets), ByService: maps.Clone(old.ByService), ByAddress: old.ByAddress,
-		Revision: revision, Digest: old.Digest,
-	}}
-	if b.Targets == nil {
-		b.Targets, b.ByService, b.ByAddress = map[string]*Target{}, map[string][]*Target{}, map[string]*Target{}
-	}
-	return b
+	return &viewBuilder{View: old.withIndexes(revision), copied: map[group]bool{}}
 }
 
 // apply applies a change; an outdated one is ignored. It returns the incarnation that was
 // added, and the one that was removed or began to drain.
 func (b *viewBuilder) apply(now time.Time, c Change) (added, leaving *Target) {
-	old := b.Targets[c.ID]
+	old := b.Find(c.ID)
 	if c.Target == nil {
-		b.set(c.ID, old, nil)
+		b.set(old, nil)
 		return nil, old
 	}
 	if old != nil && isOutdated(c.Target, old) {
@@ -51,7 +44,7 @@
 		t.LeavingSince = now
 		leaving = &t
 	}
-	b.set(c.ID, old, &t)
+	b.set(old, &t)
 	if isNew {
 		added = &t
 	}
@@ -59,37 +52,65 @@
 }
 
 // set replaces the target old by next; either may be nil.
-func (b *viewBuilder) set(id string, old, next *Target) {
+func (b *viewBuilder) set(old, next *Target) {
 	if old != nil {
-		b.Digest ^= old.digest()
-		b.changedServices[old.Service] = true
-		delete(b.Targets, id)
+		b.remove(old, next)
 	}
 	if next != nil {
-		b.Digest ^= next.digest()
-		b.changedServices[next.Service] = true
-		b.Targets[id] = next
+		b.add(old, next)
 	}
-	b.changed = b.changed || old != next
 }
 
-func (b *viewBuilder) finish() *View {
-	if !b.changed {
-		return b.View
-	}
-	b.ByAddress = make(map[string]*Target, len(b.Targets))
-	for service := range b.changedServices {
-		delete(b.ByService, service)
+func (b *viewBuilder) remove(old, next *Target) {
+	b.Digest ^= old.digest()
+	if next == nil {
+		b.byID = b.byID.Delete(old.ID)
 	}
-	for _, t := range b.Targets {
-		if b.changedServices[t.Service] {
-			b.ByService[t.Service] = append(b.ByService[t.Service], t)
+	if next == nil || next.Address != old.Address {
+		list, _ := b.byAddress.Get(old.Address)
+		rest := slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return t.ID == old.ID })
+		if len(rest) == 0 {
+			b.byAddress = b.byAddress.Delete(old.Address)
+		} else {
+			b.byAddress = b.byAddress.Set(old.Address, rest)
 		}
-		if other := b.ByAddress[t.Address]; other == nil || other.Started < t.Started {
-			b.ByAddress[t.Address] = t
+	}
+	if g := groupOf(old); next == nil || groupOf(next) != g {
+		list := b.mutableGroup(g)
+		list = slices.Delete(list, slices.Index(list, old), slices.Index(list, old)+1)
+		if b.groups[g] = list; len(list) == 0 {
+			delete(b.groups, g)
+			delete(b.copied, g)
 		}
 	}
-	return b.View
+}
+
+func (b *viewBuilder) add(old, next *Target) {
+	b.Digest ^= next.digest()
+	b.byID = b.byID.Set(next.ID, next)
+	list, _ := b.byAddress.Get(next.Address)
+	if old != nil && old.Address == next.Address {
+		list = slices.DeleteFunc(slices.Clone(list), func(t *Target) bool { return t.ID == old.ID })
+	}
+	b.byAddress = b.byAddress.Set(next.Address, append(slices.Clip(list), next))
+	g := groupOf(next)
+	members := b.mutableGroup(g)
+	if old != nil && groupOf(old) == g {
+		members[slices.Index(members, old)] = next
+		return
+	}
+	b.groups[g] = append(members, next)
+}
+
+func groupOf(t *Target) group { return group{t.Service, t.Zone} }
+
+// mutableGroup returns a group's list, copied if it was shared with the former view.
+func (b *viewBuilder) mutableGroup(g group) []*Target {
+	if !b.copied[g] {
+		b.groups[g] = slices.Clone(b.groups[g])
+		b.copied[g] = true
+	}
+	return b.groups[g]
 }
 
 // digest hashes what View.Digest covers.
--- a/basilcross/roster/roster.go
+++ b/basilcross/roster/roster.go
@@ -45,18 +45,6 @@
 // the usual rate of requests.
 func (t *Target) IsCold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
-// View is an immutable snapshot of the list.
-type View struct {
-	Targets   map[string]*Target
-	ByService map[string][]*Target
-	// ByAddress has the target that started last at each address.
-	ByAddress map[string]*Target
-	// Revision is the store's revision up to which the view is complete.
-	Revision uint64
-	// Digest is equal for views that list the same targets in the same states.
-	Digest uint64
-}
-
 // Roster holds the current view and applies changes to it. The zero value is empty.
 type Roster struct {
 	mu   sync.Mutex
@@ -93,7 +81,7 @@
 			leaving = append(leaving, out)
 		}
 	}
-	r.view.Store(b.finish())
+	r.view.Store(b.View)
 	return added, leaving
 }
 
@@ -106,9 +94,9 @@
 		listed[t.ID] = true
 		changes = append(changes, Change{ID: t.ID, Target: t})
 	}
-	for id := range r.Load().Targets {
-		if !listed[id] {
-			changes = append(changes, Change{ID: id})
+	for t := range r.Load().All() {
+		if !listed[t.ID] {
+			changes = append(changes, Change{ID: t.ID})
 		}
 	}
 	return r.Apply(now, changes, revision)
--- a/basilcross/roster/roster_test.go
+++ b/basilcross/roster/roster_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,13 +27,13 @@
 	draining.Draining = true
 	_, leaving = r.Apply(now.Add(time.Second), []roster.Change{{ID: "a", Target: draining}}, 11)
 	assert.Equal(t, len(leaving), 1)
-	assert.Equal(t, r.Load().Targets["a"].LeavingSince, now.Add(time.Second))
-	assert.Equal(t, r.Load().Targets["a"].FirstSeen, now)
+	assert.Equal(t, r.Load().Find("a").LeavingSince, now.Add(time.Second))
+	assert.Equal(t, r.Load().Find("a").FirstSeen, now)
 
 	_, leaving = r.Replace(now, []*roster.Target{target("a", 2, 1)}, 12)
 	assert.Equal(t, len(leaving), 1, "b was removed")
-	assert.Equal(t, r.Load().Targets["a"].Started, int64(2))
-	assert.Assert(t, r.Load().Targets["a"].LeavingSince.IsZero(), "the new incarnation does not drain")
+	assert.Equal(t, r.Load().Find("a").Started, int64(2))
+	assert.Assert(t, r.Load().Find("a").LeavingSince.IsZero(), "the new incarnation does not drain")
 }
 
 // Guards against a draining target that becomes ready again because an outdated
@@ -44,7 +46,7 @@
 	r.Replace(now, []*roster.Target{newest}, 10)
 	for _, old := range []*roster.Target{target("a", 5, 6), target("a", 4, 99)} {
 		r.Apply(now, []roster.Change{{ID: "a", Target: old}}, 11)
-		assert.Assert(t, r.Load().Targets["a"].Draining)
+		assert.Assert(t, r.Load().Find("a").Draining)
 	}
 }
 
@@ -67,6 +69,7 @@
 			next := target(id, int64(revision)/7, int64(revision))
 			next.Address = fmt.Sprintf("10.0.0.%d:80", random.IntN(12))
 			next.Service = fmt.Sprintf("s%d", random.IntN(3))
+			next.Zone = fmt.Sprintf("z%d", random.IntN(2))
 			if old := present[id]; old != nil && (old.Started > next.Started || old.Started == next.Started && old.Seq > next.Seq) {
 				continue
 			}
@@ -88,20 +91,45 @@
 	t.Helper()
 	assert.Equal(t, got.Digest, want.Digest)
 	assert.Equal(t, got.Revision, want.Revision)
-	assert.Equal(t, len(got.Targets), len(want.Targets))
-	for id, w := range want.Targets {
-		assert.Equal(t, got.Targets[id].Seq, w.Seq)
+	assert.Equal(t, got.Len(), want.Len())
+	for w := range want.All() {
+		assert.Equal(t, got.Find(w.ID).Seq, w.Seq)
+		assert.Equal(t, got.At(w.Address).Started, want.At(w.Address).Started)
+		assert.Assert(t, slices.Contains(got.InZone(w.Service, w.Zone), got.Find(w.ID)))
 	}
 	for _, service := range []string{"s0", "s1", "s2"} {
-		assert.Equal(t, len(got.ByService[service]), len(want.ByService[service]))
-		for _, g := range got.ByService[service] {
-			assert.Assert(t, g == got.Targets[g.ID] && g.Service == service)
+		assert.DeepEqual(t, got.Zones(service), want.Zones(service))
+		assert.Equal(t, len(got.OfService(service)), len(want.OfService(service)))
+		for _, g := range got.OfService(service) {
+			assert.Assert(t, g == got.Find(g.ID) && g.Service == service)
 		}
 	}
-	assert.Equal(t, len(got.ByAddress), len(want.ByAddress))
-	for address, w := range want.ByAddress {
-		g := got.ByAddress[address]
-		assert.Assert(t, g == got.Targets[g.ID])
-		assert.Equal(t, g.Started, w.Started)
+	for n := range 12 {
+		address := fmt.Sprintf("10.0.0.%d:80", n)
+		assert.Equal(t, got.At(address) == nil, want.At(address) == nil)
 	}
 }
+
+// Guards against a change of one target that costs a copy of the whole list: small instances
+// of a large fleet had no processor time left for the heartbeats of their feed readers.
+func TestChangeOfOneTargetSharesTheRest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var r roster.Roster
+	list := make([]*roster.Target, 10_000)
+	for n := range list {
+		list[n] = target(fmt.Sprintf("t%d", n), 1, 1)
+		list[n].Service, list[n].Zone, list[n].Address = fmt.Sprintf("s%d", n%2), fmt.Sprintf("z%d", n%8), fmt.Sprintf("10.0.%d.%d:80", n/250, n%250)
+	}
+	r.Replace(now, list, 1)
+	const changes = 50
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for n := range changes {
+		draining := *list[n]
+		draining.Seq, draining.Draining = 2, true
+		r.Apply(now, []roster.Change{{ID: draining.ID, Target: &draining}}, uint64(n)+2)
+	}
+	runtime.ReadMemStats(&after)
+	const maxBytes = 32 << 10
+	assert.Assert(t, (after.TotalAlloc-before.TotalAlloc)/changes < maxBytes)
+}
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -104,14 +104,14 @@
 func (s *Scheduler) candidates(r *Request) []*roster.Target {
 	view := s.Roster.Load()
 	if r.Target != "" {
-		if t := view.Targets[r.Target]; t != nil && t.Service == r.Service {
+		if t := view.Find(r.Target); t != nil && t.Service == r.Service {
 			return []*roster.Target{t}
 		}
 		return nil
 	}
 	var list []*roster.Target
-	for _, t := range view.ByService[r.Service] {
-		if t.Zone == r.Zone && !t.Draining {
+	for _, t := range view.InZone(r.Service, r.Zone) {
+		if !t.Draining {
 			list = append(list, t)
 		}
 	}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -212,14 +212,14 @@
 	for _, svc := range s.services {
 		maps.DeleteFunc(svc.kinds, func(_ uint32, k *kindStats) bool { return now.Sub(k.lastAnswer) > kindTTL })
 		for incarnation, st := range svc.targets {
-			t := view.Targets[incarnation.ID]
+			t := view.Find(incarnation.ID)
 			if len(st.inFlight) == 0 && (t == nil || t.Started != incarnation.Started) {
 				delete(svc.targets, incarnation)
 			}
 		}
 		for key, q := range svc.queues {
 			maps.DeleteFunc(q.arrivals, func(_ uint32, a *arrivalStats) bool { return now.Sub(a.updated) > kindTTL })
-			if len(q.waiting) == 0 && key.target != "" && view.Targets[key.target] == nil {
+			if len(q.waiting) == 0 && key.target != "" && view.Find(key.target) == nil {
 				delete(svc.queues, key)
 			}
 		}
@@ -240,7 +240,7 @@
 	var latencies []TargetLatency
 	for name, svc := range s.services {
 		for incarnation, st := range svc.targets {
-			if t := view.Targets[incarnation.ID]; t != nil && t.Started == incarnation.Started && st.answers > 0 {
+			if t := view.Find(incarnation.ID); t != nil && t.Started == incarnation.Started && st.answers > 0 {
 				latencies = append(latencies, TargetLatency{name, incarnation.ID, seconds(svc.averageWork() * st.slowness)})
 			}
 		}
--- a/ctl/command/fleetowner.go
+++ b/ctl/command/fleetowner.go
@@ -47,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			if at := view.ByAddress[o.Piece.Address]; at != nil {
+			if at := view.At(o.Piece.Address); at != nil {
 				current := newFleetTarget(at, view)
 				o.TargetAtAddress = &current
 			}
--- a/ctl/command/fleettargets.go
+++ b/ctl/command/fleettargets.go
@@ -42,7 +42,7 @@
 				return err
 			}
 			list := []fleetTarget{}
-			for _, t := range view.Targets {
+			for t := range view.All() {
 				if service == "" || t.Service == service {
 					list = append(list, newFleetTarget(t, view))
 				}
@@ -57,7 +57,7 @@
 
 func newFleetTarget(t *roster.Target, view *roster.View) fleetTarget {
 	f := fleetTarget{ID: t.ID, Service: t.Service, Zone: t.Zone, Address: t.Address, Slots: t.Slots, Started: t.Started, Draining: t.Draining}
-	if at := view.ByAddress[t.Address]; at.Started > t.Started {
+	if at := view.At(t.Address); at.Started > t.Started {
 		f.ReplacedBy = at.ID
 	}
 	return f
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -9,6 +9,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -109,7 +110,7 @@
 // *schedule.NoTargetError, a *placement.DeniedError or the context's.
 func (b *Broker) Acquire(ctx context.Context, req schedule.Request) (*Reservation, error) {
 	if req.Target != "" {
-		t := b.Roster.Load().Targets[req.Target]
+		t := b.Roster.Load().Find(req.Target)
 		if t == nil {
 			return nil, &schedule.NoTargetError{Service: req.Service}
 		}
@@ -161,21 +162,24 @@
 // zonesByDistance returns the zones with targets of the service, nearest first.
 func (b *Broker) zonesByDistance(service string) []string {
 	var tiers [3][]string
-	seen := map[string]bool{}
 	regions := b.Placement().Regions
-	for _, t := range b.Roster.Load().ByService[service] {
-		if t.Draining || seen[t.Zone] {
+	view := b.Roster.Load()
+	for _, zone := range view.Zones(service) {
+		if !slices.ContainsFunc(view.InZone(service, zone), func(t *roster.Target) bool { return !t.Draining }) {
 			continue
 		}
-		seen[t.Zone] = true
 		tier := 2
 		switch {
-		case t.Zone == b.Self.Zone:
+		case zone == b.Self.Zone:
 			tier = 0
-		case regions[t.Zone] == regions[b.Self.Zone]:
+		case regions[zone] == regions[b.Self.Zone]:
 			tier = 1
 		}
-		tiers[tier] = append(tiers[tier], t.Zone)
+		tiers[tier] = append(tiers[tier], zone)
+	}
+	// Far zones are used evenly, not all by their names.
+	for _, tier := range tiers {
+		rand.Shuffle(len(tier), func(i, j int) { tier[i], tier[j] = tier[j], tier[i] })
 	}
 	return append(append(tiers[0], tiers[1]...), tiers[2]...)
 }
@@ -328,7 +332,7 @@
 	if r.Target == "" {
 		return false
 	}
-	t := b.Roster.Load().Targets[r.Target]
+	t := b.Roster.Load().Find(r.Target)
 	return req.Target != "" && r.Target != req.Target || t != nil && t.Service != req.Service
 }
 
@@ -339,7 +343,7 @@
 	case r.Target == "":
 		return nil, &schedule.BusyError{Service: req.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.QueueLength}
 	}
-	t := b.Roster.Load().Targets[r.Target]
+	t := b.Roster.Load().Find(r.Target)
 	if t == nil || t.Started != r.Started || req.Target == "" && t.Draining {
 		b.sendRelease(scheduler, seq, schedule.Abandoned, 0, 0)
 		return nil, &schedule.NoTargetError{Service: req.Service}
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -110,7 +110,7 @@
 // otherServiceTargetAt returns the ID of another service's target that is listed at the
 // order's address and was started after the intended one; it would accept the order.
 func (c *Coordinator) otherServiceTargetAt(service string, o *ownership.Grant) string {
-	listed := c.Roster.Load().ByAddress[o.Address]
+	listed := c.Roster.Load().At(o.Address)
 	if listed == nil || listed.Service == service || listed.Started <= o.Owner.Started {
 		return ""
 	}
@@ -215,11 +215,11 @@
 // address are handled by the manager itself.
 func (c *Coordinator) detectReplacedOwners(manager *ownership.Manager, table *routing.Table, view *roster.View) {
 	for incarnation, owner := range manager.Owners() {
-		replacement := view.ByAddress[owner.Address]
+		replacement := view.At(owner.Address)
 		if replacement == nil || replacement.Service == manager.Service || replacement.Started <= incarnation.Started {
 			continue
 		}
-		if !owner.Unresponsive && view.Targets[incarnation.ID] != nil {
+		if !owner.Unresponsive && view.Find(incarnation.ID) != nil {
 			continue
 		}
 		service := table.Service(replacement.Service)
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -83,7 +83,7 @@
 		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryAfterNoTarget, awaitOwner: true}
 	}
 	p := a.Find(c.key)
-	t := f.Roster.Load().Targets[p.Owner]
+	t := f.Roster.Load().Find(p.Owner)
 	if p.Owner == "" || t == nil || t.Draining && time.Since(t.LeavingSince) > drainingOwnerTTL {
 		return "", &refusal{status: http.StatusServiceUnavailable, cause: "noOwner", retryAfter: retryAfterNoTarget, awaitOwner: true}
 	}
--- a/gateway/front/pools.go
+++ b/gateway/front/pools.go
@@ -51,7 +51,7 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	for incarnation, p := range ps.pools {
-		if t := v.Targets[incarnation.ID]; t == nil || t.Started != incarnation.Started {
+		if t := v.Find(incarnation.ID); t == nil || t.Started != incarnation.Started {
 			p.Close()
 			delete(ps.pools, incarnation)
 		}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -230,10 +230,10 @@
 // Ready reports whether the platform should route callers to this instance: it
 // has the configuration and at least one target, and is not shutting down.
 func (i *Instance) Ready() bool {
-	ready := !i.shuttingDown.Load() && i.state.routes.Load() != nil && len(i.state.roster.Load().Targets) > 0
+	ready := !i.shuttingDown.Load() && i.state.routes.Load() != nil && i.state.roster.Load().Len() > 0
 	if i.wasReady.Swap(ready) != ready {
 		event.NotReady.Log(i.log, "ready", ready, "closing", i.shuttingDown.Load(),
-			"config", i.state.routes.Load() != nil, "targets", len(i.state.roster.Load().Targets))
+			"config", i.state.routes.Load() != nil, "targets", i.state.roster.Load().Len())
 	}
 	return ready
 }
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -31,11 +31,11 @@
 		return n
 	})
 	gauge("basilcross_targets", "Targets that the platform names.", func() float64 {
-		return float64(len(i.state.roster.Load().Targets))
+		return float64(i.state.roster.Load().Len())
 	})
 	gauge("basilcross_cold_targets", "Targets that are warming up.", func() float64 {
 		n, now := 0.0, time.Now()
-		for _, t := range i.state.roster.Load().Targets {
+		for t := range i.state.roster.Load().All() {
 			if _, cold := i.state.coldRate(now, t); cold || t.IsCold(now) {
 				n++
 			}
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -165,7 +165,7 @@
 	defer func() { cancel(); server.CloseClientConnections(); _ = group.Wait() }()
 	hasTargets := func(n int) func(poll.LogT) poll.Result {
 		return func(poll.LogT) poll.Result {
-			if got := len(i.state.roster.Load().Targets); got != n {
+			if got := i.state.roster.Load().Len(); got != n {
 				return poll.Continue("%d targets", got)
 			}
 			return poll.Success()
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -155,8 +155,12 @@
 // another region than the request's zone.
 func (s *state) hasAlternative(r *schedule.Request) bool {
 	policy := s.policy()
-	for _, t := range s.roster.Load().ByService[r.Service] {
-		if policy.Regions[t.Zone] != policy.Regions[r.Zone] && !t.Draining && !policy.IsEvacuated(t.Zone) {
+	view := s.roster.Load()
+	for _, zone := range view.Zones(r.Service) {
+		if policy.Regions[zone] == policy.Regions[r.Zone] || policy.IsEvacuated(zone) {
+			continue
+		}
+		if slices.ContainsFunc(view.InZone(r.Service, zone), func(t *roster.Target) bool { return !t.Draining }) {
 			return true
 		}
 	}
@@ -212,7 +216,7 @@
 func (s *state) applyTargets(u mirror.Update) {
 	now := time.Now()
 	var added, leaving []*roster.Target
-	first := len(s.roster.Load().Targets) == 0
+	first := s.roster.Load().Len() == 0
 	if u.Full {
 		list := make([]*roster.Target, 0, len(u.Rows))
 		for _, r := range u.Rows {
--- a/gateway/instance/state_test.go
+++ b/gateway/instance/state_test.go
@@ -91,7 +91,7 @@
 	report := func(at time.Duration, seq int64, left time.Duration) {
 		r.Apply(start.Add(at), []roster.Change{{ID: "t", Target: &roster.Target{ID: "t", Started: 1, Seq: seq, WarmupLeft: left}}}, 1)
 	}
-	isCold := func(at time.Duration) bool { return r.Load().Targets["t"].IsCold(start.Add(at)) }
+	isCold := func(at time.Duration) bool { return r.Load().Find("t").IsCold(start.Add(at)) }
 	report(0, 1, 3*time.Second)
 	report(time.Second, 2, 2*time.Second)
 	assert.Assert(t, isCold(2900*time.Millisecond) && !isCold(3*time.Second))
