Read full pages of changes without a pause, and bound lines about targets

Reading a whole table had one time limit for all its pages, which 20 pages over a slow link exceed. And each instance wrote a line for each target, as the rows come three to a datagram, so that the limit of 16 lines an update never applied: 110,556 lines in the first three seconds.

Change: no pause after a full page; the time limit is a page's; the limit of lines is one a second, with a summary.

TestFullPagesOfChangesAreReadWithoutPause and TestLinesAboutTargetsAreBounded fail on the code before (the first: 6 s between pages, 4 s allowed).

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -76,7 +76,7 @@
 	OrderDropped      = Event{311, "orderDropped", slog.LevelWarn, "An order to a target was not sent, since the authority to send it had ended.", ""}
 	TargetGone        = Event{312, "targetGone", slog.LevelInfo, "A target has ended for certain, since a younger target of another service has its address, and it does not answer orders or is no longer listed. Its keys are free, or become free once the last order that may have been misdirected has expired.", ""}
 	TargetsLoaded     = Event{316, "targetsLoaded", slog.LevelInfo, "An instance that had no targets yet loaded the full list of them; events 306 and 307 report the changes from then on.", ""}
-	TargetsChanged    = Event{317, "targetsChanged", slog.LevelInfo, "Many targets were added or are leaving at once. The line has their numbers; single lines follow at debug level only.", ""}
+	TargetsChanged    = Event{317, "targetsChanged", slog.LevelInfo, "Many targets were added or are leaving at once. The line has their numbers in the last seconds; single lines are written at debug level only.", ""}
 	StoreInDoubt      = Event{313, "storeInDoubt", slog.LevelWarn, "The store does not answer the coordinator; keys are granted for longer.", "Check the platform's store."}
 	OrderChannel      = Event{314, "orderChannel", slog.LevelInfo, "A grant with a new epoch is sent on a connection to which this epoch is bound from now on.", ""}
 	KeysInherited     = Event{315, "keysInherited", slog.LevelInfo, "A younger target has the address of a target that owns keys. It may have received orders meant for the older one, so the keys stay at the address, with a new epoch.", ""}
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -31,6 +31,7 @@
 	placement      atomic.Pointer[placement.Policy]
 	roster         *roster.Roster
 	revisionReport atomic.Pointer[revisionReport]
+	targetLines    targetLines
 
 	mu          sync.Mutex
 	assignments map[string]*versionedAssignment
@@ -198,10 +199,6 @@
 	}
 }
 
-// maxTargetLines bounds the lines about single targets of an update. While a large fleet
-// starts, they would be most of the log of each instance.
-const maxTargetLines = 16
-
 func (s *state) logUnknownRegions(config *routing.Config) {
 	known := slices.Collect(maps.Values(s.policy().Regions))
 	for _, r := range config.Routes {
@@ -215,6 +212,7 @@
 
 func (s *state) applyTargets(u mirror.Update) {
 	now := time.Now()
+	s.targetLines.flush(s.log, now)
 	var added, leaving []*roster.Target
 	first := s.roster.Load().Len() == 0
 	if u.Full {
@@ -240,8 +238,8 @@
 		event.TargetsLoaded.Log(s.log, "targets", len(added), "leaving", len(leaving), "revision", u.Revision)
 		return
 	}
-	if len(added)+len(leaving) > maxTargetLines {
-		event.TargetsChanged.Log(s.log, "came", len(added), "left", len(leaving), "revision", u.Revision)
+	if !s.targetLines.allow(now, len(added)+len(leaving)) {
+		s.targetLines.add(len(added), len(leaving))
 		if !s.log.Enabled(context.Background(), slog.LevelDebug) {
 			return
 		}
--- a/gateway/instance/state_test.go
+++ b/gateway/instance/state_test.go
@@ -1,7 +1,10 @@
 package instance
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -154,3 +157,18 @@
 		})
 	}
 }
+
+// Guards against a line for each target of a large fleet at each instance when the fleet
+// starts: changes arrive a few at a time.
+func TestLinesAboutTargetsAreBounded(t *testing.T) {
+	var text bytes.Buffer
+	i := testInstance()
+	i.state.log = slog.New(slog.NewJSONHandler(&text, nil))
+	for n := range uint64(500) {
+		i.state.applyTargets(mirror.Update{Rows: []platform.Row{targetRow(fmt.Sprintf("t%d", n), "ready", "0s", n+1)}, Revision: n + 1})
+	}
+	i.state.targetLines.flush(i.state.log, time.Now().Add(time.Second))
+	lines := strings.Count(text.String(), "\n")
+	assert.Assert(t, lines <= 2*maxTargetLines+2, "%d lines", lines)
+	assert.Assert(t, strings.Contains(text.String(), `"msg":"targetsChanged"`))
+}
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -267,6 +267,7 @@
 		sleep(ctx, housekeepingInterval)
 		h.pools.Prune(h.state.roster.Load())
 		h.dispatcher.Prune()
+		h.state.targetLines.flush(h.log, time.Now())
 	}
 	return ctx.Err()
 }
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -23,10 +23,12 @@
 	feedWait = 25 * time.Second
 	// feedGrace is how much later than feedWait a response may arrive.
 	feedGrace = 3 * time.Second
-	// readTimeout bounds the read of a whole table. The store's slowest responses
+	// readTimeout bounds the read of a page of a table. The store's slowest responses
 	// take half a second, and a call that it accepted while it was unresponsive is
 	// never answered.
 	readTimeout = 1500 * time.Millisecond
+	// pageRows is the number of rows in a full response of the store: more rows are waiting.
+	pageRows = 500
 	// probeWait and probeGrace replace feedWait and feedGrace in the first feed
 	// call after a failure. The store may have accepted the call without ever
 	// answering it; a long wait could not be distinguished from a table without changes.
@@ -274,7 +276,7 @@
 		m.Forward(ForwardedUpdate{From: after, To: got.Revision, NewestChange: m.NewestChange(), Rows: major})
 	}
 	switch {
-	case len(got.Rows) == 0:
+	case len(got.Rows) == 0, len(got.Rows) >= pageRows:
 		return 0, nil
 	case len(major) == 0:
 		return m.MinorDelay, nil
@@ -325,12 +327,10 @@
 // readTable reads the whole table, page by page. The pages have different revisions;
 // the feed continues from the first page's and repeats the changes made in between.
 func (m *Mirror) readTable(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	update := Update{Full: true}
 	after := ""
 	for {
-		got, err := m.Store.Range(ctx, m.Table, "", after)
+		got, err := m.readPage(ctx, after)
 		if err != nil {
 			return err
 		}
@@ -353,6 +353,12 @@
 	return nil
 }
 
+func (m *Mirror) readPage(ctx context.Context, after string) (platform.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return m.Store.Range(ctx, m.Table, "", after)
+}
+
 // apply applies an update and reports it to OnUpdate. A full update that is older
 // than the mirror is ignored.
 func (m *Mirror) apply(u Update) {
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -84,6 +84,46 @@
 	await(t, c, "a", "")
 }
 
+// Guards against a pause after each page of changes: the list of thousands of targets arrived
+// ten seconds late when all of them started together.
+func TestFullPagesOfChangesAreReadWithoutPause(t *testing.T) {
+	t.Parallel()
+	const rows, pause = 1700, 2 * time.Second
+	fake := &standin.Store{}
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	loaded, last := make(chan struct{}), make(chan time.Time, 1)
+	applied := 0
+	var firstAt time.Time
+	m := &mirror.Mirror{
+		Table: "mine", BatchDelay: pause, Log: slog.New(slog.DiscardHandler),
+		Store: &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: server.Client()},
+		OnUpdate: func(u mirror.Update) {
+			if u.Full {
+				close(loaded)
+				return
+			}
+			if applied == 0 {
+				firstAt = time.Now()
+			}
+			if applied += len(u.Rows); applied == rows {
+				last <- time.Now()
+			}
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = m.Serve(ctx) })
+	<-loaded
+	for n := range rows {
+		fake.Put("mine", strconv.Itoa(n), []byte("v"))
+	}
+	// Three pauses separate four pages.
+	assert.Assert(t, (<-last).Sub(firstAt) < 2*pause)
+	cancel()
+	group.Wait()
+}
+
 // The store compacts its history while this mirror has not received a change and a
 // removal. It must read the whole table, or stale rows would remain.
 func TestFullReadAfterHistoryIsCompacted(t *testing.T) {
