Simulate the start of fleets of any size

What instances must know is spread in three ways over links with rates and queues, a store with one part for all rows, and processors of 0.16 of a core: copies for all as before, copies for all with cheap updates, and hubs.

--- a/standin/experiment/eventloop.go
+++ b/standin/eventloop/eventloop.go
@@ -1,14 +1,16 @@
-package experiment
+// Package eventloop runs functions in order of virtual time.
+package eventloop
 
 import (
 	"container/heap"
 	"time"
 )
 
-// eventLoop runs functions in order of virtual time; those due at the same time run in the
+// Loop runs functions in order of virtual time; those due at the same time run in the
 // order in which they were added. The zero value is an empty loop at time 0.
-type eventLoop struct {
-	now   time.Duration
+type Loop struct {
+	// Now is the virtual time.
+	Now   time.Duration
 	queue eventHeap
 	count int
 }
@@ -19,16 +21,17 @@
 	fn  func()
 }
 
-// after runs fn when d has passed.
-func (e *eventLoop) after(d time.Duration, fn func()) {
+// After runs fn when d has passed.
+func (e *Loop) After(d time.Duration, fn func()) {
 	e.count++
-	heap.Push(&e.queue, event{e.now + max(0, d), e.count, fn})
+	heap.Push(&e.queue, event{e.Now + max(0, d), e.count, fn})
 }
 
-func (e *eventLoop) run() {
+// Run runs until nothing is left.
+func (e *Loop) Run() {
 	for len(e.queue) > 0 {
 		next := heap.Pop(&e.queue).(event)
-		e.now = next.at
+		e.Now = next.at
 		next.fn()
 	}
 }
--- a/standin/experiment/arrivalorder.go
+++ b/standin/experiment/arrivalorder.go
@@ -3,11 +3,13 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"basilcross.example/standin/eventloop"
 )
 
 // fifoRun simulates first-in, first-out queues at the targets.
 type fifoRun struct {
-	eventLoop
+	eventloop.Loop
 	random  *rand.Rand
 	targets []*simTarget
 	busy    []int
@@ -22,7 +24,7 @@
 	f := &fifoRun{random: rand.New(rand.NewPCG(seed, 23)), targets: l.simTargets(), report: l.newReport("arrivalOrder", level)}
 	f.busy, f.waiting = make([]int, len(f.targets)), make([][]*request, len(f.targets))
 	for _, r := range l.requests(level, seed) {
-		f.after(r.arrival+r.oneWayDelay, func() {
+		f.After(r.arrival+r.oneWayDelay, func() {
 			f.report.recordArrival(r)
 			n := r.target
 			if n < 0 {
@@ -36,7 +38,7 @@
 			f.startWaiting(n)
 		})
 	}
-	f.run()
+	f.Run()
 	return f.report
 }
 
@@ -45,15 +47,15 @@
 	for f.busy[n] < f.targets[n].Slots && len(f.waiting[n]) > 0 {
 		r := f.waiting[n][0]
 		f.waiting[n] = f.waiting[n][1:]
-		if f.now > r.arrival+millis(r.kind.Deadline) {
+		if f.Now > r.arrival+millis(r.kind.Deadline) {
 			f.report.recordRefusal(r)
 			continue
 		}
-		f.report.recordQueueTime(r, f.now-r.arrival-r.oneWayDelay)
+		f.report.recordQueueTime(r, f.Now-r.arrival-r.oneWayDelay)
 		f.busy[n]++
-		f.after(time.Duration(float64(r.work)*f.targets[n].slownessAt(f.now)), func() {
+		f.After(time.Duration(float64(r.work)*f.targets[n].slownessAt(f.Now)), func() {
 			f.busy[n]--
-			f.report.recordResponse(r, f.now+r.oneWayDelay)
+			f.report.recordResponse(r, f.Now+r.oneWayDelay)
 			f.startWaiting(n)
 		})
 	}
--- a/standin/experiment/bound.go
+++ b/standin/experiment/bound.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "time"
+import (
+	"time"
+
+	"basilcross.example/standin/eventloop"
+)
 
 // orderFunc reports whether a waiting request a is served before b.
 type orderFunc func(o *oracleRun, a, b *request) bool
@@ -67,7 +71,7 @@
 
 // oracleRun simulates a policy. Requests are grouped by target; without sharding, all are in group 0.
 type oracleRun struct {
-	eventLoop
+	eventloop.Loop
 	policy
 	targets []*simTarget
 	// slotFreeAt is when each slot of each target becomes free.
@@ -88,14 +92,14 @@
 	for _, r := range l.requests(level, seed) {
 		g := max(0, r.target)
 		o.upcoming[g] = append(o.upcoming[g], r)
-		o.after(r.arrival, func() {
+		o.After(r.arrival, func() {
 			o.report.recordArrival(r)
 			o.upcoming[g] = o.upcoming[g][1:]
 			o.waiting[g] = append(o.waiting[g], r)
 			o.assignSlots(g)
 		})
 	}
-	o.run()
+	o.Run()
 	for _, list := range o.waiting {
 		for _, r := range list {
 			o.report.recordRefusal(r)
@@ -125,10 +129,10 @@
 		}
 		r := o.waiting[g][i]
 		o.waiting[g] = append(o.waiting[g][:i], o.waiting[g][i+1:]...)
-		took := time.Duration(float64(r.work) * o.targets[n].slownessAt(o.now))
-		o.slotFreeAt[n][slot] = o.now + took
-		o.report.recordResponse(r, o.now+took)
-		o.after(took, func() { o.assignSlots(g) })
+		took := time.Duration(float64(r.work) * o.targets[n].slownessAt(o.Now))
+		o.slotFreeAt[n][slot] = o.Now + took
+		o.report.recordResponse(r, o.Now+took)
+		o.After(took, func() { o.assignSlots(g) })
 	}
 }
 
@@ -140,7 +144,7 @@
 			continue
 		}
 		for i, end := range o.slotFreeAt[n] {
-			if end <= o.now && (target < 0 || o.targets[n].slownessAt(o.now) < o.targets[target].slownessAt(o.now)) {
+			if end <= o.Now && (target < 0 || o.targets[n].slownessAt(o.Now) < o.targets[target].slownessAt(o.Now)) {
 				target, slot = n, i
 			}
 		}
@@ -155,7 +159,7 @@
 
 // next returns the index of the waiting request to serve next at target n, or -1.
 func (o *oracleRun) next(g, n int) int {
-	slow := o.targets[n].slownessAt(o.now)
+	slow := o.targets[n].slownessAt(o.Now)
 	o.dropExpired(g, slow)
 	if i := o.nextOf(g, n, slow, true); i >= 0 || !o.servesLate {
 		return i
@@ -181,7 +185,7 @@
 }
 
 func (o *oracleRun) expectedEnd(r *request, slow float64) time.Duration {
-	return o.now + time.Duration(float64(o.expectedWork(r))*slow)
+	return o.Now + time.Duration(float64(o.expectedWork(r))*slow)
 }
 
 // nextOf is next among the requests that would end in time, or among the late ones.
@@ -207,11 +211,11 @@
 	free := o.expectedEnd(r, slow)
 	slotUsed := false
 	for _, end := range o.slotFreeAt[n] {
-		if end <= o.now && !slotUsed {
+		if end <= o.Now && !slotUsed {
 			slotUsed = true
 			continue
 		}
-		free = min(free, max(end, o.now))
+		free = min(free, max(end, o.Now))
 	}
 	for _, c := range o.upcoming[g] {
 		if c.arrival > free {
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -9,6 +9,7 @@
 
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
+	"basilcross.example/standin/eventloop"
 )
 
 const (
@@ -26,7 +27,7 @@
 
 // schedulerRun simulates a load against the product's scheduler.
 type schedulerRun struct {
-	eventLoop
+	eventloop.Loop
 	scheduler   schedule.Scheduler
 	random      *rand.Rand
 	targets     []*simTarget
@@ -75,19 +76,19 @@
 	targets.Replace(startTime.Add(-time.Hour), list, 1)
 	s.scheduler.Roster = targets
 	for _, r := range l.requests(level, seed) {
-		s.after(r.arrival, func() {
+		s.After(r.arrival, func() {
 			s.report.recordArrival(r)
 			s.startAttempt(&attempt{req: r, started: r.arrival})
 		})
 	}
-	s.run()
+	s.Run()
 	return s.report
 }
 
-func (s *schedulerRun) clock() time.Time { return startTime.Add(s.now) }
+func (s *schedulerRun) clock() time.Time { return startTime.Add(s.Now) }
 
 // startAttempt sends a caller's attempt to an instance, which submits it to the scheduler.
-func (s *schedulerRun) startAttempt(a *attempt) { s.after(a.req.oneWayDelay, func() { s.submit(a) }) }
+func (s *schedulerRun) startAttempt(a *attempt) { s.After(a.req.oneWayDelay, func() { s.submit(a) }) }
 
 func (s *schedulerRun) submit(a *attempt) {
 	r := schedule.Request{
@@ -104,7 +105,7 @@
 		s.handleRefusal(a, err)
 		return
 	}
-	a.ticket, a.submitted = t, s.now
+	a.ticket, a.submitted = t, s.Now
 	if t.Target != nil {
 		s.send(a)
 		return
@@ -116,7 +117,7 @@
 }
 
 func (s *schedulerRun) scheduleExpiry(t *schedule.Ticket) {
-	s.after(t.WaitUntil.Sub(s.clock()), func() {
+	s.After(t.WaitUntil.Sub(s.clock()), func() {
 		a := s.waiting[t]
 		if a == nil {
 			return
@@ -136,7 +137,7 @@
 		return
 	}
 	s.admissionDue = true
-	s.after(admitInterval, func() {
+	s.After(admitInterval, func() {
 		s.admissionDue = false
 		seen := map[string]bool{}
 		s.ticketQueue = slices.DeleteFunc(s.ticketQueue, func(t *schedule.Ticket) bool { return s.waiting[t] == nil })
@@ -162,9 +163,9 @@
 
 func (s *schedulerRun) send(a *attempt) {
 	t := a.ticket
-	s.report.recordQueueTime(a.req, s.now-a.submitted)
+	s.report.recordQueueTime(a.req, s.Now-a.submitted)
 	n := s.targetIndex[t.Target.ID]
-	s.after(2*a.req.oneWayDelay, func() {
+	s.After(2*a.req.oneWayDelay, func() {
 		target, q := s.targets[n], s.queues[n]
 		if s.random.Float64() < target.ShedShare {
 			s.handleShed(a, t)
@@ -181,15 +182,15 @@
 func (s *schedulerRun) execute(a *attempt, n int) {
 	target, q := s.targets[n], s.queues[n]
 	q.busy++
-	s.after(time.Duration(float64(a.req.work)*target.slownessAt(s.now)), func() {
+	s.After(time.Duration(float64(a.req.work)*target.slownessAt(s.Now)), func() {
 		q.busy--
 		if len(q.waiting) > 0 {
 			next := q.waiting[0]
 			q.waiting = q.waiting[1:]
 			next()
 		}
-		s.report.recordResponse(a.req, s.now+a.req.oneWayDelay)
-		s.after(2*a.req.oneWayDelay, func() {
+		s.report.recordResponse(a.req, s.Now+a.req.oneWayDelay)
+		s.After(2*a.req.oneWayDelay, func() {
 			s.sendAdmitted(s.scheduler.Release(s.clock(), a.ticket, schedule.Answered))
 		})
 	})
@@ -197,7 +198,7 @@
 
 // handleShed resubmits a request that a target shed, excluding that target.
 func (s *schedulerRun) handleShed(a *attempt, t *schedule.Ticket) {
-	s.after(2*a.req.oneWayDelay, func() {
+	s.After(2*a.req.oneWayDelay, func() {
 		s.sendAdmitted(s.scheduler.Release(s.clock(), t, schedule.Shed))
 		excluded := map[string]bool{t.Target.ID: true}
 		for id := range a.excluded {
@@ -218,7 +219,7 @@
 	if errors.As(err, &busy) {
 		wait = max(wait, busy.Wait)
 	}
-	responseAt := s.now + a.req.oneWayDelay
+	responseAt := s.Now + a.req.oneWayDelay
 	left := a.req.arrival + millis(a.req.kind.Deadline) - responseAt
 	if a.req.retryImmediately {
 		wait = reconnectDelay
@@ -228,5 +229,5 @@
 		s.report.recordRefusal(a.req)
 		return
 	}
-	s.after(responseAt+wait-s.now, func() { s.startAttempt(&attempt{req: a.req, retries: a.retries + 1, started: s.now}) })
+	s.After(responseAt+wait-s.Now, func() { s.startAttempt(&attempt{req: a.req, retries: a.retries + 1, started: s.Now}) })
 }
--- a/standin/main.go
+++ b/standin/main.go
@@ -36,7 +36,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	root := &cobra.Command{Use: "basilcross-standin", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(demoCommand(), namesCommand(), experimentCommand(), soakCommand())
+	root.AddCommand(demoCommand(), namesCommand(), experimentCommand(), fleetStartCommand(), soakCommand())
 	return root.ExecuteContext(ctx)
 }
 
