Make strong instances alone the hubs of a zone that has enough of them

The first 16 of a zone with ten large instances would include six with a tenth of their cores and a fiftieth of their link, which then copy all targets.

--- a/gateway/peers/hubs.go
+++ b/gateway/peers/hubs.go
@@ -14,6 +14,9 @@
 	// HubsPerZone is the number of hubs in a larger zone: enough to bear the loss of several,
 	// and to share the reservations of the zone's thin instances.
 	HubsPerZone = 16
+	// minStrongHubs is the number of instances with at least half the cores of the first above
+	// which these alone are the hubs.
+	minStrongHubs = 6
 )
 
 // MaxListed is how many instances of its zone an instance must list to know its own role.
@@ -58,8 +61,8 @@
 	hubs []Instance
 }
 
-// Hubs returns a zone's hubs, first by rank: all its instances if they are few, and the first
-// HubsPerZone otherwise. The place of one that has left stays free until it returns, so that
+// Hubs returns a zone's hubs, first by rank: all its instances if they are few, and otherwise
+// those that have far more cores than the rest, or the first ones if these are too few. The place of one that has left stays free until it returns, so that
 // restarts change no other instance's role. The caller must not modify the slice.
 func (p *Peers) Hubs(zone string) []Instance {
 	p.mu.Lock()
@@ -72,17 +75,39 @@
 func (p *Peers) SelfIsThin() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	before, size := 0, 1
-	for name, other := range p.byName {
-		if name == p.Self.Name || other.instance.Zone != p.Self.Zone {
-			continue
-		}
-		size++
-		if other.instance.RanksBefore(&p.Self) {
-			before++
+	ranked := p.rankedIn(p.Self.Zone)
+	isSelf := func(i peer) bool { return i.instance.Name == p.Self.Name }
+	if !slices.ContainsFunc(ranked, isSelf) {
+		ranked = append(ranked, peer{instance: p.Self})
+		slices.SortFunc(ranked, compareRank)
+	}
+	return !slices.ContainsFunc(hubsOf(ranked), isSelf)
+}
+
+// rankedIn returns a zone's instances in the order of rank, also those that have left. p.mu must
+// be held.
+func (p *Peers) rankedIn(zone string) (ranked []peer) {
+	for _, listed := range p.byName {
+		if listed.instance.Zone == zone {
+			ranked = append(ranked, listed)
 		}
 	}
-	return size > largeZone && before >= HubsPerZone
+	slices.SortFunc(ranked, compareRank)
+	return ranked
+}
+
+func compareRank(a, b peer) int { return CompareRank(a.instance, b.instance) }
+
+// hubsOf returns the hubs among a zone's instances.
+func hubsOf(ranked []peer) []peer {
+	if len(ranked) <= largeZone {
+		return ranked
+	}
+	strong := slices.IndexFunc(ranked, func(i peer) bool { return i.instance.Cores < ranked[0].instance.Cores/2 })
+	if strong >= minStrongHubs {
+		return ranked[:min(strong, HubsPerZone)]
+	}
+	return ranked[:HubsPerZone]
 }
 
 // members returns a zone's instances. p.mu must be held.
@@ -91,21 +116,13 @@
 		return m
 	}
 	m := &zoneMembers{}
-	var ranked []peer
-	for _, listed := range p.byName {
-		if listed.instance.Zone != zone {
-			continue
-		}
-		ranked = append(ranked, listed)
-		if !listed.left {
-			m.listed = append(m.listed, listed.instance)
+	ranked := p.rankedIn(zone)
+	for _, i := range ranked {
+		if !i.left {
+			m.listed = append(m.listed, i.instance)
 		}
 	}
-	slices.SortFunc(ranked, func(a, b peer) int { return CompareRank(a.instance, b.instance) })
-	if len(ranked) > largeZone {
-		ranked = ranked[:HubsPerZone]
-	}
-	for _, h := range ranked {
+	for _, h := range hubsOf(ranked) {
 		if !h.left {
 			m.hubs = append(m.hubs, h.instance)
 		}
--- a/gateway/peers/hubs_test.go
+++ b/gateway/peers/hubs_test.go
@@ -70,3 +70,24 @@
 	assert.Equal(t, p.Find("far").Name, "", "of other zones only the rows count")
 	assert.Assert(t, !slices.Contains(p.Hubs("z"), thin))
 }
+
+// Guards against small instances that must do what grows with the fleet although the zone has
+// large ones.
+func TestStrongInstancesAloneAreHubs(t *testing.T) {
+	p := &Peers{Self: Instance{Name: "i0", Zone: "z", Cores: 0.1}}
+	list := zoneOf(100, 0.16)
+	for k := range 10 {
+		name := fmt.Sprintf("strong%d", k)
+		list[name] = Instance{Name: name, Zone: "z", Cores: 1.6, Datagram: "127.0.0.1:9"}
+	}
+	p.SetInstances(list)
+	assert.Equal(t, len(p.Hubs("z")), 10)
+	for _, h := range p.Hubs("z") {
+		assert.Equal(t, h.Cores, 1.6)
+	}
+	for k := range 8 {
+		delete(list, fmt.Sprintf("strong%d", k))
+	}
+	p.SetInstances(list)
+	assert.Equal(t, len(p.Hubs("z")), HubsPerZone, "two are too few")
+}
