--- a/ctl/command/fleetstatus.go
+++ b/ctl/command/fleetstatus.go
@@ -15,7 +15,8 @@
 const usageFleetStatus = `Show the coordinator, the configuration, and the number of instances and targets
 in each zone.
 
-An instance that ended keeps its row, so every instance that ever started is counted.
+An instance that ended keeps its row, so every instance that ever started is counted. In
+zones of more than 32 instances only the hubs have rows.
 
 Example:
   basilcross fleet status`
