--- a/standin/fleetstart/fleetstart.go
+++ b/standin/fleetstart/fleetstart.go
@@ -81,6 +81,8 @@
 	registerTime = 2 * time.Second
 	storeDelay   = 4 * time.Millisecond
 	maxRowsRead  = 33
+	// minStrongHubs is the number of strong instances above which they alone are the hubs.
+	minStrongHubs = 6
 )
 
 // queue is a link or a processor: what is put into it is done one after the other.
@@ -143,7 +145,13 @@
 
 func (r *run) isHub(rank int) bool {
 	h, is := r.way.(Hubs)
-	return !is || r.Instances/r.Zones < maxRowsRead || rank < h.PerZone
+	if !is || r.Instances/r.Zones < maxRowsRead {
+		return true
+	}
+	if r.Strong >= minStrongHubs {
+		return rank < min(r.Strong, h.PerZone)
+	}
+	return rank < h.PerZone
 }
 
 // register writes the instance's row, and then reads the list.
