Wait for a proof from a zone that was never heard

Cause: a zone that is not heard counts as cut off, so that an unanswered grant is lost with the reset of its connection. The far region's instances had no list of instances yet and had never sent anything.

Change: silence counts only after the zone was heard in this term.

TestSilenceOfZoneNeverHeardIsNoProof fails on the code before (5.0 s instead of over 10).

--- a/basilcross/ownership/arrival.go
+++ b/basilcross/ownership/arrival.go
@@ -85,9 +85,9 @@
 	case now.Sub(g.reset) > maxQueueDelay:
 		m.settleArrival(p)
 		return
-	case !path.heard.After(g.reset):
-		// Nothing was received from the zone since: it is lost, or cut off, and then the
-		// bytes were lost with the reset.
+	case !path.heard.IsZero() && !path.heard.After(g.reset):
+		// The zone has been silent since: it is lost, or cut off, and then the bytes were
+		// lost with the reset.
 		return
 	}
 	end := arrived.Add(maxHoldTime(g.hold))
