Know the hubs of large zones after the first start of a fleet

They had read the rows when few were written, and a zone of up to 32 known instances counts as small.

Change: after its first start an instance reads the rows again 2.5 s after its own if any zone may be large; a thin instance says at once that it schedules nothing.

--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -56,6 +56,8 @@
 	// Owner returns the usable owner of a key, or nothing, and when the key got it; zero if
 	// that is not known. Needed by hubs only.
 	Owner func(service string, key int) (id string, since time.Time)
+	// Thin, if set, reports whether this instance is thin.
+	Thin func() bool
 }
 
 // Broker reserves slots at schedulers, and serves as one. Create it with New.
@@ -282,7 +284,7 @@
 	event.SchedulerSilent.Log(b.Log, "scheduler", scheduler, "forMs", s.duration.Milliseconds())
 }
 
-// UnresponsiveError reports that a scheduler did not reply.
+// UnresponsiveError reports that a scheduler did not reply, or is none.
 type UnresponsiveError struct{ Scheduler string }
 
 func (e *UnresponsiveError) Error() string { return "broker: no reply from scheduler " + e.Scheduler }
@@ -317,6 +319,9 @@
 			if b.isMisdirected(req, r) {
 				continue
 			}
+			if r.NotHub {
+				return nil, &UnresponsiveError{Scheduler: scheduler}
+			}
 			if !r.Queued {
 				b.markResponsive(scheduler)
 				return b.reservationFrom(scheduler, seq, req, r)
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -259,3 +259,19 @@
 	}
 	assert.Assert(t, first[0] != first[1])
 }
+
+// Guards against requests that wait for a thin instance, which the sender takes for a hub: it
+// must say at once that it schedules nothing.
+func TestThinInstanceSchedulesNothing(t *testing.T) {
+	all := startInstances(t, "a", "b")
+	for _, n := range all {
+		n.broker.Thin = func() bool { return true }
+	}
+	for _, n := range all {
+		start := time.Now()
+		res, err := n.broker.Acquire(t.Context(), request(20*time.Second, 60*time.Second))
+		assert.NilError(t, err)
+		assert.Assert(t, time.Since(start) < time.Second)
+		res.Release(schedule.Answered)
+	}
+}
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -52,6 +52,10 @@
 }
 
 func (b *Broker) handleReserveRequest(m *peers.Message) {
+	if b.Thin != nil && b.Thin() {
+		b.Peers.Send(m.From, &peers.Message{ReserveResponse: &peers.ReserveResponse{Seq: m.ReserveRequest.Seq, NotHub: true}})
+		return
+	}
 	key := remoteKey{m.From, m.Incarnation, m.ReserveRequest.Seq}
 	b.mu.Lock()
 	r := b.remoteRequests[key]
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -145,7 +145,7 @@
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
-		Owner: i.state.owner,
+		Owner: i.state.owner, Thin: i.replicator.thin.Load,
 	})
 	i.pools = &front.Pools{Dial: targetDialer.DialContext}
 	i.front = front.New(front.Options{
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -64,6 +64,9 @@
 	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
 		r.instances.Refresh()
 	}
+	if r.settings.Bootstrap {
+		r.readLateRows(ctx)
+	}
 	<-ctx.Done()
 	return ctx.Err()
 }
--- a/gateway/instance/thin.go
+++ b/gateway/instance/thin.go
@@ -78,6 +78,22 @@
 	r.peers.SetInstances(r.state.readInstances(mirror.Update{Rows: rows.Rows}))
 }
 
+// lateRowsDelay is the time after this instance's row by which all of a fleet that starts for the
+// first time have written theirs.
+const lateRowsDelay = 2500 * time.Millisecond
+
+// readLateRows reads the rows again if a zone may be a large one: its hubs are known only once
+// more rows than those of a small zone are there.
+func (r *registrar) readLateRows(ctx context.Context) {
+	sleep(ctx, lateRowsDelay)
+	for zone := range r.settings.Regions {
+		if len(r.peers.Zone(zone)) >= peers.HubsPerZone {
+			r.instances.Refresh()
+			return
+		}
+	}
+}
+
 // setThin makes this instance a thin one, or a hub.
 func (s *replicator) setThin(thin bool) {
 	if s.thin.Swap(thin) == thin {
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -120,6 +120,9 @@
 	NoOwner   bool
 	Denied    bool
 	Evacuated []string
+	// NotHub is set if the receiver of the request is a thin instance, which schedules
+	// nothing.
+	NotHub bool
 }
 
 // Release returns a slot, or cancels a request for one.
