Keep hubs from polling all at once, and apply what readers fetch

The link between regions was full for six seconds, so that the next coordinator's grants took 310 ms each (155 a second) and holds ran out.

Changes, one cause each: what was fetched as complete changes is applied by polling mirrors too; the first check of freshness does not wait for a change; hubs of large zones wait 0.4 s longer before they take over; a copy that equals a reader's by its digest is not read whole again. In addition: the coordinator sends more grants at a time if it has more cores; readers introduce the hubs to a thin instance that had read the rows early; thin instances read them once.

Tests: TestPollingMirrorAppliesFetchedChanges, TestFreshnessIsCheckedAtOnce, TestHubsWaitForReadersToConfirm, TestConfirmedMirrorPollsWithoutReadingTable.

--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -245,7 +245,7 @@
 	c := New(Options{Log: slog.New(slog.DiscardHandler), ReleaseClient: &platform.GrantClient{HTTP: http.DefaultClient}})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	l := newLeadership(ctx, cancel, Lease{Term: 1}, 1)
+	l := newLeadership(ctx, cancel, Lease{Term: 1}, 1, 0.8)
 	l.authorityEnd.Store(int64(boottime() - time.Millisecond))
 	c.leadership = l
 	c.release(l, &ownership.Manager{}, &ownership.Release{Address: "127.0.0.1:1", HeldUntil: time.Now().Add(time.Second)})
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -440,19 +440,19 @@
 	}
 	termCtx, cancel := context.WithCancel(ctx)
 	c.observe(result.revision, lease)
-	c.leadership = newLeadership(termCtx, cancel, lease, result.revision)
+	c.leadership = newLeadership(termCtx, cancel, lease, result.revision, c.Self.Cores)
 	c.leadership.authorityEnd.Store(int64(sent + leaseDuration - orderMargin))
 	c.RestartFeeds()
 	event.LeadGained.Log(c.Log, "term", lease.Term, "revision", result.revision)
 	c.lead(ctx)
 }
 
-func newLeadership(ctx context.Context, cancel context.CancelFunc, lease Lease, revision uint64) *leadership {
+func newLeadership(ctx context.Context, cancel context.CancelFunc, lease Lease, revision uint64, cores float64) *leadership {
 	return &leadership{
 		lease: lease, revision: revision, writeStarted: time.Now(), started: time.Now(),
 		announced: map[string]announcement{},
 		epochs:    &ownership.Epochs{Term: lease.Term}, managers: map[string]*ownership.Manager{}, placed: map[string]*placedService{}, pending: map[string]*ownership.Record{},
-		grantLimit: semaphore.NewWeighted(maxConcurrentGrants), suspectLimit: semaphore.NewWeighted(maxConcurrentSuspects),
+		grantLimit: semaphore.NewWeighted(concurrentGrants(cores)), suspectLimit: semaphore.NewWeighted(maxConcurrentSuspects),
 		ctx: ctx, cancel: cancel,
 	}
 }
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -152,7 +152,7 @@
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		l := newLeadership(ctx, cancel, Lease{Term: 1}, 1)
+		l := newLeadership(ctx, cancel, Lease{Term: 1}, 1, 0.8)
 		l.authorityEnd.Store(int64(boottime() + time.Hour))
 		c.leadership = l
 		manager := &ownership.Manager{}
@@ -181,7 +181,7 @@
 		"alike":  {Name: "alike", Cores: 0.16, Datagram: "127.0.0.1:9"},
 	})
 	c := New(Options{Log: p.Log, Peers: p, Self: peers.Instance{Name: "small", Cores: 0.16}})
-	c.leadership = newLeadership(context.Background(), func() {}, Lease{Term: 1}, 1)
+	c.leadership = newLeadership(context.Background(), func() {}, Lease{Term: 1}, 1, 0.8)
 	c.leadership.recorded = map[string]*ownership.Assignment{}
 	c.leadership.started = now
 	c.members["alike"], c.members["strong"] = member{received: now}, member{received: now}
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -19,7 +19,7 @@
 // which its connection is reset, so it times out early.
 const orderTimeout = 450 * time.Millisecond
 
-// maxConcurrentGrants bounds the grants in flight, and maxConcurrentSuspects those to targets
+// maxConcurrentGrants bounds the grants in flight of an instance with up to coresOfGrants, and maxConcurrentSuspects those to targets
 // that leave orders unanswered, which would otherwise use up the capacity for the others. A
 // new coordinator grants all keys again: if a small instance sent hundreds of calls at the
 // same moment, they would wait for its processor until all of them timed out, and healthy
@@ -27,8 +27,15 @@
 const (
 	maxConcurrentGrants   = 48
 	maxConcurrentSuspects = 24
+	coresOfGrants         = 0.8
 )
 
+// concurrentGrants returns the number of grants that an instance sends at a time. A successor
+// must grant thousands of pieces again, half of them in another region, before their holds end.
+func concurrentGrants(cores float64) int64 {
+	return max(maxConcurrentGrants, int64(maxConcurrentGrants*cores/coresOfGrants))
+}
+
 // releaseTimeout is how long after the end of the hold a release may take.
 const releaseTimeout = 100 * time.Millisecond
 
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -147,9 +147,18 @@
 	case s.noReaderSince.IsZero():
 		s.noReaderSince = now
 	}
-	return now.Sub(s.noReaderSince) < takeoverDelay(s.rank())
+	delay := takeoverDelay(s.rank())
+	if s.zoneSize() >= peers.MaxListed {
+		delay += reconfirmDelay
+	}
+	return now.Sub(s.noReaderSince) < delay
 }
 
+// reconfirmDelay is how much longer the hubs of a large zone wait, for readers that confirm
+// their mirrors by a call to the store when the coordinator confirms them no more. Otherwise
+// most hubs of the fleet would become readers at the same moment.
+const reconfirmDelay = 400 * time.Millisecond
+
 // takeoverDelay returns how long an instance of the given rank waits before it becomes a
 // feed reader.
 func takeoverDelay(rank int) time.Duration {
@@ -389,7 +398,13 @@
 func (s *replicator) compareDigest(r *peers.ReaderHeartbeat) {
 	equal := r.TargetsDigest == 0 || r.TargetsDigest == s.state.roster.Load().Digest
 	for _, m := range s.polledMirrors {
-		equal = equal || m.Table == platform.TargetTable && m.Revision() < r.MirrorRevisions[m.Table]
+		if m.Table != platform.TargetTable {
+			continue
+		}
+		if equal && r.TargetsDigest != 0 && m.Revision() == r.MirrorRevisions[m.Table] {
+			m.ConfirmPeerData()
+		}
+		equal = equal || m.Revision() < r.MirrorRevisions[m.Table]
 	}
 	if equal || !s.passive.Load() {
 		s.digestMismatches = 0
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http/httptest"
@@ -292,3 +293,22 @@
 	i.state.recordRevisions("c", map[string]uint64{platform.TargetTable: 13})
 	assert.Assert(t, c.isBehind(targets))
 }
+
+// Guards against most hubs of a fleet that become feed readers at the moment at which the
+// coordinator loses the store: the readers before them need a moment to confirm their mirrors.
+func TestHubsWaitForReadersToConfirm(t *testing.T) {
+	i := testInstance()
+	zone := map[string]peers.Instance{i.settings.Instance: i.peers.Self}
+	for n := range peers.MaxListed {
+		name := fmt.Sprintf("i%d", n)
+		zone[name] = peers.Instance{Name: name, Zone: i.settings.Zone, Datagram: "127.0.0.1:9"}
+	}
+	i.peers.SetInstances(zone)
+	s := i.replicator
+	s.passive.Store(true)
+	now := time.Now()
+	assert.Assert(t, s.shouldBePassive(now))
+	delay := takeoverDelay(s.rank())
+	assert.Assert(t, s.shouldBePassive(now.Add(delay)))
+	assert.Assert(t, !s.shouldBePassive(now.Add(delay+reconfirmDelay)))
+}
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -36,7 +36,6 @@
 	}
 	if (r.settings.Bootstrap || r.awaitInstances(ctx)) && r.peers.SelfIsThin() {
 		r.registered.Store(true)
-		r.instances.Refresh()
 		<-ctx.Done()
 		return ctx.Err()
 	}
@@ -105,7 +104,8 @@
 
 // receiveHello adds an instance to the list. A hello that came from the instance itself and
 // changed the list is relayed: to the hubs if it is another zone's, and to the thin instances,
-// by the zone's feed readers, if it is a hub's.
+// by the zone's feed readers, if it is a hub's. A thin instance gets the hubs' from these: it may
+// have read the rows before all of them were written.
 func (i *Instance) receiveHello(m *peers.Message) {
 	if !i.peers.Add(*m.Hello) {
 		return
@@ -118,8 +118,11 @@
 	case m.From != m.Hello.Name:
 	case !own && i.replicator.zoneSize() > maxSingleReaderZone:
 		i.replicator.sendToHubs(&peers.Message{Hello: m.Hello})
-	case own && !i.replicator.passive.Load() && i.replicator.isHub(m.Hello.Name):
+	case !own || i.replicator.passive.Load():
+	case i.replicator.isHub(m.Hello.Name):
 		i.replicator.sendToThin(&peers.Message{Hello: m.Hello})
+	default:
+		i.replicator.introduceHubs(m.Hello.Name)
 	}
 }
 
--- a/gateway/instance/thin.go
+++ b/gateway/instance/thin.go
@@ -39,6 +39,9 @@
 // readInstanceRows reads the rows of instances: the hubs of the own zone if this instance is
 // thin, and all otherwise.
 func (i *Instance) readInstanceRows(ctx context.Context) (platform.Response, error) {
+	if i.registered.Load() && !i.replicator.thin.Load() {
+		return i.instances.ReadPages(ctx)
+	}
 	zone, err := i.readZoneRows(ctx)
 	if err != nil {
 		return platform.Response{}, err
@@ -75,7 +78,11 @@
 		event.StoreCallFailed.Log(r.log, "call", "read zone", "error", err)
 		return
 	}
-	r.peers.SetInstances(r.state.readInstances(mirror.Update{Rows: rows.Rows}))
+	first := r.state.readInstances(mirror.Update{Rows: rows.Rows})
+	r.peers.SetInstances(first)
+	if r.isThinAmong(first) {
+		r.instances.ApplySnapshot(mirror.Snapshot{Table: coordinator.InstanceTable, Revision: rows.Revision, Rows: rows.Rows})
+	}
 }
 
 // lateRowsDelay is the time after this instance's row by which all of a fleet that starts for the
@@ -86,6 +93,9 @@
 // more rows than those of a small zone are there.
 func (r *registrar) readLateRows(ctx context.Context) {
 	sleep(ctx, lateRowsDelay)
+	if r.replicator.thin.Load() {
+		return
+	}
 	for zone := range r.settings.Regions {
 		if len(r.peers.Zone(zone)) >= peers.HubsPerZone {
 			r.instances.Refresh()
@@ -196,6 +206,13 @@
 	s.peers.SendAll(thin, m)
 }
 
+// introduceHubs sends the hellos of the zone's hubs to a thin instance.
+func (s *replicator) introduceHubs(thin string) {
+	for _, h := range s.peers.Hubs(s.settings.Zone) {
+		s.peers.Send(thin, &peers.Message{Hello: &h})
+	}
+}
+
 // recordThin records a thin instance's report.
 func (s *replicator) recordThin(name string) {
 	s.mu.Lock()
--- a/gateway/mirror/changes.go
+++ b/gateway/mirror/changes.go
@@ -51,7 +51,8 @@
 }
 
 // applyChanges applies what another instance's mirror changed after a revision that this
-// mirror has, and reports whether it did.
+// mirror has, and reports whether it did. A polling mirror applies it too: it is behind since
+// the store does not answer it.
 func (m *Mirror) applyChanges(s Snapshot) bool {
 	if s.Revision <= m.Revision() {
 		return false
@@ -63,5 +64,5 @@
 	for _, r := range s.Rows {
 		u.NewestChange = max(u.NewestChange, r.Revision)
 	}
-	return m.ApplyForwarded(u)
+	return m.applyComplete(u)
 }
--- a/gateway/mirror/changes_test.go
+++ b/gateway/mirror/changes_test.go
@@ -67,3 +67,16 @@
 	s, _ = m.Snapshot(9)
 	assert.Equal(t, s.ChangedAfter, uint64(0))
 }
+
+// Guards against a feed reader that the store does not answer: it fetched the same changes from the
+// coordinator again and again, and its zone did not get a configuration until the outage ended.
+func TestPollingMirrorAppliesFetchedChanges(t *testing.T) {
+	rows := map[string]string{}
+	m := passiveMirror(rows)
+	m.SetPassive(false)
+	m.ApplySnapshot(full(3))
+	row := platform.Row{Key: "config", Value: []byte("next"), Revision: 5}
+	assert.Assert(t, m.ApplySnapshot(mirror.Snapshot{Table: "t", Revision: 6, ChangedAfter: 3, Rows: []platform.Row{row}}))
+	assert.Equal(t, rows["config"], "next")
+	assert.Equal(t, m.Revision(), uint64(6))
+}
--- a/gateway/mirror/forward.go
+++ b/gateway/mirror/forward.go
@@ -32,6 +32,14 @@
 	return major, minor
 }
 
+// ConfirmPeerData records that the mirror equals one that polls the feed, so that it need not
+// be read whole before it polls too.
+func (m *Mirror) ConfirmPeerData() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hasPeerData = false
+}
+
 // ForwardedUpdate holds the changes of a table after revision From up to To, without
 // minor ones. NewestChange is the revision of the newest change, minor or not.
 type ForwardedUpdate struct {
@@ -58,13 +66,19 @@
 // left out a change that was not new to it but is new here, and this change would
 // be missing for good.
 func (m *Mirror) ApplyForwarded(u ForwardedUpdate) bool {
+	m.mu.Lock()
+	polling := m.loaded && !m.passive && m.failingSince.IsZero()
+	m.mu.Unlock()
+	return polling || m.applyComplete(u)
+}
+
+// applyComplete applies an update that leaves out no change after its beginning, and reports
+// whether the mirror is not behind that.
+func (m *Mirror) applyComplete(u ForwardedUpdate) bool {
 	m.mu.Lock()
 	revision, loaded := m.revision, m.loaded
-	polling := !m.passive && m.failingSince.IsZero()
 	m.mu.Unlock()
 	switch {
-	case polling && loaded:
-		return true
 	case !loaded || revision < u.From:
 		return false
 	case revision >= u.To:
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -104,9 +104,10 @@
 	// failingSince is when store calls began to fail; zero after a successful one.
 	failingSince time.Time
 	lastResponse time.Time
-	// checkingFreshness is set while feed calls are kept short by CheckFreshness.
-	checkingFreshness bool
-	refreshRequests   chan struct{}
+	// checkingFreshness is set while feed calls are kept short by CheckFreshness, and
+	// probeFreshness until the first of them, which does not wait.
+	checkingFreshness, probeFreshness bool
+	refreshRequests                   chan struct{}
 	// firstLoad is closed when the first copy has been applied.
 	firstLoad chan struct{}
 	// passive is set while other instances forward the feed's changes, and suspended while
@@ -279,10 +280,13 @@
 // It returns the pause before the next step.
 func (m *Mirror) pollFeed(ctx context.Context, wait time.Duration) (delay time.Duration, err error) {
 	m.mu.Lock()
-	after, passive, failing, checking := m.revision, m.passive, !m.failingSince.IsZero(), m.checkingFreshness
+	after, passive, failing, checking, probe := m.revision, m.passive, !m.failingSince.IsZero(), m.checkingFreshness, m.probeFreshness
+	m.probeFreshness = false
 	m.mu.Unlock()
 	grace := feedGrace
 	switch {
+	case probe:
+		wait, grace = 0, probeGrace
 	case failing:
 		wait, grace = min(wait, probeWait), probeGrace
 	case checking:
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -368,3 +368,54 @@
 		assert.Assert(t, store.calls.Load() <= 16, "%d calls in five seconds, want at most 16", store.calls.Load())
 	})
 }
+
+// Guards against readers that stay without a confirmation while the store is healthy, so that
+// the other instances of their zone begin to poll too.
+func TestFreshnessIsCheckedAtOnce(t *testing.T) {
+	store := &standin.Store{}
+	waits := make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/rows-feed" {
+			waits <- r.URL.Query().Get("wait_ms")
+		}
+		store.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	m := &mirror.Mirror{
+		Table: "mine", Log: slog.New(slog.DiscardHandler), OnUpdate: func(mirror.Update) {},
+		Store: &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: server.Client()},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var group sync.WaitGroup
+	group.Go(func() { _ = m.Serve(ctx) })
+	assert.Equal(t, <-waits, "25000")
+	m.CheckFreshness(true)
+	assert.Equal(t, <-waits, "0")
+	assert.Equal(t, <-waits, "600")
+	cancel()
+	group.Wait()
+}
+
+// Guards against whole tables that all hubs read when they become feed readers, although their
+// copies equal those of the readers before them.
+func TestConfirmedMirrorPollsWithoutReadingTable(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	c.SetPassive(true)
+	assert.Assert(t, c.ApplyForwarded(mirror.ForwardedUpdate{From: c.Revision(), To: c.Revision()}))
+	revision := fake.Put("mine", "b", []byte("2"))
+	forwarded := mirror.ForwardedUpdate{From: c.Revision(), To: revision, Rows: []platform.Row{fake.Row("mine", "b")}}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if c.ApplyForwarded(forwarded) && c.value("b") == "2" {
+			return poll.Success()
+		}
+		return poll.Continue("not applied")
+	})
+	c.ConfirmPeerData()
+	reads := fake.RangeCount("mine")
+	c.SetPassive(false)
+	fake.Put("mine", "c", []byte("3"))
+	await(t, c, "c", "3")
+	assert.Equal(t, fake.RangeCount("mine"), reads)
+}
--- a/gateway/mirror/snapshot.go
+++ b/gateway/mirror/snapshot.go
@@ -21,11 +21,12 @@
 }
 
 // CheckFreshness shortens the feed's wait while on, so that frequent responses show
-// that the mirror is up to date.
+// that the mirror is up to date. The first one comes at once.
 func (m *Mirror) CheckFreshness(on bool) {
 	m.mu.Lock()
 	enabled := on && !m.checkingFreshness
 	m.checkingFreshness = on
+	m.probeFreshness = m.probeFreshness && on || enabled
 	m.mu.Unlock()
 	if enabled {
 		m.Refresh()
