Let two hubs of a zone read the store at a start, not all of them

Change: hubs that are not to read wait 3 s longer for the readers' copies, and 0.4 s for each rank when they take over; a page is read again before the whole table is; the late read of rows is repeated until the store answers.

--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -17,6 +17,10 @@
 	// read the store, none of them gets the tables in time.
 	joinTimeout     = 500 * time.Millisecond
 	joinTimeoutStep = 50 * time.Millisecond
+	// hubJoinTimeout and hubJoinRetryDelay replace joinTimeout and joinRetryDelay for the hubs
+	// of a large zone that are not to be its readers: these read thousands of targets first.
+	hubJoinTimeout    = 3 * time.Second
+	hubJoinRetryDelay = 200 * time.Millisecond
 	// maxListDelay bounds the wait for the list of instances while the store is sending it.
 	maxListDelay = 3 * time.Second
 	// joinRetryDelay is the pause between two attempts: the zone's other instances
@@ -49,7 +53,11 @@
 		s.joinThin(ctx)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout+time.Duration(s.rank())*joinTimeoutStep)
+	timeout, pause := joinTimeout+time.Duration(s.rank())*joinTimeoutStep, joinRetryDelay
+	if s.zoneSize() >= peers.MaxListed {
+		timeout, pause = hubJoinTimeout+time.Duration(s.rank())*hubTakeoverStep, hubJoinRetryDelay
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) {
 		if s.copyFromReaders(ctx) {
@@ -58,7 +66,7 @@
 			s.noReaderSince = time.Now().Add(readerTimeout)
 			return
 		}
-		sleep(ctx, joinRetryDelay)
+		sleep(ctx, pause)
 	}
 	s.setPassive(false)
 	s.assignments.Refresh()
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -147,17 +147,26 @@
 	case s.noReaderSince.IsZero():
 		s.noReaderSince = now
 	}
-	delay := takeoverDelay(s.rank())
-	if s.zoneSize() >= peers.MaxListed {
-		delay += reconfirmDelay
-	}
-	return now.Sub(s.noReaderSince) < delay
+	return now.Sub(s.noReaderSince) < s.takeoverDelay()
 }
 
-// reconfirmDelay is how much longer the hubs of a large zone wait, for readers that confirm
-// their mirrors by a call to the store when the coordinator confirms them no more. Otherwise
-// most hubs of the fleet would become readers at the same moment.
-const reconfirmDelay = 400 * time.Millisecond
+const (
+	// reconfirmDelay is how much longer the hubs of a large zone wait, for readers that confirm
+	// their mirrors by a call to the store when the coordinator confirms them no more, and
+	// hubTakeoverStep the wait per rank: the first that takes over reads thousands of targets
+	// before it sends heartbeats. Otherwise most hubs of the fleet would become readers at the
+	// same moment, and fill the link between regions.
+	reconfirmDelay  = 400 * time.Millisecond
+	hubTakeoverStep = 400 * time.Millisecond
+)
+
+// takeoverDelay returns how long this instance waits before it becomes a feed reader.
+func (s *replicator) takeoverDelay() time.Duration {
+	if s.zoneSize() < peers.MaxListed {
+		return takeoverDelay(s.rank())
+	}
+	return reconfirmDelay + time.Duration(s.rank())*hubTakeoverStep
+}
 
 // takeoverDelay returns how long an instance of the given rank waits before it becomes a
 // feed reader.
--- a/gateway/instance/thin.go
+++ b/gateway/instance/thin.go
@@ -96,11 +96,13 @@
 	if r.replicator.thin.Load() {
 		return
 	}
+	mayBeLarge := false
 	for zone := range r.settings.Regions {
-		if len(r.peers.Zone(zone)) >= peers.HubsPerZone {
-			r.instances.Refresh()
-			return
-		}
+		mayBeLarge = mayBeLarge || len(r.peers.Zone(zone)) >= peers.HubsPerZone
+	}
+	for requested := time.Now(); mayBeLarge && ctx.Err() == nil && r.instances.LastResponse().Before(requested); {
+		r.instances.Refresh()
+		sleep(ctx, lateRowsDelay)
 	}
 }
 
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -403,10 +403,20 @@
 	}
 }
 
-func (m *Mirror) readPage(ctx context.Context, after string) (platform.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	return m.Store.Range(ctx, m.Table, "", after)
+// pageAttempts is how often a page is read before the read of the table fails: if many read a
+// large table over a slow link, none of them would ever come to its end.
+const pageAttempts = 3
+
+func (m *Mirror) readPage(ctx context.Context, after string) (got platform.Response, err error) {
+	for range pageAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
+		got, err = m.Store.Range(callCtx, m.Table, "", after)
+		cancel()
+		if err == nil || after == "" || ctx.Err() != nil {
+			break
+		}
+	}
+	return got, err
 }
 
 // apply applies an update and reports it to OnUpdate. A full update that is older
