--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -18,7 +18,8 @@
 	joinTimeout     = 500 * time.Millisecond
 	joinTimeoutStep = 50 * time.Millisecond
 	// hubJoinTimeout and hubJoinRetryDelay replace joinTimeout and joinRetryDelay for the hubs
-	// of a large zone that are not to be its readers: these read thousands of targets first.
+	// of a large zone that are not to be its readers: these read thousands of targets first. At
+	// the first start of a fleet any zone may be a large one.
 	hubJoinTimeout    = 3 * time.Second
 	hubJoinRetryDelay = 200 * time.Millisecond
 	// maxListDelay bounds the wait for the list of instances while the store is sending it.
@@ -54,7 +55,7 @@
 		return
 	}
 	timeout, pause := joinTimeout+time.Duration(s.rank())*joinTimeoutStep, joinRetryDelay
-	if s.zoneSize() >= peers.MaxListed {
+	if s.settings.Bootstrap || s.zoneSize() >= peers.MaxListed {
 		timeout, pause = hubJoinTimeout+time.Duration(s.rank())*hubTakeoverStep, hubJoinRetryDelay
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
