--- a/standin/fleetstart/fleetstart.go
+++ b/standin/fleetstart/fleetstart.go
@@ -103,7 +103,6 @@
 	hub     bool
 	link    queue
 	cpu     queue
-	rows    int
 	listed  time.Duration
 	targets time.Duration
 	config  time.Duration
@@ -207,10 +206,10 @@
 
 // readTargets reads the next page of the targets that have registered, and forwards it.
 func (r *run) readTargets(reader *node, known int) {
-	registered := int(min(1, float64(r.Now)/float64(registerTime)) * float64(r.Fleet.Targets))
+	registered := int(min(1, float64(r.Now)/float64(registerTime)) * float64(r.Targets))
 	rows := min(registered-known, rowsPerPage)
 	if rows <= 0 {
-		if known < r.Fleet.Targets {
+		if known < r.Targets {
 			r.After(batchDelay, func() { r.readTargets(reader, known) })
 		}
 		return
