--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -203,7 +203,7 @@
 // that lists one with more cores waits long enough for that one to take over and send a
 // heartbeat.
 func firstReadDelay(self peers.Instance, all []peers.Instance) time.Duration {
-	longest := firstReadDelayLimit(self.Cores)
+	longest := FirstReadDelayLimit(self.Cores)
 	for _, i := range all {
 		if i.Cores > self.Cores {
 			return longest/2 + rand.N(longest/2)
@@ -212,7 +212,9 @@
 	return rand.N(longest)
 }
 
-func firstReadDelayLimit(cores float64) time.Duration {
+// FirstReadDelayLimit is the longest delay before an instance's first calls that all make when a
+// fleet starts. It is inversely proportional to the cores.
+func FirstReadDelayLimit(cores float64) time.Duration {
 	if cores <= 0 {
 		return 2 * baseFirstReadDelay
 	}
--- a/gateway/instance/forward.go
+++ b/gateway/instance/forward.go
@@ -24,7 +24,7 @@
 		parts = []*peers.TableUpdate{{Table: table, From: u.From, To: u.To, NewestChange: u.NewestChange, Fetch: true}}
 	}
 	send := s.sendToZone
-	if table != s.polledMirrors[0].Table {
+	if table != s.operatorMirror().Table {
 		send = s.sendToHubs
 	}
 	for _, part := range parts {
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -45,7 +45,7 @@
 // of rank.
 type replicator struct {
 	*Instance
-	// polledMirrors are the mirrors whose feeds the readers poll.
+	// polledMirrors are the mirrors whose feeds the readers poll, the operator's table first.
 	polledMirrors []*mirror.Mirror
 
 	mu sync.Mutex
@@ -296,7 +296,7 @@
 	r.MirrorRevisions[s.assignments.Table] = s.assignments.NewestChange()
 	hubs, thin := s.zoneNames()
 	s.peers.SendAll(hubs, &peers.Message{ReaderHeartbeat: r})
-	operator := s.polledMirrors[0]
+	operator := s.operatorMirror()
 	s.peers.SendAll(thin, &peers.Message{ReaderHeartbeat: &peers.ReaderHeartbeat{
 		MirrorRevisions: map[string]uint64{operator.Table: operator.Revision()},
 		TargetsDigest:   r.TargetsDigest, Thin: true, Members: s.countMembers(),
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -28,8 +28,8 @@
 // instances have none: they send their hubs a hello.
 type registrar struct{ *Instance }
 
-// Serve writes the row, retrying until it is stored, and then waits until the
-// context ends.
+// Serve writes the row, unless this instance is thin, and then waits until the context
+// ends.
 func (r *registrar) Serve(ctx context.Context) error {
 	if r.settings.Bootstrap {
 		r.awaitStrongerInstances(ctx)
@@ -39,6 +39,25 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	if err := r.writeRow(ctx); err != nil {
+		return err
+	}
+	r.registered.Store(true)
+	// Instances that registered earlier are read from the store; later ones do the
+	// same and announce themselves. A list that has the row of an earlier
+	// incarnation of this instance is complete.
+	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
+		r.instances.Refresh()
+	}
+	if r.settings.Bootstrap {
+		r.readLateRows(ctx)
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// writeRow writes the row, retrying until it is stored or the context ends.
+func (r *registrar) writeRow(ctx context.Context) error {
 	row, err := json.Marshal(r.peers.Self)
 	if err != nil {
 		return err
@@ -51,22 +70,11 @@
 		_, err := r.store.Transact(callCtx, tx)
 		cancel()
 		if err == nil {
-			break
+			return nil
 		}
 		event.StoreCallFailed.Log(r.log, "call", "introduce", "error", err)
 		sleep(ctx, registerRetryDelay/2+rand.N(registerRetryDelay))
 	}
-	r.registered.Store(true)
-	// Instances that registered earlier are read from the store; later ones do the
-	// same and announce themselves. A list that has the row of an earlier
-	// incarnation of this instance is complete.
-	if r.settings.Bootstrap || !r.awaitInstances(ctx) || r.peers.Find(r.peers.Self.Name).Name == "" {
-		r.instances.Refresh()
-	}
-	if r.settings.Bootstrap {
-		r.readLateRows(ctx)
-	}
-	<-ctx.Done()
 	return ctx.Err()
 }
 
--- a/gateway/instance/thin.go
+++ b/gateway/instance/thin.go
@@ -30,10 +30,6 @@
 	promotionSpread = 10 * time.Second
 	// thinTTL is how long a thin instance counts as a member after its last report.
 	thinTTL = 2 * time.Second
-	// strongerDelay is the longest delay, of an instance with one whole processor, before the
-	// first rows of a fleet are read and written; others wait in proportion.
-	strongerDelay    = 150 * time.Millisecond
-	maxStrongerDelay = 1200 * time.Millisecond
 )
 
 // readInstanceRows reads the rows of instances: the hubs of the own zone if this instance is
@@ -68,11 +64,7 @@
 // awaitStrongerInstances lets the instances with more cores write their rows first, and then
 // reads which are there.
 func (r *registrar) awaitStrongerInstances(ctx context.Context) {
-	longest := maxStrongerDelay
-	if r.settings.Cores > 0 {
-		longest = min(longest, time.Duration(float64(strongerDelay)/r.settings.Cores))
-	}
-	sleep(ctx, rand.N(longest))
+	sleep(ctx, rand.N(coordinator.FirstReadDelayLimit(r.settings.Cores)))
 	rows, err := r.readZoneRows(ctx)
 	if err != nil {
 		event.StoreCallFailed.Log(r.log, "call", "read zone", "error", err)
@@ -117,7 +109,10 @@
 	}
 }
 
-// hubMirrors are the mirrors that thin instances do not need.
+// operatorMirror is the mirror of the operator's table, which thin instances need too.
+func (s *replicator) operatorMirror() *mirror.Mirror { return s.polledMirrors[0] }
+
+// hubMirrors are the mirrors that only hubs need.
 func (s *replicator) hubMirrors() []*mirror.Mirror {
 	return append(slices.Clone(s.polledMirrors[1:]), s.assignments)
 }
@@ -166,7 +161,7 @@
 		sleep(ctx, 2*joinRetryDelay)
 	}
 	if !s.hasCopies() {
-		s.polledMirrors[0].Refresh()
+		s.operatorMirror().Refresh()
 	}
 }
 
