--- a/gateway/instance/join.go
+++ b/gateway/instance/join.go
@@ -54,10 +54,7 @@
 		s.joinThin(ctx)
 		return
 	}
-	timeout, pause := joinTimeout+time.Duration(s.rank())*joinTimeoutStep, joinRetryDelay
-	if s.settings.Bootstrap || s.zoneSize() >= peers.MaxListed {
-		timeout, pause = hubJoinTimeout+time.Duration(s.rank())*hubTakeoverStep, hubJoinRetryDelay
-	}
+	timeout, pause := s.joinLimits()
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for listed && ctx.Err() == nil && s.rank() >= readerCount(s.zoneSize()) {
@@ -73,6 +70,16 @@
 	s.assignments.Refresh()
 }
 
+// joinLimits returns how long this instance tries to copy the tables, and the pause between two
+// attempts.
+func (s *replicator) joinLimits() (timeout, pause time.Duration) {
+	rank := time.Duration(s.rank())
+	if s.settings.Bootstrap || s.zoneSize() >= peers.MaxListed {
+		return hubJoinTimeout + rank*hubTakeoverStep, hubJoinRetryDelay
+	}
+	return joinTimeout + rank*joinTimeoutStep, joinRetryDelay
+}
+
 func (i *Instance) awaitInstances(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, i.listTimeout())
 	defer cancel()
--- a/gateway/instance/replicator_test.go
+++ b/gateway/instance/replicator_test.go
@@ -295,20 +295,28 @@
 }
 
 // Guards against most hubs of a fleet that become feed readers at the moment at which the
-// coordinator loses the store: the readers before them need a moment to confirm their mirrors.
-func TestHubsWaitForReadersToConfirm(t *testing.T) {
+// coordinator loses the store, or at a start: the readers before them need a moment to confirm
+// their mirrors, or to read thousands of targets.
+func TestHubsWaitForReaders(t *testing.T) {
 	i := testInstance()
 	zone := map[string]peers.Instance{i.settings.Instance: i.peers.Self}
 	for n := range peers.MaxListed {
 		name := fmt.Sprintf("i%d", n)
 		zone[name] = peers.Instance{Name: name, Zone: i.settings.Zone, Datagram: "127.0.0.1:9"}
 	}
-	i.peers.SetInstances(zone)
 	s := i.replicator
+	small, _ := s.joinLimits()
+	i.peers.SetInstances(zone)
 	s.passive.Store(true)
 	now := time.Now()
 	assert.Assert(t, s.shouldBePassive(now))
 	assert.Assert(t, s.shouldBePassive(now.Add(takeoverDelay(s.rank()))))
 	assert.Assert(t, s.shouldBePassive(now.Add(s.takeoverDelay()-1)))
 	assert.Assert(t, !s.shouldBePassive(now.Add(s.takeoverDelay())))
+	large, _ := s.joinLimits()
+	assert.Assert(t, small <= joinTimeout && large >= hubJoinTimeout)
+	first := testInstance()
+	first.settings.Bootstrap = true
+	atFirstStart, _ := first.replicator.joinLimits()
+	assert.Assert(t, atFirstStart >= hubJoinTimeout, "any zone may be a large one")
 }
