Let readers that fetch changes not read the whole table after each

Read in the code: a polling mirror that applied changes which it had fetched from another instance read the whole table before its next poll, which took so long behind the full link that it fetched changes again. Passive hubs whose digest differs read the table every 1.8 s.

Change: fetched changes are complete, so the table is read again for them every 15 s at most, and for a differing digest every 10 s.

TestFetchedChangesCostNoReadOfTable fails without it.

--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -75,6 +75,7 @@
 	// digestMismatches counts the consecutive reader heartbeats whose targets differ
 	// from this instance's.
 	digestMismatches int
+	lastReload       time.Time
 
 	recent       recentUpdates
 	copyRequests chan copyRequest
@@ -400,6 +401,10 @@
 // targets after which the targets are reloaded: updates may still be in transit.
 const maxDigestMismatches = 6
 
+// reloadInterval is the least time between two reloads: if a reader's targets are wrong, all
+// hubs of its zone differ from it, and read the whole table.
+const reloadInterval = 10 * time.Second
+
 // compareDigest reloads the targets if they keep differing from those of the zone's
 // readers. A reader forwards what is a change to itself, and its feed reports only
 // the last of several changes to a row. A target that left and returned between two
@@ -423,6 +428,10 @@
 		return
 	}
 	s.digestMismatches = 0
+	if time.Since(s.lastReload) < reloadInterval {
+		return
+	}
+	s.lastReload = time.Now()
 	for _, m := range s.polledMirrors {
 		if m.Table == platform.TargetTable {
 			m.Reload()
--- a/gateway/mirror/changes.go
+++ b/gateway/mirror/changes.go
@@ -64,5 +64,5 @@
 	for _, r := range s.Rows {
 		u.NewestChange = max(u.NewestChange, r.Revision)
 	}
-	return m.applyComplete(u)
+	return m.applyUpdate(u, true)
 }
--- a/gateway/mirror/forward.go
+++ b/gateway/mirror/forward.go
@@ -69,14 +69,14 @@
 	m.mu.Lock()
 	polling := m.loaded && !m.passive && m.failingSince.IsZero()
 	m.mu.Unlock()
-	return polling || m.applyComplete(u)
+	return polling || m.applyUpdate(u, false)
 }
 
-// applyComplete applies an update that leaves out no change after its beginning, and reports
-// whether the mirror is not behind that.
-func (m *Mirror) applyComplete(u ForwardedUpdate) bool {
+// applyUpdate applies an update, and reports whether the mirror is not behind its beginning.
+// Fetched is set if it was fetched, so that it leaves out no change after its beginning.
+func (m *Mirror) applyUpdate(u ForwardedUpdate, fetched bool) bool {
 	m.mu.Lock()
-	revision, loaded := m.revision, m.loaded
+	revision, loaded, polling := m.revision, m.loaded, !m.passive
 	m.mu.Unlock()
 	switch {
 	case !loaded || revision < u.From:
@@ -88,6 +88,10 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.newestChange = max(m.newestChange, u.NewestChange)
-	m.hasPeerData = true
+	if fetched && polling {
+		m.hasPeerChanges = true
+	} else {
+		m.hasPeerData = true
+	}
 	return true
 }
--- a/gateway/mirror/mirror.go
+++ b/gateway/mirror/mirror.go
@@ -114,9 +114,12 @@
 	// the table is not needed.
 	passive, suspended bool
 	// hasPeerData is set if data of other instances was applied since the last full
-	// read; reloadRequested, if a full read is due.
-	hasPeerData, reloadRequested bool
-	once                         sync.Once
+	// read; hasPeerChanges, if these were complete changes to a polling mirror;
+	// reloadRequested, if a full read is due.
+	hasPeerData, hasPeerChanges, reloadRequested bool
+	// lastFullRead is when the whole table was last read from the store.
+	lastFullRead time.Time
+	once         sync.Once
 	// burst counts the responses with changes that came without a break. Only Serve
 	// accesses it.
 	burst int
@@ -187,11 +190,17 @@
 func (m *Mirror) consumeReload() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reload := m.reloadRequested || m.hasPeerData && !m.passive && !m.OnDemand
+	reload := m.reloadRequested || m.hasPeerData && !m.passive && !m.OnDemand ||
+		m.hasPeerChanges && time.Since(m.lastFullRead) > rereadInterval
 	m.reloadRequested = false
 	return reload
 }
 
+// rereadInterval is the least time between two reads of the whole table that only check what
+// other instances' changes led to. A mirror that fetches changes because the link to the store
+// is full must not fill it.
+const rereadInterval = 15 * time.Second
+
 func (m *Mirror) init() {
 	m.once.Do(func() { m.refreshRequests, m.firstLoad = make(chan struct{}, 1), make(chan struct{}) })
 }
@@ -381,6 +390,9 @@
 		}
 	}
 	m.apply(update)
+	m.mu.Lock()
+	m.hasPeerChanges, m.lastFullRead = false, time.Now()
+	m.mu.Unlock()
 	return nil
 }
 
--- a/gateway/mirror/mirror_test.go
+++ b/gateway/mirror/mirror_test.go
@@ -419,3 +419,24 @@
 	await(t, c, "c", "3")
 	assert.Equal(t, fake.RangeCount("mine"), reads)
 }
+
+// Guards against a reader that reads the whole table after each change that it fetched from
+// another instance: behind a full link it never caught up, and kept the link full.
+func TestFetchedChangesCostNoReadOfTable(t *testing.T) {
+	fake, c := start(t, false)
+	fake.Put("mine", "a", []byte("1"))
+	await(t, c, "a", "1")
+	reads := fake.RangeCount("mine")
+	for range 3 {
+		revision := c.Revision()
+		row := platform.Row{Table: "mine", Key: "b", Value: []byte("2"), Revision: revision + 1}
+		assert.Assert(t, c.ApplySnapshot(mirror.Snapshot{Table: "mine", ChangedAfter: revision, Revision: revision + 1, Rows: []platform.Row{row}}))
+		c.Refresh()
+	}
+	// More changes than the fetched ones, so that the feed has news.
+	for n := range 10 {
+		fake.Put("mine", "c", []byte(strconv.Itoa(n)))
+	}
+	await(t, c, "c", "9")
+	assert.Equal(t, fake.RangeCount("mine"), reads)
+}
