Let passive hubs of a large zone fetch tables within their zone only

Change: a passive instance of a large zone asks its zone's first hubs; only feed readers go further.

--- a/gateway/instance/catchup.go
+++ b/gateway/instance/catchup.go
@@ -140,10 +140,14 @@
 
 // fetch fetches a table from another instance. An up-to-date feed reader of the zone
 // is preferred, since that costs nothing. Without one the mirror also restarts its
-// call to the store.
+// call to the store, unless it relies on its zone.
 func (c *catchUp) fetch(ctx context.Context, m *mirror.Mirror) {
 	source := c.upToDateReader(m)
-	if source == "" {
+	switch {
+	case source != "":
+	case c.replicator.reliesOnZone():
+		source = c.zoneSource()
+	default:
 		// Needed also while the mirror fails: it abandons a call that the store
 		// accepted while unresponsive and never answers.
 		m.Refresh()
@@ -179,6 +183,15 @@
 	}
 }
 
+// zoneSource returns the control address of one of the zone's first hubs.
+func (c *catchUp) zoneSource() string {
+	sources := c.replicator.sources()
+	if len(sources) == 0 {
+		return ""
+	}
+	return sources[rand.N(len(sources))].Control
+}
+
 // choosePeer returns the control address of the instance to fetch tables from:
 // the one that reported revisions last, or else a random one of the nearest.
 // Seeds count as far away, since their zones are unknown. Traffic between zones
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -211,6 +211,13 @@
 	return name != nil && *name == s.settings.Instance
 }
 
+// reliesOnZone reports whether this instance gets tables from its zone's feed readers only, as
+// most of a large zone do: if all hubs of a region fetched thousands of targets from another
+// region at a start, none of them would get them in time.
+func (s *replicator) reliesOnZone() bool {
+	return s.passive.Load() && s.zoneSize() >= peers.MaxListed
+}
+
 func (s *replicator) zoneSize() int { return len(s.peers.Zone(s.settings.Zone)) }
 
 // outrankedBy reports whether another instance ranks before this one as a feed
