--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -26,6 +26,7 @@
 	roster *roster.Roster
 	// receiveHook, if set, receives messages in place of the broker.
 	receiveHook atomic.Pointer[func(*peers.Message)]
+	thin        atomic.Bool
 	stop        func()
 }
 
@@ -53,6 +54,7 @@
 		}
 		n.broker = broker.New(broker.Options{
 			Self: n.peers.Self, Placement: func() *placement.Policy { return &placement.Policy{} }, Peers: n.peers, Dispatcher: &dispatch.Dispatcher{Roster: targets}, Roster: targets, Log: log,
+			Thin: n.thin.Load,
 		})
 		assert.NilError(t, n.peers.Listen())
 		ctx, cancel := context.WithCancel(context.Background())
@@ -265,7 +267,7 @@
 func TestThinInstanceSchedulesNothing(t *testing.T) {
 	all := startInstances(t, "a", "b")
 	for _, n := range all {
-		n.broker.Thin = func() bool { return true }
+		n.thin.Store(true)
 	}
 	for _, n := range all {
 		start := time.Now()
