Name the metric of unknown types in the project's words, and plainer comments

Cause: the name of the metric contained a field's name of the users' pages, and two comments had verbs that say nothing about what the code does.

--- a/gateway/coordinator/boottime.go
+++ b/gateway/coordinator/boottime.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// boottime returns the boot-time clock, which goes on while the machine is suspended. The
+// boottime returns the boot-time clock, which continues while the machine is suspended. The
 // monotonic clock stops then: an instance that was suspended would treat its lease as still
 // valid, and grant keys that its successor has granted to others.
 func boottime() time.Duration {
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -258,7 +258,7 @@
 	})
 }
 
-// recordHeard tells the managers that the instance's zone was heard from.
+// recordHeard records in all managers that the instance's zone has sent a message.
 func (c *Coordinator) recordHeard(now time.Time, instance string) {
 	if c.leadership == nil {
 		return
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -19,7 +19,7 @@
 		}
 		return 0
 	})
-	gauge("basilcross_unknown_route_types", "Routes of the configuration in force whose type is not known.", func() float64 {
+	gauge("basilcross_routes_of_unknown_type", "Routes of the configuration in force whose type is not known.", func() float64 {
 		n := 0.0
 		if routes := i.state.routes.Load(); routes != nil {
 			for _, r := range routes.Config.Routes {
--- a/standin/fleetstart/fleetstart.go
+++ b/standin/fleetstart/fleetstart.go
@@ -1,6 +1,6 @@
 // Package fleetstart models how a fleet starts at once: links with a rate and a queue, a store
 // that writes the rows of one part one after the other, processors, and a configuration that is
-// written while all this goes on. It compares ways to spread what instances must know, at sizes
+// written during the start. It compares ways to spread what instances must know, at sizes
 // that cannot be played.
 package fleetstart
 
