Log and count which links an instance finds broken, and who keeps a target from requests

Three things could not be told apart from the lines of an instance that is cut off from all targets: whether its own links or the targets are down, whose reports made a scheduler avoid a target, and whether the coordinator is one of those cut off. Package links keeps the evidence (which targets accept connections, which do not) and concludes; events 409 to 411 and a gauge report it. Nothing decides by it yet.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -25,6 +25,8 @@
 	// IsBound and HasAlternative are used as in schedule.Scheduler.
 	IsBound        func(kind uint32) bool
 	HasAlternative func(r *schedule.Request) bool
+	// OnBackoff is used as in schedule.Scheduler. It must not call the Dispatcher.
+	OnBackoff func(schedule.Backoff)
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -48,6 +50,7 @@
 	d.mu.Lock()
 	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
 	d.scheduler.IsBound, d.scheduler.HasAlternative = d.IsBound, d.HasAlternative
+	d.scheduler.OnBackoff = d.OnBackoff
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -36,6 +36,8 @@
 	// AvoidCold excludes cold targets whose rate of requests is limited. It is set if
 	// another instance may be counting their requests at the same time.
 	AvoidCold bool
+	// Requester is the instance that sends the request.
+	Requester string
 }
 
 // Result is how a request ended at its target.
@@ -56,6 +58,10 @@
 	Unreachable
 )
 
+func (r Result) String() string {
+	return [...]string{"answered", "shed", "failed", "abandoned", "unreachable"}[r]
+}
+
 // BusyError is returned for a request that cannot be answered in time.
 type BusyError struct {
 	Service string
@@ -90,9 +96,21 @@
 	IsBound        func(kind uint32) bool
 	HasAlternative func(r *Request) bool
 
+	// OnBackoff, if set, is called when a target gets no requests for a while.
+	OnBackoff func(Backoff)
+
 	services map[string]*service
 }
 
+// Backoff is the decision to send a target no requests, and the result that led to it.
+type Backoff struct {
+	Target    *roster.Target
+	Duration  time.Duration
+	Failures  int
+	Result    Result
+	Requester string
+}
+
 // service is the scheduler's state of a service.
 type service struct {
 	name    string
@@ -170,6 +188,9 @@
 // tickets that got a slot.
 func (s *Scheduler) Release(now time.Time, t *Ticket, r Result) []*Ticket {
 	t.state.recordResult(now, t, r)
+	if left := t.state.backoffUntil.Sub(now); s.OnBackoff != nil && (r == Failed || r == Unreachable) && left > 0 {
+		s.OnBackoff(Backoff{Target: t.Target, Duration: left, Failures: t.state.failures, Result: r, Requester: t.Request.Requester})
+	}
 	return s.Admit(now, t)
 }
 
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -117,6 +117,9 @@
 // one would answer too late. The error is a *schedule.BusyError, a
 // *schedule.NoTargetError, a *placement.DeniedError or the context's.
 func (b *Broker) Acquire(ctx context.Context, req schedule.Request) (*Reservation, error) {
+	if req.Requester == "" {
+		req.Requester = b.Self.Name
+	}
 	if req.Target != "" {
 		t := b.Roster.Load().Find(req.Target)
 		if t == nil {
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -70,6 +70,7 @@
 	}
 	now := time.Now()
 	req := decodeReserveRequest(now, m.ReserveRequest)
+	req.Requester = m.From
 	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
 	r = &remoteRequest{cancel: cancel}
 	b.remoteRequests[key] = r
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
@@ -76,6 +77,7 @@
 		Store:         &platform.Store{Address: strings.TrimPrefix(store.URL, "http://"), HTTP: store.Client()},
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
 		ReleaseClient: &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{}}},
+		Links:         &links.Monitor{},
 		Peers:         &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
 		Placement: func() *placement.Policy { return &placement.Policy{} },
 		Revisions: func() map[string]uint64 { return nil }, OnLeading: func(int, bool) {}, RestartFeeds: func() {},
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
@@ -71,8 +72,10 @@
 	// for releases, which any target at the address may receive.
 	Channels      *channel.Set
 	ReleaseClient *platform.GrantClient
-	Peers         *peers.Peers
-	Roster        *roster.Roster
+	// Links tells this instance's own broken links from targets that are down.
+	Links  *links.Monitor
+	Peers  *peers.Peers
+	Roster *roster.Roster
 	// Table returns the routing table in force, or nil, and Placement the policy in force.
 	Table     func() *routing.Table
 	Placement func() *placement.Policy
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -17,6 +17,7 @@
 	"testing/synctest"
 	"time"
 
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
@@ -144,7 +145,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		calls := &callCounter{}
 		var group errgroup.Group
-		c := New(Options{Log: slog.New(slog.DiscardHandler), Roster: &roster.Roster{}, Table: func() *routing.Table { return nil }})
+		c := New(Options{Log: slog.New(slog.DiscardHandler), Links: &links.Monitor{}, Roster: &roster.Roster{}, Table: func() *routing.Table { return nil }})
 		c.Channels = &channel.Set{Dial: func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
 			group.Go(func() error { return calls.serve(server) })
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -70,6 +70,7 @@
 	sent, err := c.sendGrant(l, manager.Service, o)
 	outcome := orderOutcome(err)
 	now := time.Now()
+	c.recordLink(now, manager.Service, o.Owner.ID, err)
 	if outcome != ownership.Done {
 		event.GrantFailed.Log(c.Log, "service", manager.Service, "target", o.Owner.ID, "first", o.First, "last", o.Last,
 			"epoch", o.Epoch, "channel", o.Channel, "tookMs", now.Sub(sent).Milliseconds(), "error", err)
@@ -79,6 +80,20 @@
 	})
 }
 
+// recordLink records whether an order found its target. Only a failed connection shows that it
+// did not: a target may also leave orders unanswered.
+func (c *Coordinator) recordLink(now time.Time, service, target string, err error) {
+	var op *net.OpError
+	var stale *platform.StaleEpochError
+	var refused *platform.OrderError
+	switch {
+	case err == nil, errors.As(err, &stale), errors.As(err, &refused):
+		c.Links.Reached(now, service, target)
+	case errors.As(err, &op) && op.Op == "dial" && !errors.Is(err, context.Canceled):
+		c.Links.Failed(now, service, target)
+	}
+}
+
 // sendGrant sends a grant on the channel that its epoch is bound to. If the epoch was not
 // sent yet, sendGrant takes any channel to the address and binds the epoch to it.
 func (c *Coordinator) sendGrant(l *leadership, service string, o *ownership.Grant) (sent time.Time, err error) {
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -183,6 +184,7 @@
 	if err != nil {
 		return nil, f.sendFailed(ctx, c, reservation, err)
 	}
+	f.Links.Reached(time.Now(), t.Service, t.ID)
 	response, failed := f.readResponse(ctx, c, reservation, res)
 	if response != nil {
 		f.recordLatency(c.route.Name, time.Since(start))
@@ -195,6 +197,9 @@
 func (f *Front) sendFailed(ctx context.Context, c *call, reservation *broker.Reservation, err error) *refusal {
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
+	if errors.Is(err, syscall.ETIMEDOUT) && wrote {
+		f.Links.Failed(time.Now(), reservation.Target.Service, reservation.Target.ID)
+	}
 	r := newNotRun("connectFailed", retryAfterFailure)
 	if wrote {
 		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true, reachedTarget: true}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/retry"
 	"basilcross.example/basilcross/roster"
@@ -27,6 +28,8 @@
 	Broker    *broker.Broker
 	Roster    *roster.Roster
 	Pools     *Pools
+	// Links tells this instance's own broken links from targets that are down.
+	Links *links.Monitor
 	// Table returns the routing table in force; nil before the first configuration.
 	Table func() *routing.Table
 	// CurrentAssignment returns a service's assignment, or nil, and a channel that is
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"basilcross.example/basilcross/dispatch"
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
@@ -54,7 +55,7 @@
 		Broker: broker.New(broker.Options{
 			Self: p.Self, Placement: f.policy.Load, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
 		}),
-		Roster: f.roster, Pools: &front.Pools{}, Table: f.table.Load,
+		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, Table: f.table.Load,
 		CurrentAssignment: func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		OwnerChangedSince: func(string, int, time.Time) bool { return false },
 		Loads:             &front.Loads{},
--- a/gateway/front/pools.go
+++ b/gateway/front/pools.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/pool"
 	"basilcross.example/basilcross/roster"
 )
@@ -16,6 +19,8 @@
 type Pools struct {
 	// Dial opens the connections.
 	Dial pool.DialFunc
+	// Links, if set, records which targets accept connections.
+	Links *links.Monitor
 
 	mu    sync.Mutex
 	pools map[roster.Incarnation]*pool.Pool
@@ -33,12 +38,34 @@
 	ps.used[t.Incarnation()] = time.Now()
 	p := ps.pools[t.Incarnation()]
 	if p == nil {
-		p = &pool.Pool{Address: t.Address, Dial: ps.Dial, IdleLimit: maxIdlePerTarget}
+		p = &pool.Pool{Address: t.Address, Dial: ps.dialTo(t), IdleLimit: maxIdlePerTarget}
 		ps.pools[t.Incarnation()] = p
 	}
 	return p
 }
 
+// dialTo returns the function that opens the target's connections and records the outcome.
+func (ps *Pools) dialTo(t *roster.Target) pool.DialFunc {
+	dial := ps.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	if ps.Links == nil {
+		return dial
+	}
+	service, id := t.Service, t.ID
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		switch {
+		case err == nil:
+			ps.Links.Reached(time.Now(), service, id)
+		case ctx.Err() == nil:
+			ps.Links.Failed(time.Now(), service, id)
+		}
+		return c, err
+	}
+}
+
 // Drop closes the target's idle connections and removes its pool.
 func (ps *Pools) Drop(t *roster.Target) {
 	ps.mu.Lock()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -17,9 +17,11 @@
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/egress"
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/channel"
 	"basilcross.example/gateway/coordinator"
@@ -95,6 +97,7 @@
 	dispatcher  *dispatch.Dispatcher
 	broker      *broker.Broker
 	pools       *front.Pools
+	links       *links.Monitor
 	loads       *front.Loads
 	front       *front.Front
 	store       *platform.Store
@@ -132,6 +135,7 @@
 		Name: s.Instance, Incarnation: rand.Text()[:incarnationLength], Zone: s.Zone, Datagram: s.DatagramListen, Control: s.ControlListen,
 		Cores: s.Cores,
 	}}
+	i.links = &links.Monitor{OnChange: i.logLinks}
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store,
@@ -139,17 +143,17 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
-		Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
+		Links: i.links, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 		Owner: i.state.owner, Thin: i.replicator.thin.Load,
 	})
-	i.pools = &front.Pools{Dial: targetDialer.DialContext}
+	i.pools = &front.Pools{Dial: targetDialer.DialContext, Links: i.links}
 	i.front = front.New(front.Options{
-		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Table: i.state.routes.Load,
+		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		RetryLimits: func() front.RetryLimits {
 			now := i.liveSettings.Load()
@@ -160,6 +164,21 @@
 	return i
 }
 
+// logLinks logs a conclusion about this instance's links to targets.
+func (i *Instance) logLinks(c links.Change) {
+	e := event.LinksBack
+	if c.Down {
+		e = event.LinksDown
+	}
+	e.Log(i.log, "service", c.Service, "target", c.Target, "unreached", c.Unreached, "reached", c.Reached,
+		"sinceReachedMs", c.SinceReached.Milliseconds(), "lastedMs", c.Lasted.Milliseconds())
+}
+
+func (i *Instance) logBackoff(b schedule.Backoff) {
+	event.TargetAvoided.Log(i.log, "target", b.Target.ID, "service", b.Target.Service, "forMs", b.Duration.Milliseconds(),
+		"failures", b.Failures, "result", b.Result.String(), "reporter", b.Requester)
+}
+
 // incarnationLength is enough to distinguish the incarnations of one instance.
 const incarnationLength = 8
 
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -45,6 +45,9 @@
 	gauge("basilcross_evacuated_zones", "Availability zones that the operator has evacuated.", func() float64 {
 		return float64(len(i.state.policy().Evacuated))
 	})
+	gauge("basilcross_services_unreached", "Services of which this instance reaches no target.", func() float64 {
+		return float64(len(i.links.DownServices(time.Now())))
+	})
 	gauge("basilcross_instances", "Instances among which retries are shared.", func() float64 {
 		return float64(i.countMembers())
 	})
