--- a/basilcross/schedule/schedule_test.go
+++ b/basilcross/schedule/schedule_test.go
@@ -266,3 +266,25 @@
 	admitted = s.Release(at.Add(90*time.Millisecond), fast, schedule.Answered)
 	assert.Assert(t, len(admitted) == 1 && admitted[0] == first)
 }
+
+// Guards against a target that gets no requests from any instance because one has lost its
+// link to it.
+func TestFailuresToConnectOfOneInstanceDoNotHarmOthers(t *testing.T) {
+	s := newScheduler(&roster.Target{ID: "a", Slots: 2})
+	at := now
+	for range 20 {
+		for range 3 {
+			r := request(at, urgent, "a")
+			r.Requester = "cut"
+			if ticket, err := s.Submit(at, r); err == nil && ticket.Target != nil {
+				s.Release(at, ticket, schedule.Unreachable)
+			}
+		}
+		r := request(at, urgent, "a")
+		r.Requester = "linked"
+		ticket := submit(t, s, at, r)
+		assert.Assert(t, ticket.Target != nil)
+		at = at.Add(20 * time.Millisecond)
+		s.Release(at, ticket, schedule.Answered)
+	}
+}
--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -85,6 +85,7 @@
 
 type runningInstance struct {
 	callers, ready string
+	links          *instance.TargetLinks
 	stop           func() error
 }
 
@@ -120,6 +121,7 @@
 	assert.NilError(f.t, s.Validate())
 	sink := logsink.New(io.Discard)
 	i := instance.New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
+	links := i.InterposeTargetLinks()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- i.Run(ctx) }()
@@ -137,7 +139,7 @@
 			break
 		}
 	}
-	r := &runningInstance{callers: s.CallersListen, ready: s.ReadyListen}
+	r := &runningInstance{callers: s.CallersListen, ready: s.ReadyListen, links: links}
 	var result error
 	stopped := false
 	r.stop = func() error {
--- /dev/null
+++ b/gateway/instance/links_test.go
@@ -0,0 +1,149 @@
+package instance_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"basilcross.example/gateway/instance"
+	"gotest.tools/v3/assert"
+)
+
+const (
+	// stableWindow is the time after which the users judge what a cut does.
+	stableWindow = 3 * time.Second
+	// requiredShare is how often the users require an instance without links to be served,
+	// relative to the others.
+	requiredShare = 2.0 / 3
+)
+
+var cuts = map[string]instance.Cut{"silent": instance.Silent, "reset": instance.Reset, "refused": instance.Refused}
+
+// startLinkedFleet starts instances in the order of their names, of which the first coordinates,
+// and targets of a sharded and an unsharded service.
+func startLinkedFleet(t *testing.T, names ...string) (*fleet, map[string]*runningInstance) {
+	f := newFleet(t)
+	for n := range 4 {
+		f.startTarget(fmt.Sprintf("m%d", n), "menus", false)
+		f.startTarget(fmt.Sprintf("l%d", n), "lists", true)
+	}
+	all := map[string]*runningInstance{}
+	for _, name := range names {
+		r := f.start(name)
+		r.awaitReady(t)
+		all[name] = r
+		f.awaitResponse(r, "/menus/today", 0, "m")
+		for key := 0; key < 1<<16; key += 1 << 12 {
+			f.awaitResponse(r, "/lists/x", key, "l")
+		}
+	}
+	return f, all
+}
+
+// servedShare returns the share of requests to both services that get a response.
+func (f *fleet) servedShare(r *runningInstance, paths ...string) float64 {
+	const requests = 32
+	served := 0
+	for n := range requests {
+		for _, path := range paths {
+			if status, _ := f.call(r, path, n<<11); status == http.StatusOK {
+				served++
+			}
+		}
+	}
+	return float64(served) / float64(requests*len(paths))
+}
+
+// Guards against callers of an instance being refused because it reaches no target, while
+// other instances do.
+func TestInstanceWithoutLinksServes(t *testing.T) {
+	t.Parallel()
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, all := startLinkedFleet(t, "one", "two", "three")
+			all["two"].links.Set(cut)
+			time.Sleep(stableWindow)
+			for _, path := range []string{"/menus/x", "/book/x", "/lists/x"} {
+				share := f.servedShare(all["two"], path)
+				assert.Assert(t, share >= requiredShare, "%s: %v", path, share)
+			}
+		})
+	}
+}
+
+// Guards against requests that other instances refuse because one without links has reported
+// the targets as unreachable.
+func TestInstanceWithoutLinksDoesNotHarmOthers(t *testing.T) {
+	t.Parallel()
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, all := startLinkedFleet(t, "one", "two", "three")
+			all["two"].links.Set(cut)
+			all["three"].links.Set(cut)
+			stop := make(chan struct{})
+			done := make(chan struct{}, 2)
+			for _, from := range []string{"two", "three"} {
+				go func() {
+					defer func() { done <- struct{}{} }()
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						default:
+							f.call(all[from], []string{"/menus/x", "/lists/x"}[n%2], n<<11&0xffff)
+						}
+					}
+				}()
+			}
+			time.Sleep(stableWindow)
+			share := f.servedShare(all["one"], "/menus/x", "/lists/x")
+			close(stop)
+			<-done
+			<-done
+			assert.Assert(t, share >= 0.98, "%v", share)
+		})
+	}
+}
+
+// Guards against keys that have no owner because the coordinator reaches no target, while
+// other instances do.
+func TestKeysAreServedWhileCoordinatorHasNoLinks(t *testing.T) {
+	t.Parallel()
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, all := startLinkedFleet(t, "one", "two", "three")
+			all["one"].links.Set(cut)
+			// Holds that were granted before the cut have expired by then.
+			time.Sleep(2 * stableWindow)
+			share := f.servedShare(all["two"], "/lists/x")
+			assert.Assert(t, share >= 0.98, "%v", share)
+		})
+	}
+}
+
+// Guards against keys without an owner for long after the links of all instances are back.
+func TestKeysAreServedOnceLinksAreBack(t *testing.T) {
+	t.Parallel()
+	for name, cut := range cuts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, all := startLinkedFleet(t, "one", "two")
+			for _, r := range all {
+				r.links.Set(cut)
+			}
+			time.Sleep(2 * stableWindow)
+			for _, r := range all {
+				r.links.Set(instance.Linked)
+			}
+			time.Sleep(stableWindow)
+			for name, r := range all {
+				share := f.servedShare(r, "/lists/x")
+				assert.Assert(t, share >= 0.98, "%s: %v", name, share)
+			}
+		})
+	}
+}
