Hold failures to connect against a target only for the instance that had them

Cause: a scheduler took two failures to connect in a row, also of one instance, for a target that is down, and kept it from all instances for up to 3.2 s. An instance without links reports failures for every target, far more of them than the others have answers.

Now a failure to connect excludes the target for the instance that reports it. For all it counts once an instance, and while nothing but such failures is known of a target, an instance that has not failed may still try it, one request at a time. It probes the targets that it does not reach, so that this knowledge lasts as long as the fault, and no request has to find out that it is over. What a target itself does on an open connection counts as before.

--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -374,6 +374,16 @@
 	return c, nil
 }
 
+// Warm opens a connection and keeps it for a later request.
+func (p *Pool) Warm(ctx context.Context) error {
+	c, err := p.open(ctx)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
 func (p *Pool) put(c *conn) {
 	limit := p.IdleLimit
 	if limit == 0 {
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -32,6 +32,9 @@
 		return avail
 	}
 	t.Target, t.state = best, avail.state
+	if now.Before(t.state.backoffUntil) {
+		t.state.triedAt = now
+	}
 	t.state.add(now, t)
 	t.state.cold.take()
 	return avail
@@ -89,9 +92,9 @@
 			continue
 		}
 		switch st := t.service.stateOf(c); {
-		case !now.Before(st.backoffUntil):
+		case (!now.Before(st.backoffUntil) || st.admitsTrial(now, t.Request.Requester)) && !st.isUnlinked(now, t.Request.Requester):
 			open = append(open, c)
-		case st.failures > 0:
+		case st.failures > 0 || st.isUnlinked(now, t.Request.Requester):
 			failing = append(failing, c)
 		}
 	}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -56,10 +56,13 @@
 	Abandoned
 	// Unreachable: no connection could be opened, so the target may be restarting.
 	Unreachable
+	// Unlinked: as Unreachable, or the connection broke off, but the requester reaches few other
+	// targets either. This says nothing about the target.
+	Unlinked
 )
 
 func (r Result) String() string {
-	return [...]string{"answered", "shed", "failed", "abandoned", "unreachable"}[r]
+	return [...]string{"answered", "shed", "failed", "abandoned", "unreachable", "unlinked"}[r]
 }
 
 // BusyError is returned for a request that cannot be answered in time.
@@ -234,6 +237,7 @@
 		maps.DeleteFunc(svc.kinds, func(_ uint32, k *kindStats) bool { return now.Sub(k.lastAnswer) > kindTTL })
 		for incarnation, st := range svc.targets {
 			t := view.Find(incarnation.ID)
+			maps.DeleteFunc(st.unlinked, func(_ string, l *unlinked) bool { return now.Sub(l.backoffUntil) > kindTTL })
 			if len(st.inFlight) == 0 && (t == nil || t.Started != incarnation.Started) {
 				delete(svc.targets, incarnation)
 			}
--- a/basilcross/schedule/schedule_test.go
+++ b/basilcross/schedule/schedule_test.go
@@ -288,3 +288,42 @@
 		s.Release(at, ticket, schedule.Answered)
 	}
 }
+
+// Guards against a target that no instance tries again since those without links to it keep
+// reporting it.
+func TestInstanceWithLinksTriesTargetThatOthersReport(t *testing.T) {
+	s := newScheduler(&roster.Target{ID: "a", Slots: 2})
+	at := now
+	for range 50 {
+		at = at.Add(20 * time.Millisecond)
+		for _, requester := range []string{"cut", "cutToo"} {
+			r := request(at, urgent, "a")
+			r.Requester = requester
+			if ticket, err := s.Submit(at, r); err == nil && ticket.Target != nil {
+				s.Release(at, ticket, schedule.Unreachable)
+			}
+		}
+	}
+	r := request(at, urgent, "a")
+	r.Requester = "linked"
+	assert.Assert(t, submit(t, s, at, r).Target != nil)
+}
+
+// Guards against a target that is down getting a stream of attempts from a large fleet.
+func TestTargetThatIsDownGetsFewAttempts(t *testing.T) {
+	s := newScheduler(&roster.Target{ID: "a", Slots: 2})
+	at, attempts := now, 0
+	for at.Before(now.Add(2 * time.Second)) {
+		at = at.Add(5 * time.Millisecond)
+		for n := range 11 {
+			r := request(at, urgent, "a")
+			r.Requester = fmt.Sprint("instance", n)
+			if ticket, err := s.Submit(at, r); err == nil && ticket.Target != nil {
+				attempts++
+				s.Release(at, ticket, schedule.Unreachable)
+			}
+		}
+	}
+	// Each instance may try twice, and once more after each of its backoffs of 0.2 s and more.
+	assert.Assert(t, attempts <= 2*11+2*4, "%d attempts", attempts)
+}
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -36,6 +36,9 @@
 	// doubles with each further failure, up to maxFailureBackoff.
 	failureBackoff    = 200 * time.Millisecond
 	maxFailureBackoff = 3200 * time.Millisecond
+	// trialInterval is the time between requests to a target that some instances could not
+	// connect to, sent by others.
+	trialInterval = 100 * time.Millisecond
 )
 
 // targetState is the load and the estimates of one incarnation of a target.
@@ -49,8 +52,16 @@
 	slowness     float64
 	answers      int
 	backoffUntil time.Time
-	// failures counts failures since the last answer.
-	failures int
+	// failures counts failures since the last answer. Of one instance's failures to connect only
+	// the first counts, since its own link may be down; reporters are the instances that had one.
+	failures  int
+	reporters map[string]bool
+	// connected is set if any of the failures came after a connection was open, and triedAt is
+	// when the last request was sent during a backoff.
+	connected bool
+	triedAt   time.Time
+	// unlinked are the instances that could not connect since they had an answer.
+	unlinked map[string]*unlinked
 	// shedRatio is the share of requests that were shed with slots free.
 	shedRatio float64
 	// reported is the momentary slowness in the latest response, and reportedAt when that
@@ -62,6 +73,13 @@
 	restartSuspectedUntil time.Time
 }
 
+// unlinked is an instance's failure to connect to a target, which gets none of its requests for
+// a while.
+type unlinked struct {
+	failures     int
+	backoffUntil time.Time
+}
+
 func (s *service) stateOf(t *roster.Target) *targetState {
 	st := s.targets[t.Incarnation()]
 	if st == nil {
@@ -153,19 +171,71 @@
 		}
 		if st.failures > 0 {
 			st.failures, st.backoffUntil = 0, now
+			st.connected = false
+			clear(st.reporters)
 		}
+		delete(st.unlinked, t.Request.Requester)
 		st.limit = min(st.limit+limitIncrement, float64(t.Target.Slots)+extraInFlight)
 	case Shed:
 		st.limit = max(1, st.limit*shedLimitFactor)
 		st.backoffUntil = now.Add(shedBackoff)
-	case Failed, Unreachable:
-		if r == Unreachable {
-			st.restartSuspectedUntil = now.Add(restartSuspicion)
+	case Failed:
+		st.connected = true
+		st.recordFailure(now)
+	case Unreachable:
+		st.restartSuspectedUntil = now.Add(restartSuspicion)
+		st.recordUnlinked(now, t.Request.Requester)
+		if st.reporters[t.Request.Requester] && len(st.reporters) == 1 {
+			break
 		}
-		st.failures++
-		if st.failures > 1 {
-			st.backoffUntil = now.Add(min(failureBackoff<<min(st.failures-2, 4), maxFailureBackoff))
+		if st.reporters == nil {
+			st.reporters = map[string]bool{}
 		}
+		st.reporters[t.Request.Requester] = true
+		st.recordFailure(now)
+	case Unlinked:
+		st.recordUnlinked(now, t.Request.Requester)
 	case Abandoned:
 	}
 }
+
+func (st *targetState) recordFailure(now time.Time) {
+	st.failures++
+	if st.failures > 1 {
+		st.backoffUntil = now.Add(backoffAfter(st.failures))
+	}
+}
+
+// admitsTrial reports whether a request may be sent during a backoff: only other instances
+// failed to connect, and this one may have sound links.
+func (st *targetState) admitsTrial(now time.Time, requester string) bool {
+	return !st.connected && st.failures > 0 && !st.reporters[requester] && len(st.inFlight) == 0 && now.Sub(st.triedAt) >= trialInterval
+}
+
+// backoffAfter returns how long a target gets no requests after two failures or more.
+func backoffAfter(failures int) time.Duration {
+	return min(failureBackoff<<min(failures-2, 4), maxFailureBackoff)
+}
+
+// recordUnlinked records that an instance could not connect.
+func (st *targetState) recordUnlinked(now time.Time, requester string) {
+	l := st.unlinked[requester]
+	if l == nil {
+		l = &unlinked{}
+		if st.unlinked == nil {
+			st.unlinked = map[string]*unlinked{}
+		}
+		st.unlinked[requester] = l
+	}
+	l.failures++
+	if l.failures > 1 {
+		l.backoffUntil = now.Add(backoffAfter(l.failures))
+	}
+}
+
+// isUnlinked reports whether the target gets no requests of an instance, since that one could
+// not connect.
+func (st *targetState) isUnlinked(now time.Time, requester string) bool {
+	l := st.unlinked[requester]
+	return l != nil && now.Before(l.backoffUntil)
+}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -197,8 +197,9 @@
 func (f *Front) sendFailed(ctx context.Context, c *call, reservation *broker.Reservation, err error) *refusal {
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
+	t, now := reservation.Target, time.Now()
 	if errors.Is(err, syscall.ETIMEDOUT) && wrote {
-		f.Links.Failed(time.Now(), reservation.Target.Service, reservation.Target.ID)
+		f.Links.Failed(now, t.Service, t.ID)
 	}
 	r := newNotRun("connectFailed", retryAfterFailure)
 	if wrote {
@@ -214,6 +215,8 @@
 		reservation.Release(schedule.Abandoned)
 	case ctx.Err() != nil:
 		reservation.Release(schedule.Abandoned)
+	case f.Links.Suspect(now, t.Service, t.ID):
+		reservation.Release(schedule.Unlinked)
 	case !wrote:
 		reservation.Release(schedule.Unreachable)
 	default:
--- a/gateway/front/pools.go
+++ b/gateway/front/pools.go
@@ -66,6 +66,24 @@
 	}
 }
 
+// Probe opens a connection to a target for its next request. It does nothing if no request was
+// sent to the target of late.
+func (ps *Pools) Probe(ctx context.Context, id string) {
+	var found *pool.Pool
+	var started int64
+	ps.mu.Lock()
+	for incarnation, p := range ps.pools {
+		if incarnation.ID == id && incarnation.Started >= started {
+			found, started = p, incarnation.Started
+		}
+	}
+	ps.mu.Unlock()
+	if found != nil {
+		// The outcome is recorded in Links.
+		_ = found.Warm(ctx)
+	}
+}
+
 // Drop closes the target's idle connections and removes its pool.
 func (ps *Pools) Drop(t *roster.Target) {
 	ps.mu.Lock()
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -326,6 +326,7 @@
 	root.Add(i.replicator)
 	root.Add(&housekeeper{i})
 	root.Add(&reloader{i})
+	root.Add(&prober{i})
 	return root
 }
 
--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -47,9 +47,12 @@
 	served := 0
 	for n := range requests {
 		for _, path := range paths {
-			if status, _ := f.call(r, path, n<<11); status == http.StatusOK {
+			status, body := f.call(r, path, n<<11)
+			if status == http.StatusOK {
 				served++
+				continue
 			}
+			f.t.Logf("%s with key %d: %d %s", path, n<<11, status, body)
 		}
 	}
 	return float64(served) / float64(requests*len(paths))
