Send requests through another instance while the links to the targets are down

Cause: an instance had no way to a target but its own connections. The platform keeps such an instance in rotation, since callers, the store and other instances reach it.

Now it sends the request to one other instance, which serves it like its own: route, slot, owner, expected target, retries and the time left are decided there; it is the callers' instance that answers. At most one instance carries a request, the nearest zone is asked first, and one that cannot carry it declines, so that another may. A carrier lost halfway means that the request may have run. Retries are counted once. If no instance reaches the targets, the request is refused at once. Live connections that work are used.

--- a/basilcross/links/links.go
+++ b/basilcross/links/links.go
@@ -201,6 +201,28 @@
 	return failed && now.Sub(f.last) <= evidenceTTL
 }
 
+// ReachedWithin reports whether any target of the service was reached within a duration.
+func (m *Monitor) ReachedWithin(now time.Time, name string, d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	return s != nil && now.Sub(s.reachedAt) <= d
+}
+
+// TargetReachedWithin reports whether a target was reached within a duration, and has not failed
+// since.
+func (m *Monitor) TargetReachedWithin(now time.Time, name, target string, d time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	return s != nil && now.Sub(s.reached[target]) <= d
+}
+
+// Reaches reports whether any target of the service was reached of late.
+func (m *Monitor) Reaches(now time.Time, name string) bool {
+	return m.ReachedWithin(now, name, evidenceTTL)
+}
+
 // Unreached is a target that failed and was not reached since.
 type Unreached struct {
 	Service, Target string
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -33,8 +33,17 @@
 	finish func(complete bool)
 }
 
-// attempt reserves a slot at a target and sends the request to it once.
+// attempt reserves a slot at a target and sends the request to it once, or sends the request
+// through another instance if this one's links are down.
 func (f *Front) attempt(ctx context.Context, c *call) (*targetResponse, *refusal) {
+	if f.mustForward(c) {
+		return f.forward(ctx, c)
+	}
+	c.carrier = ""
+	if !c.counted {
+		c.counted = true
+		f.budget(c.service).Deposit()
+	}
 	request := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.excluded, Priority: c.route.Priority}
 	request.Objective = c.arrived.Add(c.route.Objective)
 	request.Deadline = c.deadline
@@ -42,7 +51,10 @@
 	start := time.Now()
 	reservation, failed := f.reserve(ctx, c, &request)
 	c.queueTime += time.Since(start)
-	if failed != nil {
+	switch {
+	case failed != nil && failed.linkDown:
+		return f.forward(ctx, c)
+	case failed != nil:
 		return nil, failed
 	}
 	if err := f.Broker.Check(reservation.Target, &request); err != nil {
@@ -56,6 +68,10 @@
 		reservation.Release(schedule.Abandoned)
 		return nil, &refusal{status: http.StatusBadGateway, cause: "ranBefore", mayHaveRun: true, final: true}
 	}
+	if !f.mayConnect(c, reservation.Target) {
+		reservation.Release(schedule.Abandoned)
+		return f.forward(ctx, c)
+	}
 	c.sends++
 	c.lastTarget = reservation.Target.ID
 	return f.send(ctx, c, reservation)
@@ -83,6 +99,9 @@
 		if failed != nil {
 			return nil, failed
 		}
+		if t := f.Roster.Load().Find(owner); t != nil && !f.mayConnect(c, t) {
+			return nil, &refusal{linkDown: true}
+		}
 		request.Target = owner
 	}
 	reservation, err := f.Broker.Acquire(ctx, *request)
@@ -166,10 +185,7 @@
 	req := &pool.Request{
 		Method: c.method, RequestURI: c.uri, Host: c.host, Header: c.header,
 		RequireFresh: !c.route.Idempotent(),
-		Matches: func(h http.Header) bool {
-			id := h.Get(f.Headers.RequestID)
-			return id == c.id || id == ""
-		},
+		Matches:      f.matches(c),
 		SetHeaders: func(now time.Time, h http.Header) {
 			h.Set(f.Headers.TimeLeft, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
 			h.Set(f.Headers.ExpectedTarget, t.ID)
@@ -192,6 +208,14 @@
 	return response, failed
 }
 
+// matches returns a function that reports whether a response belongs to the call.
+func (f *Front) matches(c *call) func(http.Header) bool {
+	return func(h http.Header) bool {
+		id := h.Get(f.Headers.RequestID)
+		return id == c.id || id == ""
+	}
+}
+
 // sendFailed returns the refusal for a request without a response: the target may
 // have run it if any of it was written.
 func (f *Front) sendFailed(ctx context.Context, c *call, reservation *broker.Reservation, err error) *refusal {
@@ -222,7 +246,8 @@
 	default:
 		reservation.Release(schedule.Failed)
 	}
-	r.awaitOwner = c.sharded && !wrote
+	// If this instance alone does not reach the owner, others do.
+	r.awaitOwner = c.sharded && !wrote && !c.mayForward()
 	f.exclude(c, reservation.Target.ID)
 	f.logAttempt(c, r, err)
 	return r
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -56,6 +56,15 @@
 	lastTarget        string
 	// queueTime is the time spent waiting for slots, over all attempts.
 	queueTime time.Duration
+	// from is the instance that forwarded the request; empty if a caller sent it to this one.
+	from string
+	// carrier is the instance through which the request was sent last, and declined is set once
+	// no instance would carry it.
+	carrier  string
+	declined bool
+	// counted is set once an instance's retry budget counts the request: that of the instance
+	// which sends it to a target first.
+	counted bool
 	// failure is a target's failure response, forwarded if no later attempt succeeds.
 	failure *targetResponse
 }
@@ -97,7 +106,7 @@
 	if table == nil {
 		return c, newNotRun("noConfig", retryAfterNoConfig)
 	}
-	path, _, _ := strings.Cut(c.uri, "?")
+	path, _, _ := cutQuery(c.uri)
 	if !strings.HasPrefix(path, "/") {
 		c.uri = r.URL.RequestURI()
 		path = r.URL.EscapedPath()
@@ -112,6 +121,8 @@
 	return c, c.readBody(w, r, table.Config.Limits)
 }
 
+func cutQuery(uri string) (path, query string, found bool) { return strings.Cut(uri, "?") }
+
 // classify sets the call's service, key, deadline and the headers for the target.
 func (f *Front) classify(c *call, table *routing.Table, r *http.Request) *refusal {
 	c.service = f.splitter.Next(c.route)
@@ -137,7 +148,7 @@
 	c.deadline = c.arrived.Add(timeout)
 	c.header = r.Header.Clone()
 	hopheader.Remove(c.header)
-	for _, name := range []string{"Expect", "Content-Length", f.Headers.TimeLeft, f.Headers.ExpectedTarget} {
+	for _, name := range []string{"Expect", "Content-Length", f.Headers.TimeLeft, f.Headers.ExpectedTarget, forwardHeader} {
 		c.header.Del(name)
 	}
 	return nil
--- /dev/null
+++ b/gateway/front/forwardmessage.go
@@ -0,0 +1,121 @@
+package front
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+const (
+	// ForwardPath is the path on an instance's control address that receives forwarded requests.
+	ForwardPath = "/forward/v1"
+	// forwardHeader describes a forwarded request, and how it ended in the response.
+	forwardHeader = "Basilcross-Forward"
+)
+
+// The causes with which an instance declines to carry a request; it has not run.
+const (
+	causeLinksDown       = "linksDown"
+	causeCarrierFull     = "carrierFull"
+	causeCarrierNotReady = "carrierNotReady"
+)
+
+// forwardedRequest is what forwardHeader says of a request, besides its method, headers and body.
+type forwardedRequest struct {
+	// From is the instance that forwards it.
+	From      string
+	URI, Host string
+	// Service was chosen from the route's split, under a configuration of at least Version.
+	Service string
+	Version uint64
+	// Age is the time since the caller's request arrived, and Left the time left to answer it.
+	Age, Left time.Duration
+	// Runs is how many targets may have run it already.
+	Runs int
+	// Counted is set if the sender's retry budget counts it already.
+	Counted bool
+}
+
+func (r *forwardedRequest) encode() string {
+	return url.Values{
+		"from": {r.From}, "uri": {r.URI}, "host": {r.Host}, "service": {r.Service}, "version": {strconv.FormatUint(r.Version, 10)},
+		"ageMs": {formatMs(r.Age)}, "leftMs": {formatMs(r.Left)}, "runs": {strconv.Itoa(r.Runs)}, "counted": {strconv.FormatBool(r.Counted)},
+	}.Encode()
+}
+
+func parseForwardedRequest(text string) (*forwardedRequest, error) {
+	v, err := url.ParseQuery(text)
+	if err != nil {
+		return nil, fmt.Errorf("parse header %s: %w", forwardHeader, err)
+	}
+	p := fieldParser{values: v}
+	r := &forwardedRequest{
+		From: v.Get("from"), URI: v.Get("uri"), Host: v.Get("host"), Service: v.Get("service"), Version: uint64(p.number("version")),
+		Age: p.ms("ageMs"), Left: p.ms("leftMs"), Runs: p.number("runs"),
+		Counted: p.bool("counted"),
+	}
+	return r, p.err
+}
+
+// forwardedResult is what forwardHeader says of a response.
+type forwardedResult struct {
+	// Answered is set if the response is a target's; the other fields but Target and Runs then
+	// say nothing.
+	Answered   bool
+	Target     string
+	Cause      string
+	MayHaveRun bool
+	Runs       int
+	RetryAfter time.Duration
+}
+
+func (r *forwardedResult) encode() string {
+	return url.Values{
+		"answered": {strconv.FormatBool(r.Answered)}, "target": {r.Target}, "cause": {r.Cause},
+		"mayHaveRun": {strconv.FormatBool(r.MayHaveRun)}, "runs": {strconv.Itoa(r.Runs)}, "retryAfterMs": {formatMs(r.RetryAfter)},
+	}.Encode()
+}
+
+func parseForwardedResult(text string) (*forwardedResult, error) {
+	v, err := url.ParseQuery(text)
+	if err != nil {
+		return nil, fmt.Errorf("parse header %s: %w", forwardHeader, err)
+	}
+	p := fieldParser{values: v}
+	r := &forwardedResult{
+		Answered: p.bool("answered"), Target: v.Get("target"), Cause: v.Get("cause"),
+		MayHaveRun: p.bool("mayHaveRun"), Runs: p.number("runs"), RetryAfter: p.ms("retryAfterMs"),
+	}
+	return r, p.err
+}
+
+func formatMs(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// fieldParser parses fields and keeps the first error.
+type fieldParser struct {
+	values url.Values
+	err    error
+}
+
+func (p *fieldParser) number(name string) int {
+	n, err := strconv.Atoi(p.values.Get(name))
+	p.keep(name, err)
+	return n
+}
+
+func (p *fieldParser) ms(name string) time.Duration {
+	return time.Duration(p.number(name)) * time.Millisecond
+}
+
+func (p *fieldParser) bool(name string) bool {
+	b, err := strconv.ParseBool(p.values.Get(name))
+	p.keep(name, err)
+	return b
+}
+
+func (p *fieldParser) keep(name string, err error) {
+	if err != nil && p.err == nil {
+		p.err = fmt.Errorf("parse header %s: field %s: %w", forwardHeader, name, err)
+	}
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -30,6 +30,8 @@
 	Pools     *Pools
 	// Links tells this instance's own broken links from targets that are down.
 	Links *links.Monitor
+	// Forwarder sends requests through other instances while those links are down.
+	Forwarder *Forwarder
 	// Table returns the routing table in force; nil before the first configuration.
 	Table func() *routing.Table
 	// CurrentAssignment returns a service's assignment, or nil, and a channel that is
@@ -67,6 +69,7 @@
 	keepAliveDisabled atomic.Bool
 	abortContext      context.Context
 	abort             context.CancelFunc
+	carried           carried
 	mu                sync.Mutex
 	budgets           map[string]*retry.Budget
 	// latencies are the average response times by route.
@@ -162,8 +165,7 @@
 // allowed. In the latter case it returns a target's failure response, if there was one.
 func (f *Front) sendWithRetries(ctx context.Context, c *call) (*targetResponse, *refusal) {
 	budget := f.budget(c.service)
-	budget.Deposit()
-	if c.sharded {
+	if c.sharded && c.from == "" {
 		f.Loads.Add(c.service, c.key, f.latency(c.route.Name))
 	}
 	for {
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -55,7 +55,7 @@
 		Broker: broker.New(broker.Options{
 			Self: p.Self, Placement: f.policy.Load, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
 		}),
-		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, Table: f.table.Load,
+		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, Forwarder: &front.Forwarder{Self: p.Self, Peers: p}, Table: f.table.Load,
 		CurrentAssignment: func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		OwnerChangedSince: func(string, int, time.Time) bool { return false },
 		Loads:             &front.Loads{},
@@ -122,7 +122,7 @@
 	req, err := http.NewRequestWithContext(ctx, method, f.server.URL+path, strings.NewReader(body))
 	assert.NilError(f.t, err)
 	req.Host = "cakes.example"
-	req.Header.Set(platform.RequestID, fmt.Sprintf("id%d", f.sent))
+	req.Header.Set(platform.RequestID, f.lastID())
 	req.Header.Set(platform.TimeLeft, "5000")
 	res, err := f.server.Client().Do(req)
 	if err != nil {
@@ -136,6 +136,11 @@
 	return res, string(text)
 }
 
+// lastID returns the ID of the last request that was sent.
+func (f *fixture) lastID() string { return fmt.Sprintf("id%d", f.sent) }
+
+func (f *fixture) setConfig(c *routing.Config) { f.table.Store(routing.New(c)) }
+
 // shed responds that the request was not executed.
 func shed(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(platform.RequestID, r.Header.Get(platform.RequestID))
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -13,6 +13,8 @@
 	durations  *prometheus.HistogramVec
 	queueTimes *prometheus.HistogramVec
 	retries    *prometheus.CounterVec
+	forwarded  *prometheus.CounterVec
+	carried    *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -33,17 +35,31 @@
 	m.retries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_repetitions_total", Help: "Requests that were sent to a target once more, out of the budget.",
 	}, []string{"service"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries)
+	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_forwarded_requests_total", Help: "Requests sent through another instance, by outcome.",
+	}, []string{"service", "outcome"})
+	m.carried = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_carried_requests_total", Help: "Requests served for another instance, by status and cause.",
+	}, []string{"service", "status", "cause"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried)
 	return m
 }
 
 func (m *Metrics) recordResponse(c *call, status int) {
+	if c.from != "" {
+		m.carried.WithLabelValues(c.service, strconv.Itoa(status), "").Inc()
+		return
+	}
 	m.requests.WithLabelValues(c.service, strconv.Itoa(status), "").Inc()
 	m.durations.WithLabelValues(c.service).Observe(time.Since(c.arrived).Seconds())
 	m.queueTimes.WithLabelValues(c.service).Observe(c.queueTime.Seconds())
 }
 
 func (m *Metrics) recordRefusal(c *call, r *refusal, status int) {
+	if c.from != "" {
+		m.carried.WithLabelValues(c.service, strconv.Itoa(status), r.cause).Inc()
+		return
+	}
 	m.requests.WithLabelValues(c.service, strconv.Itoa(status), r.cause).Inc()
 	if c.service != "" {
 		m.queueTimes.WithLabelValues(c.service).Observe(c.queueTime.Seconds())
@@ -53,3 +69,7 @@
 func (m *Metrics) recordCallerGone(c *call) {
 	m.requests.WithLabelValues(c.service, "", "callerGone").Inc()
 }
+
+func (m *Metrics) recordForwarded(c *call, outcome string) {
+	m.forwarded.WithLabelValues(c.service, outcome).Inc()
+}
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -31,6 +31,8 @@
 	reachedTarget bool
 	// awaitOwner makes the next attempt wait for the key's next owner.
 	awaitOwner bool
+	// linkDown is set if the request has to be forwarded, since the link to its key's owner is down.
+	linkDown bool
 	// final forbids a retry.
 	final           bool
 	closeConnection bool
@@ -67,6 +69,10 @@
 	if c.id != "" {
 		h.Set(f.Headers.RequestID, c.id)
 	}
+	if c.from != "" {
+		result := forwardedResult{Target: c.lastTarget, Cause: r.cause, MayHaveRun: r.mayHaveRun, Runs: c.runs, RetryAfter: r.retryAfter}
+		h.Set(forwardHeader, result.encode())
+	}
 	if status == http.StatusServiceUnavailable {
 		h.Set("Retry-After", strconv.FormatFloat(max(0.05, r.retryAfter.Seconds()), 'f', 2, 64))
 	}
@@ -88,7 +94,7 @@
 	}
 	event.RequestRefused.Log(f.Log, "request", c.id, "route", route, "service", c.service, "key", c.key, "outcome", outcome,
 		"cause", r.cause, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "target", c.lastTarget, "queued", r.queueLength,
-		"waitedMs", c.queueTime.Milliseconds(), "ageMs", time.Since(c.arrived).Milliseconds(), "leftMs", leftMs,
+		"from", c.from, "carrier", c.carrier, "waitedMs", c.queueTime.Milliseconds(), "ageMs", time.Since(c.arrived).Milliseconds(), "leftMs", leftMs,
 		"retryAfterMs", r.retryAfter.Milliseconds())
 }
 
@@ -98,6 +104,10 @@
 		h[name] = values
 	}
 	hopheader.Remove(h)
+	if c.from != "" {
+		result := forwardedResult{Answered: true, Target: c.lastTarget, Runs: c.runs}
+		h.Set(forwardHeader, result.encode())
+	}
 	if f.keepAliveDisabled.Load() {
 		h.Set("Connection", "close")
 	}
@@ -116,7 +126,7 @@
 	}
 	f.Metrics.recordResponse(c, response.head.StatusCode)
 	event.RequestAnswered.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "target", c.lastTarget,
-		"status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())
+		"from", c.from, "carrier", c.carrier, "status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())
 }
 
 // stream forwards a response that is not buffered completely. If it is truncated, the caller's
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -100,6 +100,7 @@
 	links       *links.Monitor
 	loads       *front.Loads
 	front       *front.Front
+	forwarder   *front.Forwarder
 	store       *platform.Store
 	peerClient  *http.Client
 
@@ -152,8 +153,10 @@
 		Owner: i.state.owner, Thin: i.replicator.thin.Load,
 	})
 	i.pools = &front.Pools{Dial: targetDialer.DialContext, Links: i.links}
+	peerDialer := &egress.Dialer{DialTimeout: targetDialTimeout, UserTimeout: targetUserTimeout, KeepAliveInterval: keepAliveInterval}
+	i.forwarder = &front.Forwarder{Self: i.peers.Self, Peers: i.peers, Dial: peerDialer.DialContext, Region: func(zone string) string { return i.state.policy().Regions[zone] }}
 	i.front = front.New(front.Options{
-		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, Table: i.state.routes.Load,
+		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		RetryLimits: func() front.RetryLimits {
 			now := i.liveSettings.Load()
@@ -390,6 +393,7 @@
 func (i *Instance) listen() ([]*server, error) {
 	control := http.NewServeMux()
 	control.Handle(fleet.FleetPathPrefix, fleet.NewFleetServer(i))
+	control.HandleFunc(front.ForwardPath, i.front.ServeForwarded)
 	handlers := []struct {
 		address string
 		handler http.Handler
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -340,7 +340,7 @@
 
 type housekeeper struct{ *Instance }
 
-// Serve drops the connections and the state of ended targets until the context ends.
+// Serve drops the connections and the state of ended targets and instances until the context ends.
 func (h *housekeeper) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		sleep(ctx, housekeepingInterval)
@@ -349,6 +349,7 @@
 		} else {
 			h.pools.Prune(h.state.roster.Load())
 		}
+		h.forwarder.Prune()
 		h.dispatcher.Prune()
 		h.state.targetLines.flush(h.log, time.Now())
 	}
