Resign as coordinator while the own links to the targets are down

Cause: the coordinator took its own failures to connect for the end of all owners. It gave the keys to targets that it did not reach either, and went on leading, since the store and the other instances did reach it. A target that left orders unanswered is then given no keys for 8 s, twice as long after each trial, so that this outlasted the cut.

Now a coordinator whose links to a sharded service's targets are down keeps the owners that it does not reach, and counts no failure against them. It asks other instances whether they reach the targets; if one does, it resigns, and instances without links take over later than others. The evidence counts only from the first failure on, and a service whose targets answer nothing for a quarter of a second is probed, so that broken links are known before the requests under way have timed out.

Two holders are impossible as before: keys only stay longer with their owners.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -67,7 +67,8 @@
 	StoreCalled       = Event{610, "storeCalled", slog.LevelDebug, "A call to the store has ended.", ""}
 	LeadGained        = Event{206, "leadGained", slog.LevelInfo, "This instance became the coordinator, the only instance that grants keys.", ""}
 	LeadLost          = Event{207, "leadLost", slog.LevelWarn, "This instance is no longer the coordinator.", "Unless the reason is that it resigned or stopped, look for a pause of this instance, or a lost connection to the store."}
-	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance resigned as coordinator, since it is shutting down or an instance with more cores takes over.", ""}
+	LeadResigned      = Event{208, "leadResigned", slog.LevelInfo, "This instance resigned as coordinator, since it is shutting down, its links to targets are down, or an instance with more cores takes over.", ""}
+	LeadUnlinked      = Event{210, "leadUnlinked", slog.LevelWarn, "The coordinator's own links to the targets of sharded services are down, and another instance has answered that it reaches them. The coordinator resigns.", "Check the network between this instance and the targets."}
 	TargetCame        = Event{306, "targetCame", slog.LevelInfo, "A new target, or a new incarnation of a target, was added.", ""}
 	TargetLeft        = Event{307, "targetLeft", slog.LevelInfo, "A target is leaving or gone.", ""}
 	GrantFailed       = Event{308, "grantFailed", slog.LevelInfo, "A grant was not sent, not accepted by its target, or not answered.", ""}
@@ -102,7 +103,7 @@
 	return []Event{
 		Started, Stopping, Stopped, DutyFailed, SingleInstance, Reloaded, LinesLeftOut, NotReady, Reading, ThinChanged,
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
-		LeadGained, LeadLost, LeadResigned, EvictionBegan,
+		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable,
--- a/basilcross/links/links.go
+++ b/basilcross/links/links.go
@@ -11,7 +11,8 @@
 
 const (
 	// minUnreached is how many targets of a service must be out of reach, and at least as many
-	// as are reached, for the instance's own links to count as down.
+	// as were reached since the first of these failed, for the instance's own links to count as
+	// down.
 	minUnreached = 3
 	// minUnreachedSlow replaces it if no target was reached for slowAfter: a service may have
 	// few targets, or few requests.
@@ -20,6 +21,8 @@
 	// evidenceTTL is how long a failure or an answer counts. It spans several probes, which
 	// renew it.
 	evidenceTTL = 3 * time.Second
+	// silenceAfter is how long requests may wait while no target answers any.
+	silenceAfter = 250 * time.Millisecond
 	// judgeInterval bounds how often expired evidence is looked for.
 	judgeInterval = 100 * time.Millisecond
 )
@@ -56,9 +59,12 @@
 	// reached is when each target was reached last, and reachedAt when any was.
 	reached   map[string]time.Time
 	reachedAt time.Time
-	judgedAt  time.Time
-	down      bool
-	downSince time.Time
+	// pendingSince is when the first request was sent since any target was reached; zero if
+	// none was.
+	pendingSince time.Time
+	judgedAt     time.Time
+	down         bool
+	downSince    time.Time
 }
 
 // failure is when a target failed first and last since it was reached.
@@ -68,7 +74,7 @@
 func (m *Monitor) Reached(now time.Time, name, target string) {
 	m.mu.Lock()
 	s := m.service(name)
-	s.reachedAt, s.reached[target] = now, now
+	s.reachedAt, s.reached[target], s.pendingSince = now, now, time.Time{}
 	var change *Change
 	if len(s.unreached) > 0 {
 		delete(s.unreached, target)
@@ -78,6 +84,30 @@
 	m.notify(change)
 }
 
+// Sent records that a request was sent to a target of the service.
+func (m *Monitor) Sent(now time.Time, name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.service(name); s.pendingSince.IsZero() {
+		s.pendingSince = now
+	}
+}
+
+// Silent returns the services that have requests waiting of which no target has answered any, so
+// that it has to be found out whether the links are down. It returns each once in silenceAfter.
+func (m *Monitor) Silent(now time.Time) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, s := range m.services {
+		if !s.pendingSince.IsZero() && now.Sub(s.pendingSince) >= silenceAfter {
+			s.pendingSince = now
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Failed records that a target accepted no connection, or acknowledged nothing on an open one.
 func (m *Monitor) Failed(now time.Time, name, target string) {
 	m.mu.Lock()
@@ -122,7 +152,7 @@
 	if down == s.down {
 		return nil
 	}
-	c := &Change{Service: name, Down: down, Target: target, Unreached: len(s.unreached), Reached: len(s.reached)}
+	c := &Change{Service: name, Down: down, Target: target, Unreached: len(s.unreached), Reached: s.countReached()}
 	if !s.reachedAt.IsZero() {
 		c.SinceReached = now.Sub(s.reachedAt)
 	}
@@ -138,17 +168,32 @@
 func (s *service) isDown(now time.Time) bool {
 	n := len(s.unreached)
 	if n >= minUnreached {
-		return n >= len(s.reached)
-	}
-	if n < minUnreachedSlow || now.Sub(s.reachedAt) < slowAfter {
-		return false
+		return n >= s.countReached()
 	}
+	return n >= minUnreachedSlow && now.Sub(s.reachedAt) >= slowAfter && now.Sub(s.firstFailure()) >= slowAfter
+}
+
+// firstFailure returns when the first of the targets out of reach failed.
+func (s *service) firstFailure() time.Time {
+	var first time.Time
 	for _, f := range s.unreached {
-		if now.Sub(f.first) >= slowAfter {
-			return true
+		if first.IsZero() || f.first.Before(first) {
+			first = f.first
 		}
 	}
-	return false
+	return first
+}
+
+// countReached returns how many targets were reached since the first failure: what was reached
+// before says nothing about the links now.
+func (s *service) countReached() (n int) {
+	first := s.firstFailure()
+	for _, at := range s.reached {
+		if !at.Before(first) {
+			n++
+		}
+	}
+	return n
 }
 
 // Down reports whether this instance's links to the service's targets are down.
--- a/basilcross/links/links_test.go
+++ b/basilcross/links/links_test.go
@@ -95,3 +95,31 @@
 	assert.DeepEqual(t, m.DownServices(now), []string{"s"})
 	assert.Equal(t, len(m.DownServices(now.Add(time.Minute))), 0)
 }
+
+// Guards against broken links that are noticed only once the requests that were sent before have
+// timed out.
+func TestSilentTargetsAreProbed(t *testing.T) {
+	m := &links.Monitor{}
+	now := time.Unix(1000, 0)
+	m.Sent(now, "s")
+	m.Reached(now.Add(100*time.Millisecond), "s", "a")
+	assert.Equal(t, len(m.Silent(now.Add(time.Second))), 0)
+	now = now.Add(time.Second)
+	m.Sent(now, "s")
+	assert.Equal(t, len(m.Silent(now.Add(200*time.Millisecond))), 0)
+	assert.DeepEqual(t, m.Silent(now.Add(300*time.Millisecond)), []string{"s"})
+	assert.Equal(t, len(m.Silent(now.Add(400*time.Millisecond))), 0)
+}
+
+// Guards against targets reached before a failure being taken for a proof of sound links.
+func TestTargetsReachedBeforeDoNotProveLinks(t *testing.T) {
+	m := &links.Monitor{}
+	now := time.Unix(1000, 0)
+	for _, target := range []string{"a", "b", "c", "d", "e", "f"} {
+		m.Reached(now, "s", target)
+	}
+	for _, target := range []string{"a", "b", "c"} {
+		m.Failed(now.Add(time.Second), "s", target)
+	}
+	assert.Assert(t, m.Down(now.Add(time.Second), "s"))
+}
--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -73,7 +73,10 @@
 	paths      map[string]*zonePath
 	// longHolds is set while the store is in doubt.
 	longHolds bool
-	Moves     MoveCounts
+	// unlinked is set while this instance's own links to the targets are down.
+	unlinked      bool
+	unlinkedSince time.Time
+	Moves         MoveCounts
 	// OnInherit, if set, is called for each piece that a younger target inherits at
 	// its owner's address.
 	OnInherit func(p Piece, to roster.Incarnation)
--- a/basilcross/ownership/manager_test.go
+++ b/basilcross/ownership/manager_test.go
@@ -346,3 +346,24 @@
 		assert.Assert(t, g.Owner.ID == "t1" && g.First > 0, "t1 has its own keys only: %+v", g)
 	}
 }
+
+// Guards against keys that are taken from their owners since this instance does not reach them,
+// and against owners that get no keys for long after its links are back.
+func TestKeysStayWithOwnersWhileLinksAreDown(t *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := newTargets(3)
+	m := newManager(now, 1, nil)
+	stepUntilIdle(m, now, targets)
+	before := m.Assignment()
+	m.SetUnlinked(now, true)
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		for _, o := range m.Step(now, ownership.NewTargets(targets)) {
+			m.Granted(now, now, o.(*ownership.Grant), ownership.Unsent)
+		}
+	}
+	m.SetUnlinked(now, false)
+	stepUntilIdle(m, now, targets)
+	assert.DeepEqual(t, m.Assignment(), before)
+	assert.Assert(t, m.Settled(now))
+}
--- a/basilcross/ownership/step.go
+++ b/basilcross/ownership/step.go
@@ -21,6 +21,30 @@
 	m.longHolds = inDoubt
 }
 
+// SetUnlinked sets whether this instance's own links to the targets are down. While they are, the
+// keys stay with their owners, whose grants another coordinator can renew, and orders without an
+// answer say nothing about the owners.
+func (m *Manager) SetUnlinked(now time.Time, unlinked bool) {
+	if unlinked == m.unlinked {
+		return
+	}
+	m.unlinked = unlinked
+	if unlinked {
+		m.unlinkedSince = now
+		return
+	}
+	for _, s := range m.owners {
+		if !s.unansweredSince.IsZero() {
+			s.unansweredSince = s.unansweredSince.Add(now.Sub(later(m.unlinkedSince, s.unansweredSince)))
+		}
+	}
+	for _, p := range m.pieces {
+		if p.phase == held && !p.inFlight {
+			p.renewAt = now
+		}
+	}
+}
+
 // Targets are the listed targets of a service. They must not change.
 type Targets struct {
 	list      []*roster.Target
@@ -56,7 +80,7 @@
 		return orders
 	}
 	m.coalesce()
-	if !now.Before(m.nextBalance) {
+	if !m.unlinked && !now.Before(m.nextBalance) {
 		m.nextBalance = now.Add(balanceInterval)
 		m.dropLatencies(targets.byID)
 		m.balance(now, targets.list)
@@ -88,7 +112,7 @@
 		return
 	}
 	switch {
-	case !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > unresponsiveTimeout:
+	case !m.unlinked && !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > unresponsiveTimeout:
 		// The owner may still hold the keys, whatever is sent to it now.
 		p.phase, p.cause = awaitingExpiry, OwnerLost
 		m.dirty = true
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -73,9 +73,12 @@
 	Channels      *channel.Set
 	ReleaseClient *platform.GrantClient
 	// Links tells this instance's own broken links from targets that are down.
-	Links  *links.Monitor
-	Peers  *peers.Peers
-	Roster *roster.Roster
+	Links *links.Monitor
+	// AskLinks reports whether another instance reaches the services' targets. One whose version
+	// does not know the question counts as assumed.
+	AskLinks func(ctx context.Context, other peers.Instance, services []string, assumed bool) bool
+	Peers    *peers.Peers
+	Roster   *roster.Roster
 	// Table returns the routing table in force, or nil, and Placement the policy in force.
 	Table     func() *routing.Table
 	Placement func() *placement.Policy
@@ -165,8 +168,11 @@
 	// writeOverdue is set while a write takes longer than healthyWriteTime.
 	writeOverdue bool
 	resigning    bool
-	cancel       context.CancelFunc
-	ctx          context.Context
+	links        linkState
+	// handover is the state of the search for an instance with more cores.
+	handover handoverState
+	cancel   context.CancelFunc
+	ctx      context.Context
 	// placed are the targets of each service that may own keys.
 	placed map[string]*placedService
 	// grantLimit and suspectLimit bound the grants in flight.
@@ -355,6 +361,9 @@
 	c.nextLeaseRead = now
 	if c.observed.lease.Holder != c.Self.Name {
 		c.nextLeaseRead = now.Add(takeoverDelay(c.Self, c.Peers.All()))
+		if c.isUnlinked(now) {
+			c.nextLeaseRead = c.nextLeaseRead.Add(unlinkedTakeoverDelay)
+		}
 	}
 	return !now.Before(c.nextLeaseRead)
 }
--- /dev/null
+++ b/gateway/coordinator/links.go
@@ -0,0 +1,121 @@
+package coordinator
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/gateway/peers"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// unlinkedGrace is how long a coordinator's links to a service's targets are down before it
+	// asks whether others reach them. With the time of the takeover it must stay below what is
+	// left of the holds: a hold less a renewal's interval.
+	unlinkedGrace = 300 * time.Millisecond
+	// linksAskInterval is the time between two rounds of questions, each to linksAsked instances.
+	linksAskInterval = 500 * time.Millisecond
+	linksAsked       = 4
+	// unlinkedTakeoverDelay is how much longer an instance without links waits before it takes
+	// over: others read and write the lease's row, and renew all grants, within that time.
+	unlinkedTakeoverDelay = 700 * time.Millisecond
+)
+
+// linkState is what a coordinator knows of its own links to the targets of sharded services.
+type linkState struct {
+	// down are the services to whose targets the links are down, since downSince.
+	down      []string
+	downSince time.Time
+	asking    bool
+	nextAsk   time.Time
+	// othersReach is set once another instance has answered that it reaches them.
+	othersReach bool
+}
+
+// checkLinks tells the managers of the services to whose targets the links are down, and asks
+// other instances whether they reach these.
+func (c *Coordinator) checkLinks(ctx context.Context, now time.Time) {
+	l := c.leadership
+	s := &l.links
+	var down []string
+	for name, manager := range l.managers {
+		unlinked := c.Links.Down(now, name)
+		manager.SetUnlinked(now, unlinked)
+		if unlinked {
+			down = append(down, name)
+		}
+	}
+	slices.Sort(down)
+	if len(down) == 0 {
+		s.down, s.othersReach = nil, false
+		return
+	}
+	if len(s.down) == 0 {
+		s.downSince = now
+	}
+	s.down = down
+	if s.asking || s.othersReach || now.Sub(s.downSince) < unlinkedGrace || now.Before(s.nextAsk) {
+		return
+	}
+	s.asking, s.nextAsk = true, now.Add(linksAskInterval)
+	others := c.chooseOthers()
+	c.group.Go(func() error {
+		reach := c.anyReaches(ctx, others, down)
+		c.enqueue(ctx, func() {
+			s.asking = false
+			s.othersReach = reach && len(s.down) > 0
+		})
+		return nil
+	})
+}
+
+// chooseOthers returns some other instances, at random.
+func (c *Coordinator) chooseOthers() []peers.Instance {
+	others := slices.DeleteFunc(slices.Clone(c.Peers.All()), func(i peers.Instance) bool { return i.Name == c.Self.Name })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), linksAsked)]
+}
+
+func (c *Coordinator) anyReaches(ctx context.Context, others []peers.Instance, services []string) bool {
+	var reach atomic.Bool
+	var group errgroup.Group
+	for _, other := range others {
+		group.Go(func() error {
+			if c.AskLinks(ctx, other, services, false) {
+				reach.Store(true)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return reach.Load()
+}
+
+// shouldResignUnlinked reports whether another instance should coordinate, since it reaches
+// targets that this one does not.
+func (c *Coordinator) shouldResignUnlinked() bool {
+	l := c.leadership
+	if !l.links.othersReach || l.recorded == nil || l.writing || l.inDoubt {
+		return false
+	}
+	event.LeadUnlinked.Log(c.Log, "term", l.lease.Term, "services", l.links.down, "sinceMs", time.Since(l.links.downSince).Milliseconds())
+	return true
+}
+
+// isUnlinked reports whether this instance's links to the targets of any sharded service are down.
+func (c *Coordinator) isUnlinked(now time.Time) bool {
+	table := c.Table()
+	if table == nil {
+		return false
+	}
+	for i := range table.Config.Services {
+		if s := &table.Config.Services[i]; s.Sharded && c.Links.Down(now, s.Name) {
+			return true
+		}
+	}
+	return false
+}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -196,6 +196,7 @@
 	} else if c.method == http.MethodPost || c.method == http.MethodPut {
 		req.Body = bytes.NewReader(nil)
 	}
+	f.Links.Sent(start, t.Service)
 	res, err := connections.Do(ctx, req)
 	if err != nil {
 		return nil, f.sendFailed(ctx, c, reservation, err)
--- a/gateway/front/pools.go
+++ b/gateway/front/pools.go
@@ -24,6 +24,8 @@
 
 	mu    sync.Mutex
 	pools map[roster.Incarnation]*pool.Pool
+	// targets are the targets that the pools lead to.
+	targets map[roster.Incarnation]*roster.Target
 	// used is when each pool was last requested.
 	used map[roster.Incarnation]time.Time
 }
@@ -34,12 +36,13 @@
 	defer ps.mu.Unlock()
 	if ps.pools == nil {
 		ps.pools, ps.used = map[roster.Incarnation]*pool.Pool{}, map[roster.Incarnation]time.Time{}
+		ps.targets = map[roster.Incarnation]*roster.Target{}
 	}
 	ps.used[t.Incarnation()] = time.Now()
 	p := ps.pools[t.Incarnation()]
 	if p == nil {
 		p = &pool.Pool{Address: t.Address, Dial: ps.dialTo(t), IdleLimit: maxIdlePerTarget}
-		ps.pools[t.Incarnation()] = p
+		ps.pools[t.Incarnation()], ps.targets[t.Incarnation()] = p, t
 	}
 	return p
 }
@@ -66,22 +69,29 @@
 	}
 }
 
-// Probe opens a connection to a target for its next request. It does nothing if no request was
-// sent to the target of late.
-func (ps *Pools) Probe(ctx context.Context, id string) {
-	var found *pool.Pool
-	var started int64
+// Find returns the latest incarnation of a target that has a pool; nil if there is none.
+func (ps *Pools) Find(id string) *roster.Target {
 	ps.mu.Lock()
-	for incarnation, p := range ps.pools {
-		if incarnation.ID == id && incarnation.Started >= started {
-			found, started = p, incarnation.Started
+	defer ps.mu.Unlock()
+	var found *roster.Target
+	for incarnation, t := range ps.targets {
+		if incarnation.ID == id && (found == nil || t.Started > found.Started) {
+			found = t
 		}
 	}
-	ps.mu.Unlock()
-	if found != nil {
-		// The outcome is recorded in Links.
-		_ = found.Warm(ctx)
+	return found
+}
+
+// Targets returns the targets of a service that have pools.
+func (ps *Pools) Targets(service string) (list []*roster.Target) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for _, t := range ps.targets {
+		if t.Service == service {
+			list = append(list, t)
+		}
 	}
+	return list
 }
 
 // Drop closes the target's idle connections and removes its pool.
@@ -125,5 +135,6 @@
 
 func (ps *Pools) remove(incarnation roster.Incarnation) {
 	delete(ps.pools, incarnation)
+	delete(ps.targets, incarnation)
 	delete(ps.used, incarnation)
 }
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -144,7 +144,7 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
-		Links: i.links, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
+		Links: i.links, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff}
@@ -329,7 +329,7 @@
 	root.Add(i.replicator)
 	root.Add(&housekeeper{i})
 	root.Add(&reloader{i})
-	root.Add(&prober{i})
+	root.Add(&prober{Instance: i})
 	return root
 }
 
@@ -394,6 +394,7 @@
 	control := http.NewServeMux()
 	control.Handle(fleet.FleetPathPrefix, fleet.NewFleetServer(i))
 	control.HandleFunc(front.ForwardPath, i.front.ServeForwarded)
+	control.HandleFunc(linkStatusPath, i.linkStatus)
 	handlers := []struct {
 		address string
 		handler http.Handler
