Find broken links within half a second, and forward the requests under way

In the first second and a half of a silent cut callers still waited on connections that no target answered: idempotent requests until the kernel gave up after 1.2 s, by which time most were late.

A probe now counts as failed after 0.2 s instead of the 0.4 s of a request's connection, and when the links turn out to be down without a word from any target, the idempotent requests that wait are abandoned and forwarded, within the budget of retries. Those that must not run twice go on waiting: only a response tells whether they ran. A request that gets no slot while the links are down is forwarded too.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -52,7 +52,7 @@
 	reservation, failed := f.reserve(ctx, c, &request)
 	c.queueTime += time.Since(start)
 	switch {
-	case failed != nil && failed.linkDown:
+	case failed != nil && (failed.linkDown || failed.cause == "noTarget" && c.mayForward() && f.Links.Down(time.Now(), c.service)):
 		return f.forward(ctx, c)
 	case failed != nil:
 		return nil, failed
@@ -197,7 +197,9 @@
 		req.Body = bytes.NewReader(nil)
 	}
 	f.Links.Sent(start, t.Service)
-	res, err := connections.Do(ctx, req)
+	sendCtx, sent := f.trackDirect(ctx, c)
+	res, err := connections.Do(sendCtx, req)
+	sent()
 	if err != nil {
 		return nil, f.sendFailed(ctx, c, reservation, err)
 	}
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -229,3 +229,38 @@
 		t.Fatal("the target still works for a caller that has disconnected")
 	}
 }
+
+// Guards against idempotent requests that wait on a broken link although others could serve them,
+// and against ones that must not run twice being sent again.
+func TestRequestUnderWayIsForwardedOnceLinksAreDown(t *testing.T) {
+	_, address := startCarrier(t, &standin.Target{ID: "t"})
+	f := withoutLinks(t, address)
+	f.targets = nil
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	f.startTarget("hung", &standin.Target{ID: "hung", OnRun: func(r *http.Request) {
+		arrived <- struct{}{}
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}})
+	for _, c := range []struct{ path, target string }{{"/safe/x", "t"}, {"/book/x", "hung"}} {
+		for _, id := range []string{"a", "b", "c"} {
+			f.front.Links.Reached(time.Now(), "s", id)
+		}
+		responses := make(chan string, 1)
+		go func() {
+			_, text := f.call(t.Context(), http.MethodGet, c.path, "")
+			responses <- text
+		}()
+		<-arrived
+		time.Sleep(300 * time.Millisecond)
+		breakLinks(f.front.Links)
+		f.front.AbandonDirect("s")
+		if c.target == "hung" {
+			time.Sleep(100 * time.Millisecond)
+			close(release)
+		}
+		assert.Equal(t, <-responses, c.target+" GET "+c.path+" 0")
+	}
+}
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -70,6 +70,7 @@
 	abortContext      context.Context
 	abort             context.CancelFunc
 	carried           carried
+	direct            directRequests
 	mu                sync.Mutex
 	budgets           map[string]*retry.Budget
 	// latencies are the average response times by route.
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -136,7 +136,7 @@
 		Name: s.Instance, Incarnation: rand.Text()[:incarnationLength], Zone: s.Zone, Datagram: s.DatagramListen, Control: s.ControlListen,
 		Cores: s.Cores,
 	}}
-	i.links = &links.Monitor{OnChange: i.logLinks}
+	i.links = &links.Monitor{OnChange: i.linksChanged}
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store,
@@ -167,11 +167,12 @@
 	return i
 }
 
-// logLinks logs a conclusion about this instance's links to targets.
-func (i *Instance) logLinks(c links.Change) {
+// linksChanged logs a conclusion about this instance's links to targets.
+func (i *Instance) linksChanged(c links.Change) {
 	e := event.LinksBack
 	if c.Down {
 		e = event.LinksDown
+		i.front.AbandonDirect(c.Service)
 	}
 	e.Log(i.log, "service", c.Service, "target", c.Target, "unreached", c.Unreached, "reached", c.Reached,
 		"sinceReachedMs", c.SinceReached.Milliseconds(), "lastedMs", c.Lasted.Milliseconds())
--- a/gateway/instance/prober.go
+++ b/gateway/instance/prober.go
@@ -18,6 +18,9 @@
 	// probeSpacing is the time between two probes of a target. Requests stay away from it
 	// meanwhile, or are sent through another instance.
 	probeSpacing = 500 * time.Millisecond
+	// probeTimeout bounds a probe: several round trips between regions. A lost packet makes one
+	// fail, which proves nothing alone.
+	probeTimeout = 200 * time.Millisecond
 	// silenceProbes is how many targets of a service are probed that has answered nothing for a
 	// while: enough to conclude that the links are down.
 	silenceProbes = 3
@@ -87,8 +90,12 @@
 	}
 	p.probedAt[t.ID] = now
 	p.group.Go(func() error {
-		// The outcome is recorded in links.
-		_ = p.pools.Get(t).Warm(ctx)
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		// Dialing records the success.
+		if p.pools.Get(t).Warm(ctx) != nil {
+			p.links.Failed(time.Now(), t.Service, t.ID)
+		}
 		return nil
 	})
 	return true
