--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -18,7 +18,17 @@
 	requiredShare = 2.0 / 3
 )
 
-var cuts = map[string]instance.Cut{"silent": instance.Silent, "reset": instance.Reset, "refused": instance.Refused}
+// forEachCut runs a test for each way in which links are cut, with a fleet of the named instances.
+func forEachCut(t *testing.T, names []string, test func(t *testing.T, cut instance.Cut, f *fleet, all map[string]*runningInstance)) {
+	t.Parallel()
+	for name, cut := range map[string]instance.Cut{"silent": instance.Silent, "reset": instance.Reset, "refused": instance.Refused} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, all := startLinkedFleet(t, names...)
+			test(t, cut, f, all)
+		})
+	}
+}
 
 // startLinkedFleet starts instances in the order of their names, of which the first coordinates,
 // and targets of a sharded and an unsharded service.
@@ -61,92 +71,72 @@
 // Guards against callers of an instance being refused because it reaches no target, while
 // other instances do.
 func TestInstanceWithoutLinksServes(t *testing.T) {
-	t.Parallel()
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f, all := startLinkedFleet(t, "one", "two", "three")
-			all["two"].links.Set(cut)
-			time.Sleep(stableWindow)
-			for _, path := range []string{"/menus/x", "/book/x", "/lists/x"} {
-				share := f.servedShare(all["two"], path)
-				assert.Assert(t, share >= requiredShare, "%s: %v", path, share)
-			}
-		})
-	}
+	forEachCut(t, []string{"one", "two", "three"}, func(t *testing.T, cut instance.Cut, f *fleet, all map[string]*runningInstance) {
+		all["two"].links.Set(cut)
+		time.Sleep(stableWindow)
+		for _, path := range []string{"/menus/x", "/book/x", "/lists/x"} {
+			share := f.servedShare(all["two"], path)
+			assert.Assert(t, share >= requiredShare, "%s: %v", path, share)
+		}
+	})
 }
 
 // Guards against requests that other instances refuse because one without links has reported
 // the targets as unreachable.
 func TestInstanceWithoutLinksDoesNotHarmOthers(t *testing.T) {
-	t.Parallel()
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f, all := startLinkedFleet(t, "one", "two", "three")
-			all["two"].links.Set(cut)
-			all["three"].links.Set(cut)
-			stop := make(chan struct{})
-			done := make(chan struct{}, 2)
-			for _, from := range []string{"two", "three"} {
-				go func() {
-					defer func() { done <- struct{}{} }()
-					for n := 0; ; n++ {
-						select {
-						case <-stop:
-							return
-						default:
-							f.call(all[from], []string{"/menus/x", "/lists/x"}[n%2], n<<11&0xffff)
-						}
+	forEachCut(t, []string{"one", "two", "three"}, func(t *testing.T, cut instance.Cut, f *fleet, all map[string]*runningInstance) {
+		all["two"].links.Set(cut)
+		all["three"].links.Set(cut)
+		stop := make(chan struct{})
+		done := make(chan struct{}, 2)
+		for _, from := range []string{"two", "three"} {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for n := 0; ; n++ {
+					select {
+					case <-stop:
+						return
+					default:
+						f.call(all[from], []string{"/menus/x", "/lists/x"}[n%2], n<<11&0xffff)
 					}
-				}()
-			}
-			time.Sleep(stableWindow)
-			share := f.servedShare(all["one"], "/menus/x", "/lists/x")
-			close(stop)
-			<-done
-			<-done
-			assert.Assert(t, share >= 0.98, "%v", share)
-		})
-	}
+				}
+			}()
+		}
+		time.Sleep(stableWindow)
+		share := f.servedShare(all["one"], "/menus/x", "/lists/x")
+		close(stop)
+		<-done
+		<-done
+		assert.Assert(t, share >= 0.98, "%v", share)
+	})
 }
 
 // Guards against keys that have no owner because the coordinator reaches no target, while
 // other instances do.
 func TestKeysAreServedWhileCoordinatorHasNoLinks(t *testing.T) {
-	t.Parallel()
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f, all := startLinkedFleet(t, "one", "two", "three")
-			all["one"].links.Set(cut)
-			// Holds that were granted before the cut have expired by then.
-			time.Sleep(2 * stableWindow)
-			share := f.servedShare(all["two"], "/lists/x")
-			assert.Assert(t, share >= 0.98, "%v", share)
-		})
-	}
+	forEachCut(t, []string{"one", "two", "three"}, func(t *testing.T, cut instance.Cut, f *fleet, all map[string]*runningInstance) {
+		all["one"].links.Set(cut)
+		// Holds that were granted before the cut have expired by then.
+		time.Sleep(2 * stableWindow)
+		share := f.servedShare(all["two"], "/lists/x")
+		assert.Assert(t, share >= 0.98, "%v", share)
+	})
 }
 
 // Guards against keys without an owner for long after the links of all instances are back.
 func TestKeysAreServedOnceLinksAreBack(t *testing.T) {
-	t.Parallel()
-	for name, cut := range cuts {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f, all := startLinkedFleet(t, "one", "two")
-			for _, r := range all {
-				r.links.Set(cut)
-			}
-			time.Sleep(2 * stableWindow)
-			for _, r := range all {
-				r.links.Set(instance.Linked)
-			}
-			time.Sleep(stableWindow)
-			for name, r := range all {
-				share := f.servedShare(r, "/lists/x")
-				assert.Assert(t, share >= 0.98, "%s: %v", name, share)
-			}
-		})
-	}
+	forEachCut(t, []string{"one", "two"}, func(t *testing.T, cut instance.Cut, f *fleet, all map[string]*runningInstance) {
+		for _, r := range all {
+			r.links.Set(cut)
+		}
+		time.Sleep(2 * stableWindow)
+		for _, r := range all {
+			r.links.Set(instance.Linked)
+		}
+		time.Sleep(stableWindow)
+		for name, r := range all {
+			share := f.servedShare(r, "/lists/x")
+			assert.Assert(t, share >= 0.98, "%s: %v", name, share)
+		}
+	})
 }
