Forward requests that are bound to regions within these only

Found by reading: the body of a request whose route permits some regions only could be sent to an instance in another, which the operators forbid. Cause: the carrier was chosen by zone alone. Now it is one in the permitted regions; if none of these can carry the request it is refused. TestBoundRequestIsForwardedWithinItsRegions failed before (the carrier outside was asked) and passes.

--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -50,12 +50,12 @@
 // ServeForwarded serves a request that another instance forwards, since it does not reach the
 // targets.
 func (f *Front) ServeForwarded(w http.ResponseWriter, r *http.Request) {
-	if size := max(0, r.ContentLength); !f.carried.begin(f.Forwarder.Self.Cores, size) {
+	size := max(0, r.ContentLength)
+	if !f.carried.begin(f.Forwarder.Self.Cores, size) {
 		f.writeDeclined(w, &call{id: r.Header.Get(f.Headers.RequestID)}, causeCarrierFull)
 		return
-	} else {
-		defer f.carried.end(size)
 	}
+	defer f.carried.end(size)
 	c, declined := f.readCarried(r)
 	if declined != "" {
 		f.writeDeclined(w, c, declined)
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -57,7 +57,7 @@
 		return nil, &refusal{status: http.StatusServiceUnavailable, cause: causeLinksDown, final: true, retryAfter: retryAfterNoTarget}
 	}
 	for asked := 0; asked < maxCarriersAsked && len(c.body) <= maxForwardedBody; asked++ {
-		carrier, ok := f.Forwarder.choose(time.Now(), c.service)
+		carrier, ok := f.Forwarder.choose(time.Now(), c.service, c.route.Regions)
 		if !ok {
 			break
 		}
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -165,6 +166,33 @@
 	assert.Equal(t, res.StatusCode, http.StatusOK, text)
 }
 
+// Guards against the body of a request that may be served in some regions only being sent to an
+// instance in another.
+func TestBoundRequestIsForwardedWithinItsRegions(t *testing.T) {
+	var asked atomic.Int64
+	carrier, _ := startCarrier(t, &standin.Target{ID: "t"})
+	f := withoutLinks(t, startControl(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked.Add(1)
+		carrier.front.ServeForwarded(w, r)
+	})))
+	f.front.Forwarder.Region = func(string) string { return "west" }
+	for _, bound := range []string{"ost", "west"} {
+		config := *f.table.Load().Config
+		config.Routes = slices.Clone(config.Routes)
+		for n := range config.Routes {
+			config.Routes[n].Regions = []string{bound}
+		}
+		f.setConfig(&config)
+		res, text := f.call(t.Context(), http.MethodGet, "/safe/x", "")
+		if bound == "west" {
+			assert.Equal(t, res.StatusCode, http.StatusOK, text)
+			continue
+		}
+		assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable, text)
+		assert.Equal(t, asked.Load(), int64(0))
+	}
+}
+
 // Guards against a small instance that is drowned in the requests of others.
 func TestCarriedRequestsAreBounded(t *testing.T) {
 	release := make(chan struct{})
--- a/gateway/front/forwarder.go
+++ b/gateway/front/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,14 +47,18 @@
 )
 
 // choose returns an instance for a request to the service: one of the own zone if possible, else
-// of the region, else another. Ones with more cores are chosen more often.
-func (fw *Forwarder) choose(now time.Time, service string) (peers.Instance, bool) {
+// of the region, else another. Ones with more cores are chosen more often. If regions are given,
+// the request's body may be sent to these only.
+func (fw *Forwarder) choose(now time.Time, service string, regions []string) (peers.Instance, bool) {
 	var tiers [3][]peers.Instance
 	fw.mu.Lock()
 	for _, i := range fw.Peers.All() {
 		if i.Name == fw.Self.Name || i.Control == "" || fw.isAvoided(now, &i, service) {
 			continue
 		}
+		if len(regions) > 0 && !slices.Contains(regions, fw.Region(i.Zone)) {
+			continue
+		}
 		tier := 2
 		switch {
 		case i.Zone == fw.Self.Zone:
