--- a/gateway/front/forwarder.go
+++ b/gateway/front/forwarder.go
@@ -50,33 +50,33 @@
 // of the region, else another. Ones with more cores are chosen more often. If regions are given,
 // the request's body may be sent to these only.
 func (fw *Forwarder) choose(now time.Time, service string, regions []string) (peers.Instance, bool) {
-	var tiers [3][]peers.Instance
-	fw.mu.Lock()
-	for _, i := range fw.Peers.All() {
-		if i.Name == fw.Self.Name || i.Control == "" || fw.isAvoided(now, &i, service) {
-			continue
-		}
-		if len(regions) > 0 && !slices.Contains(regions, fw.Region(i.Zone)) {
-			continue
-		}
-		tier := 2
-		switch {
-		case i.Zone == fw.Self.Zone:
-			tier = 0
-		case fw.Region(i.Zone) == fw.Region(fw.Self.Zone):
-			tier = 1
-		}
-		tiers[tier] = append(tiers[tier], i)
+	if list := fw.available(now, fw.Peers.Zone(fw.Self.Zone), service, regions); len(list) > 0 {
+		return chooseByCores(list), true
 	}
-	fw.mu.Unlock()
-	for _, tier := range tiers {
-		if len(tier) > 0 {
-			return chooseByCores(tier), true
-		}
+	list := fw.available(now, fw.Peers.All(), service, regions)
+	near := slices.DeleteFunc(slices.Clone(list), func(i peers.Instance) bool { return fw.Region(i.Zone) != fw.Region(fw.Self.Zone) })
+	switch {
+	case len(near) > 0:
+		return chooseByCores(near), true
+	case len(list) > 0:
+		return chooseByCores(list), true
 	}
 	return peers.Instance{}, false
 }
 
+// available returns the instances of the list that may get a request to the service.
+func (fw *Forwarder) available(now time.Time, list []peers.Instance, service string, regions []string) (may []peers.Instance) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	for _, i := range list {
+		permitted := len(regions) == 0 || slices.Contains(regions, fw.Region(i.Zone))
+		if i.Name != fw.Self.Name && i.Control != "" && permitted && !fw.isAvoided(now, &i, service) {
+			may = append(may, i)
+		}
+	}
+	return may
+}
+
 func chooseByCores(list []peers.Instance) peers.Instance {
 	sum := 0.0
 	for _, i := range list {
