Log which instances were asked to carry a request, and in which zone

What was missing: a request refused with cause linksDown did not tell how many instances had declined it, and the lines of those asked did not tell whether they were of one zone. Without both, 'the whole zone declined' and 'the carriers were full' cannot be told apart.

No logic is changed.

--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -58,10 +58,13 @@
 	queueTime time.Duration
 	// from is the instance that forwarded the request; empty if a caller sent it to this one.
 	from string
-	// carrier is the instance through which the request was sent last, and declined is set once
-	// no instance would carry it.
-	carrier  string
-	declined bool
+	// carrier is the instance through which the request was sent last, in carrierZone, and
+	// declined is set once no instance would carry it.
+	carrier     string
+	carrierZone string
+	declined    bool
+	// carriersAsked is how many instances the request was sent to, until one served it.
+	carriersAsked int
 	// counted is set once an instance's retry budget counts the request: that of the instance
 	// which sends it to a target first.
 	counted bool
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -77,7 +77,8 @@
 // and another may.
 func (f *Front) sendThrough(ctx context.Context, c *call, carrier *peers.Instance) (response *targetResponse, refused *refusal, declined bool) {
 	c.sends++
-	c.carrier, c.lastTarget = carrier.Name, ""
+	c.carriersAsked++
+	c.carrier, c.carrierZone, c.lastTarget = carrier.Name, carrier.Zone, ""
 	start := time.Now()
 	res, err := f.Forwarder.connections(carrier).Do(ctx, f.forwardRequest(c))
 	if err != nil {
@@ -172,6 +173,6 @@
 func (f *Front) logForwarded(c *call, outcome string, start time.Time, err error) {
 	f.Metrics.recordForwarded(c, outcome)
 	event.RequestForwarded.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "carrier", c.carrier,
-		"outcome", outcome, "target", c.lastTarget, "runs", c.runs, "tookMs", time.Since(start).Milliseconds(),
+		"carrierZone", c.carrierZone, "asked", c.carriersAsked, "outcome", outcome, "target", c.lastTarget, "runs", c.runs, "tookMs", time.Since(start).Milliseconds(),
 		"leftMs", time.Until(c.deadline).Milliseconds(), "error", err)
 }
