--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -292,3 +292,30 @@
 		assert.Equal(t, <-responses, c.target+" GET "+c.path+" 0")
 	}
 }
+
+// Guards against requests that are refused since all instances asked are of one zone, which has lost
+// its links as a whole, while those of another zone reach the targets.
+func TestRequestIsServedThoughItsZoneHasNoLinks(t *testing.T) {
+	const zoneSize, requests = 22, 20
+	_, linked := startCarrier(t, &standin.Target{ID: "t"})
+	f := withoutLinks(t)
+	list := map[string]peers.Instance{"linked": {Name: "linked", Zone: "y", Control: linked}}
+	for n := range zoneSize - 1 {
+		other := newFixture(t)
+		other.setRoutes(4 * time.Second)
+		other.addTarget("unreached", "127.0.0.1:1")
+		breakLinks(other.front.Links)
+		name := fmt.Sprint("unlinked", n)
+		list[name] = peers.Instance{Name: name, Zone: "z", Control: startControl(t, http.HandlerFunc(other.front.ServeForwarded))}
+	}
+	f.front.Forwarder.Peers.SetInstances(list)
+	served := 0
+	for range requests {
+		breakLinks(f.front.Links)
+		if res, _ := f.call(t.Context(), http.MethodPost, "/book/x", "dough"); res.StatusCode == http.StatusOK {
+			served++
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	assert.Assert(t, float64(served) >= 0.95*requests, "served %d of %d", served, requests)
+}
--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -35,12 +35,14 @@
 	targets   map[string]*standin.Target
 	addresses map[string]string
 	requests  atomic.Int64
-	cores     float64
+	// cores and zone are those of the instances that are started next.
+	cores float64
+	zone  string
 }
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: &standin.Store{}, targets: map[string]*standin.Target{}, addresses: map[string]string{}}
+	f := &fleet{t: t, store: &standin.Store{}, targets: map[string]*standin.Target{}, addresses: map[string]string{}, zone: "graz"}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.address = strings.TrimPrefix(server.URL, "http://")
@@ -114,7 +116,7 @@
 // tryStart returns nil if an address was in use.
 func (f *fleet) tryStart(name string, seeds []string) *runningInstance {
 	s := instance.Defaults()
-	s.Instance, s.Zone, s.Region, s.Regions = name, "graz", "ost", map[string]string{"graz": "ost"}
+	s.Instance, s.Zone, s.Region, s.Regions = name, f.zone, "ost", map[string]string{"graz": "ost", "wien": "ost"}
 	s.CallersListen, s.ReadyListen = freeAddress(f.t), freeAddress(f.t)
 	s.ControlListen, s.DatagramListen = freeAddress(f.t), freeAddress(f.t)
 	s.Store, s.Seeds, s.Cores = f.address, seeds, f.cores
--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -30,14 +30,19 @@
 	}
 }
 
-// startLinkedFleet starts instances in the order of their names, of which the first coordinates,
-// and targets of a sharded and an unsharded service.
-func startLinkedFleet(t *testing.T, names ...string) (*fleet, map[string]*runningInstance) {
-	f := newFleet(t)
+// startTargets starts targets of a sharded and an unsharded service.
+func (f *fleet) startTargets() {
 	for n := range 4 {
 		f.startTarget(fmt.Sprintf("m%d", n), "menus", false)
 		f.startTarget(fmt.Sprintf("l%d", n), "lists", true)
 	}
+}
+
+// startLinkedFleet starts instances in the order of their names, of which the first coordinates,
+// and targets of a sharded and an unsharded service.
+func startLinkedFleet(t *testing.T, names ...string) (*fleet, map[string]*runningInstance) {
+	f := newFleet(t)
+	f.startTargets()
 	all := map[string]*runningInstance{}
 	for _, name := range names {
 		r := f.start(name)
--- a/gateway/instance/thin_test.go
+++ b/gateway/instance/thin_test.go
@@ -31,6 +31,16 @@
 	r.Handler.ServeHTTP(w, req)
 }
 
+// putAbsentInstances adds the rows of more instances than a small zone has. They never run.
+func (f *fleet) putAbsentInstances() {
+	for n := range peers.MaxListed {
+		i := peers.Instance{Name: fmt.Sprintf("gone%d", n), Zone: "graz", Cores: 0.2, Datagram: "127.0.0.1:9", Control: "127.0.0.1:9"}
+		text, err := json.Marshal(i)
+		assert.NilError(f.t, err)
+		f.store.Put(coordinator.InstanceTable, i.RowKey(), text)
+	}
+}
+
 // Guards against instances whose cost grows with the fleet. In a large zone an instance with few
 // cores must serve through the hubs, and read neither targets nor assignments.
 func TestThinInstanceServesThroughHubs(t *testing.T) {
@@ -39,13 +49,7 @@
 	f.startTarget("m1", "menus", false)
 	f.startTarget("o1", "other", false)
 	f.startTarget("l1", "lists", true)
-	// More rows than a small zone has; these instances never run.
-	for n := range peers.MaxListed {
-		i := peers.Instance{Name: fmt.Sprintf("gone%d", n), Zone: "graz", Cores: 0.2, Datagram: "127.0.0.1:9", Control: "127.0.0.1:9"}
-		text, err := json.Marshal(i)
-		assert.NilError(t, err)
-		f.store.Put(coordinator.InstanceTable, i.RowKey(), text)
-	}
+	f.putAbsentInstances()
 	var running []*runningInstance
 	for n := range peers.HubsPerZone {
 		f.cores = 0.8
