Ask instances of other zones to carry a request once the own zone declines

What callers saw: 503 linksDown at first tries, at all instances of a zone that has lost its links, though other zones reach the targets.

Cause: an instance asked four of its own zone as long as any of it was not known to be without links, and forgot after a second which were.

Why this holds: two of the zone, one of the region and one anywhere are asked, so that a whole zone or region costs two or three declines and no refusal. One that declines suggests an instance that has served such a request within 3 s and one of another zone, so that few that keep their links are found by all, and a thin instance, which lists its zone's hubs only, hears of others. Suggested ones are asked four at most: the search stays bounded at any size of a zone or fleet. An answer of an older version suggests nothing; the order of tiers holds without.

Weighed: a report of each instance's links to all others (datagrams that grow with the square of the fleet while links are down), and more asks in the zone (a larger constant, not bounded by the zone's size).

--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -13,6 +13,7 @@
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/hopheader"
+	"basilcross.example/gateway/peers"
 )
 
 const (
@@ -125,12 +126,21 @@
 	return true
 }
 
+// suggestions returns instances that may serve a call which this one declines.
+func (f *Front) suggestions(c *call) []peers.Instance {
+	var regions []string
+	if c.route != nil {
+		regions = c.route.Regions
+	}
+	return f.Forwarder.suggestions(time.Now(), c.service, regions)
+}
+
 func (f *Front) writeDeclined(w http.ResponseWriter, c *call, cause string) {
 	h := w.Header()
 	if c.id != "" {
 		h.Set(f.Headers.RequestID, c.id)
 	}
-	result := forwardedResult{Cause: cause, Runs: c.runs}
+	result := forwardedResult{Cause: cause, Runs: c.runs, Suggested: f.suggestions(c)}
 	h.Set(forwardHeader, result.encode())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// maxCarriersAsked bounds the instances that a request is offered to.
-	maxCarriersAsked = 4
 	// maxForwardedBody bounds the bodies of forwarded requests, which the other instance buffers
 	// too.
 	maxForwardedBody = 4 << 20
@@ -56,12 +54,13 @@
 		// At most one instance carries a request, so that none goes round in circles.
 		return nil, &refusal{status: http.StatusServiceUnavailable, cause: causeLinksDown, final: true, retryAfter: retryAfterNoTarget}
 	}
-	for asked := 0; asked < maxCarriersAsked && len(c.body) <= maxForwardedBody; asked++ {
-		carrier, ok := f.Forwarder.choose(time.Now(), c.service, c.route.Regions)
+	search := carrierSearch{forwarder: f.Forwarder, service: c.service, regions: c.route.Regions}
+	for len(c.body) <= maxForwardedBody {
+		carrier, ok := search.next(time.Now())
 		if !ok {
 			break
 		}
-		response, refused, declined := f.sendThrough(ctx, c, &carrier)
+		response, refused, declined := f.sendThrough(ctx, c, &carrier, &search)
 		if !declined {
 			return response, refused
 		}
@@ -74,13 +73,13 @@
 }
 
 // sendThrough sends the call through one instance. declined is set if that one did not serve it,
-// and another may.
-func (f *Front) sendThrough(ctx context.Context, c *call, carrier *peers.Instance) (response *targetResponse, refused *refusal, declined bool) {
+// and another may, for example one that it suggests.
+func (f *Front) sendThrough(ctx context.Context, c *call, carrier *peers.Instance, search *carrierSearch) (response *targetResponse, refused *refusal, declined bool) {
 	c.sends++
 	c.carriersAsked++
 	c.carrier, c.carrierZone, c.lastTarget = carrier.Name, carrier.Zone, ""
 	start := time.Now()
-	res, err := f.Forwarder.connections(carrier).Do(ctx, f.forwardRequest(c))
+	res, err := f.Forwarder.connections(start, carrier).Do(ctx, f.forwardRequest(c))
 	if err != nil {
 		var pe *pool.Error
 		if wrote := !errors.As(err, &pe) || pe.Wrote; !wrote && ctx.Err() == nil {
@@ -106,12 +105,14 @@
 	if !result.Answered {
 		discard(res)
 		if !result.MayHaveRun && f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) {
+			search.suggest(result.Suggested)
 			f.logForwarded(c, result.Cause, start, nil)
 			return nil, nil, true
 		}
 		f.logForwarded(c, result.Cause, start, nil)
 		return nil, &refusal{status: res.StatusCode, cause: result.Cause, mayHaveRun: result.MayHaveRun, reachedTarget: result.Runs > 0, final: true, retryAfter: result.RetryAfter}, false
 	}
+	f.Forwarder.recordServed(time.Now(), carrier, c.service)
 	return f.readForwarded(ctx, c, carrier, start, res)
 }
 
--- a/gateway/front/forwarder.go
+++ b/gateway/front/forwarder.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -21,10 +20,24 @@
 	Dial   pool.DialFunc
 
 	mu    sync.Mutex
-	pools map[string]*pool.Pool
+	pools map[string]*carrierPool
 	// avoidUntil is until when an instance gets no requests for a service; the service is empty
 	// if it gets none at all.
 	avoidUntil map[instanceService]time.Time
+	// served are the instances that have served a request for a service of late.
+	served map[instanceService]servedAt
+}
+
+// carrierPool is a pool of connections to an instance, and when it was requested last.
+type carrierPool struct {
+	*pool.Pool
+	used time.Time
+}
+
+// servedAt is an instance and when it served a forwarded request last.
+type servedAt struct {
+	instance peers.Instance
+	at       time.Time
 }
 
 // instanceService is an incarnation of an instance, and a service.
@@ -44,39 +57,10 @@
 	avoidUnknown = 30 * time.Second
 	// avoidTTL is how long an entry is kept once it has expired.
 	avoidTTL = time.Minute
+	// servedTTL is how long an instance that served a request is suggested to others.
+	servedTTL = 3 * time.Second
 )
 
-// choose returns an instance for a request to the service: one of the own zone if possible, else
-// of the region, else another. Ones with more cores are chosen more often. If regions are given,
-// the request's body may be sent to these only.
-func (fw *Forwarder) choose(now time.Time, service string, regions []string) (peers.Instance, bool) {
-	if list := fw.available(now, fw.Peers.Zone(fw.Self.Zone), service, regions); len(list) > 0 {
-		return chooseByCores(list), true
-	}
-	list := fw.available(now, fw.Peers.All(), service, regions)
-	near := slices.DeleteFunc(slices.Clone(list), func(i peers.Instance) bool { return fw.Region(i.Zone) != fw.Region(fw.Self.Zone) })
-	switch {
-	case len(near) > 0:
-		return chooseByCores(near), true
-	case len(list) > 0:
-		return chooseByCores(list), true
-	}
-	return peers.Instance{}, false
-}
-
-// available returns the instances of the list that may get a request to the service.
-func (fw *Forwarder) available(now time.Time, list []peers.Instance, service string, regions []string) (may []peers.Instance) {
-	fw.mu.Lock()
-	defer fw.mu.Unlock()
-	for _, i := range list {
-		permitted := len(regions) == 0 || slices.Contains(regions, fw.Region(i.Zone))
-		if i.Name != fw.Self.Name && i.Control != "" && permitted && !fw.isAvoided(now, &i, service) {
-			may = append(may, i)
-		}
-	}
-	return may
-}
-
 func chooseByCores(list []peers.Instance) peers.Instance {
 	sum := 0.0
 	for _, i := range list {
@@ -112,23 +96,39 @@
 	fw.avoidUntil[instanceService{i.Name, i.Incarnation, service}] = now.Add(d)
 }
 
+// recordServed records that an instance has served a request for the service.
+func (fw *Forwarder) recordServed(now time.Time, i *peers.Instance, service string) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if fw.served == nil {
+		fw.served = map[instanceService]servedAt{}
+	}
+	for key, s := range fw.served {
+		if now.Sub(s.at) > servedTTL {
+			delete(fw.served, key)
+		}
+	}
+	fw.served[instanceService{i.Name, i.Incarnation, service}] = servedAt{*i, now}
+}
+
 // connections returns the pool of connections to an instance.
-func (fw *Forwarder) connections(i *peers.Instance) *pool.Pool {
+func (fw *Forwarder) connections(now time.Time, i *peers.Instance) *pool.Pool {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	p := fw.pools[i.Control]
 	if p == nil {
 		if fw.pools == nil {
-			fw.pools = map[string]*pool.Pool{}
+			fw.pools = map[string]*carrierPool{}
 		}
-		p = &pool.Pool{Address: i.Control, Dial: fw.Dial}
+		p = &carrierPool{Pool: &pool.Pool{Address: i.Control, Dial: fw.Dial}}
 		fw.pools[i.Control] = p
 	}
-	return p
+	p.used = now
+	return p.Pool
 }
 
-// Prune closes the connections to instances that are not listed any more.
-func (fw *Forwarder) Prune() {
+// Prune closes the connections to instances that are neither listed nor used any more.
+func (fw *Forwarder) Prune(now time.Time) {
 	listed := map[string]bool{}
 	for _, i := range fw.Peers.All() {
 		listed[i.Control] = true
@@ -136,7 +136,7 @@
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	for address, p := range fw.pools {
-		if !listed[address] {
+		if !listed[address] && now.Sub(p.used) > idlePoolTTL {
 			p.Close()
 			delete(fw.pools, address)
 		}
--- a/gateway/front/forwardmessage.go
+++ b/gateway/front/forwardmessage.go
@@ -1,10 +1,13 @@
 package front
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/url"
 	"strconv"
 	"time"
+
+	"basilcross.example/gateway/peers"
 )
 
 const (
@@ -68,13 +71,21 @@
 	MayHaveRun bool
 	Runs       int
 	RetryAfter time.Duration
+	// Suggested are instances that may serve the request, if the sender declined it.
+	Suggested []peers.Instance
 }
 
 func (r *forwardedResult) encode() string {
-	return url.Values{
+	values := url.Values{
 		"answered": {strconv.FormatBool(r.Answered)}, "target": {r.Target}, "cause": {r.Cause},
 		"mayHaveRun": {strconv.FormatBool(r.MayHaveRun)}, "runs": {strconv.Itoa(r.Runs)}, "retryAfterMs": {formatMs(r.RetryAfter)},
-	}.Encode()
+	}
+	for _, i := range r.Suggested {
+		// An instance's fields are texts and a number, which always can be encoded.
+		text, _ := json.Marshal(i)
+		values.Add("suggested", string(text))
+	}
+	return values.Encode()
 }
 
 func parseForwardedResult(text string) (*forwardedResult, error) {
@@ -86,6 +97,7 @@
 	r := &forwardedResult{
 		Answered: p.bool("answered"), Target: v.Get("target"), Cause: v.Get("cause"),
 		MayHaveRun: p.bool("mayHaveRun"), Runs: p.number("runs"), RetryAfter: p.ms("retryAfterMs"),
+		Suggested: p.instances("suggested"),
 	}
 	return r, p.err
 }
@@ -114,6 +126,15 @@
 	return b
 }
 
+func (p *fieldParser) instances(name string) (list []peers.Instance) {
+	for _, text := range p.values[name] {
+		var i peers.Instance
+		p.keep(name, json.Unmarshal([]byte(text), &i))
+		list = append(list, i)
+	}
+	return list
+}
+
 func (p *fieldParser) keep(name string, err error) {
 	if err != nil && p.err == nil {
 		p.err = fmt.Errorf("parse header %s: field %s: %w", forwardHeader, name, err)
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -349,7 +349,7 @@
 		} else {
 			h.pools.Prune(h.state.roster.Load())
 		}
-		h.forwarder.Prune()
+		h.forwarder.Prune(time.Now())
 		h.dispatcher.Prune()
 		h.state.targetLines.flush(h.log, time.Now())
 	}
