Probe the targets before carrying a request without recent evidence

What callers saw: 502 after more than a second, at an instance of a zone that has lost its links without a word (linksDown, answerLost).

Cause: an instance with few callers learns only from a request that its links are down. It accepted a carried one, which hung on a dead connection, and then answered that the request may have run, so that no other instance was asked.

While the carriers answer requests of their own nothing is probed.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -52,7 +52,7 @@
 	reservation, failed := f.reserve(ctx, c, &request)
 	c.queueTime += time.Since(start)
 	switch {
-	case failed != nil && (failed.linkDown || failed.cause == "noTarget" && c.mayForward() && f.Links.Down(time.Now(), c.service)):
+	case failed != nil && (failed.linkDown || failed.cause == "noTarget" && !c.declined && f.Links.Down(time.Now(), c.service)):
 		return f.forward(ctx, c)
 	case failed != nil:
 		return nil, failed
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -66,6 +66,10 @@
 	defer cancel()
 	stop := context.AfterFunc(f.abortContext, cancel) //nolint:contextcheck // canceled at the process's exit, not by the request
 	defer stop()
+	if !f.canCarry(ctx, c) {
+		f.writeDeclined(w, c, causeLinksDown)
+		return
+	}
 	response, refused := f.sendWithRetries(ctx, c)
 	if response != nil {
 		f.writeResponse(w, c, response)
@@ -78,6 +82,12 @@
 	f.writeRefusal(w, c, refused)
 }
 
+// canCarry reports whether this instance reaches the targets of the call's service. One with few
+// callers may not have noticed that its links are down.
+func (f *Front) canCarry(ctx context.Context, c *call) bool {
+	return f.Links.ReachedWithin(time.Now(), c.service, liveFor) || f.ReachesTargets(ctx, c.service)
+}
+
 // readCarried reads a forwarded request. declined is the cause if this instance can't serve it.
 func (f *Front) readCarried(r *http.Request) (c *call, declined string) {
 	c = &call{id: r.Header.Get(f.Headers.RequestID), method: r.Method}
--- a/gateway/front/direct.go
+++ b/gateway/front/direct.go
@@ -27,7 +27,7 @@
 // response has begun. Requests that must not run twice are not tracked: whether they ran will be
 // known only if a response arrives.
 func (f *Front) trackDirect(ctx context.Context, c *call) (sendCtx context.Context, answered func()) {
-	if !c.route.Idempotent() || !c.mayForward() {
+	if !c.route.Idempotent() || c.declined {
 		return ctx, func() {}
 	}
 	r := &directRequest{service: c.service, sent: time.Now()}
@@ -47,7 +47,8 @@
 }
 
 // AbandonDirect is called when the links to a service's targets turn out to be down. It abandons
-// the idempotent requests that wait for these, so that they can be forwarded.
+// the idempotent requests that wait for these, so that they can be forwarded, or given back to the
+// instance that forwarded them.
 func (f *Front) AbandonDirect(service string) {
 	now := time.Now()
 	if f.Links.ReachedWithin(now, service, silentFor) {
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -104,7 +104,9 @@
 	c.lastTarget, c.runs = result.Target, max(c.runs, result.Runs)
 	if !result.Answered {
 		discard(res)
-		if !result.MayHaveRun && f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) {
+		c.mayHaveRun = c.mayHaveRun || result.MayHaveRun
+		mayRunAgain := !result.MayHaveRun || c.route.Idempotent() && c.runs < c.route.MaxAttempts
+		if f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) && mayRunAgain {
 			search.suggest(result.Suggested)
 			f.logForwarded(c, result.Cause, start, nil)
 			return nil, nil, true
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -30,6 +30,9 @@
 	Pools     *Pools
 	// Links tells this instance's own broken links from targets that are down.
 	Links *links.Monitor
+	// ReachesTargets reports whether this instance reaches targets of a service; it probes some if
+	// none has answered of late.
+	ReachesTargets func(ctx context.Context, service string) bool
 	// Forwarder sends requests through other instances while those links are down.
 	Forwarder *Forwarder
 	// Table returns the routing table in force; nil before the first configuration.
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -55,7 +55,7 @@
 		Broker: broker.New(broker.Options{
 			Self: p.Self, Placement: f.policy.Load, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
 		}),
-		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, Forwarder: &front.Forwarder{Self: p.Self, Peers: p, Region: func(string) string { return "" }}, Table: f.table.Load,
+		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, ReachesTargets: func(context.Context, string) bool { return true }, Forwarder: &front.Forwarder{Self: p.Self, Peers: p, Region: func(string) string { return "" }}, Table: f.table.Load,
 		CurrentAssignment: func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		OwnerChangedSince: func(string, int, time.Time) bool { return false },
 		Loads:             &front.Loads{},
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -156,7 +156,7 @@
 	peerDialer := &egress.Dialer{DialTimeout: targetDialTimeout, UserTimeout: targetUserTimeout, KeepAliveInterval: keepAliveInterval}
 	i.forwarder = &front.Forwarder{Self: i.peers.Self, Peers: i.peers, Dial: peerDialer.DialContext, Region: func(zone string) string { return i.state.policy().Regions[zone] }}
 	i.front = front.New(front.Options{
-		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, Forwarder: i.forwarder, Table: i.state.routes.Load,
+		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		RetryLimits: func() front.RetryLimits {
 			now := i.liveSettings.Load()
