Ask an instance of each zone whether it reaches the targets

What callers saw: 503 notOwner for keys, at all instances, for seconds after a zone with the coordinator has lost its links.

Cause: a coordinator without links asks four instances at random whether they reach the targets, and resigns if one does. In a zone with most of the fleet's instances, all of them cut off or gone, it drew them again and again: in TestThinInstanceServesWhileItsHubsHaveNoLinks it resigned after 8.7 s, when the targets' holds had long expired (event 210, sinceMs 8679). One of each zone is asked first now, the own zone's last.

TestUnlinkedCoordinatorAsksOtherZones failed before: four of its own zone asked of 42.

--- a/gateway/coordinator/links.go
+++ b/gateway/coordinator/links.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -73,10 +74,21 @@
 	})
 }
 
-// chooseOthers returns some other instances, at random.
+// chooseOthers returns some other instances at random, one of each zone first and those of the own
+// zone last: a whole zone may have lost its links.
 func (c *Coordinator) chooseOthers() []peers.Instance {
 	others := slices.DeleteFunc(slices.Clone(c.Peers.All()), func(i peers.Instance) bool { return i.Name == c.Self.Name })
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	// position is an instance's place among those of its zone.
+	position, inZone := map[string]int{}, map[string]int{}
+	for _, i := range others {
+		position[i.Name] = inZone[i.Zone]
+		if i.Zone == c.Self.Zone {
+			position[i.Name]++
+		}
+		inZone[i.Zone]++
+	}
+	slices.SortStableFunc(others, func(a, b peers.Instance) int { return cmp.Compare(position[a.Name], position[b.Name]) })
 	return others[:min(len(others), linksAsked)]
 }
 
