Probe the targets before taking over as coordinator

What callers saw: 503 notOwner for keys at all instances, after the coordinator and its zone had lost their links and it had resigned: another instance of the zone took over, which reached no target either and resigned again four seconds later.

Cause: instances without links wait 0.7 s longer before they take over, but one with few callers does not know that its links are down. Evidence: TestThinInstanceServesWhileItsHubsHaveNoLinks, term 2 gained by hub1 whose linksDown came 40 ms later.

Change: once a lease has ended, an instance whose targets have not answered for a second probes three, and takes over later if none accepts. One with evidence, or without listed targets, does not wait.

TestInstanceProbesItsLinksBeforeTakeover could not be built before.

--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -74,6 +74,9 @@
 	ReleaseClient *platform.GrantClient
 	// Links tells this instance's own broken links from targets that are down.
 	Links *links.Monitor
+	// ReachesTargets reports whether this instance reaches targets of a service; it probes some if
+	// none has answered of late.
+	ReachesTargets func(ctx context.Context, service string) bool
 	// AskLinks reports whether another instance reaches the services' targets. One whose version
 	// does not know the question counts as assumed.
 	AskLinks func(ctx context.Context, other peers.Instance, services []string, assumed bool) bool
@@ -115,7 +118,11 @@
 	leaseCallActive bool
 	// takeoverRevision is the revision of the row for which the takeover delay was set.
 	takeoverRevision uint64
-	leadership       *leadership
+	// probedRevision is the revision of the row before whose takeover the links to targets were
+	// probed, and probing is set meanwhile.
+	probedRevision uint64
+	probing        bool
+	leadership     *leadership
 	// stopping is set once the instance shuts down: it does not take over any more.
 	stopping bool
 	// members holds the instances that send messages.
@@ -337,7 +344,11 @@
 	if c.nextLeaseRead.IsZero() {
 		c.nextLeaseRead = now.Add(firstReadDelay(c.Self, c.Peers.All()))
 	}
-	if c.nextLeaseRead.IsZero() || now.Sub(c.lastHeartbeat) < heartbeatTimeout || c.leaseCallActive || now.Before(c.nextLeaseRead) || !c.leaseReadDue(now) {
+	if c.nextLeaseRead.IsZero() || now.Sub(c.lastHeartbeat) < heartbeatTimeout || c.leaseCallActive || c.probing || now.Before(c.nextLeaseRead) {
+		return
+	}
+	if !c.leaseReadDue(now) {
+		c.probeBeforeTakeover(ctx)
 		return
 	}
 	c.readLease(ctx)
@@ -361,9 +372,6 @@
 	c.nextLeaseRead = now
 	if c.observed.lease.Holder != c.Self.Name {
 		c.nextLeaseRead = now.Add(takeoverDelay(c.Self, c.Peers.All()))
-		if c.isUnlinked(now) {
-			c.nextLeaseRead = c.nextLeaseRead.Add(unlinkedTakeoverDelay)
-		}
 	}
 	return !now.Before(c.nextLeaseRead)
 }
--- a/gateway/coordinator/links.go
+++ b/gateway/coordinator/links.go
@@ -118,16 +118,39 @@
 	return true
 }
 
-// isUnlinked reports whether this instance's links to the targets of any sharded service are down.
-func (c *Coordinator) isUnlinked(now time.Time) bool {
+// probeBeforeTakeover finds out, once for each end of a lease, whether this instance reaches the
+// targets, and delays its takeover if not. An instance with few callers may not know that its links
+// are down.
+func (c *Coordinator) probeBeforeTakeover(ctx context.Context) {
+	revision := c.takeoverRevision
+	services := c.listedShardedServices()
+	if revision != c.observed.revision || revision == c.probedRevision || len(services) == 0 {
+		return
+	}
+	c.probedRevision, c.probing = revision, true
+	c.group.Go(func() error {
+		unlinked := slices.ContainsFunc(services, func(name string) bool { return !c.ReachesTargets(ctx, name) })
+		c.enqueue(ctx, func() {
+			c.probing = false
+			if unlinked && c.takeoverRevision == revision {
+				c.nextLeaseRead = c.nextLeaseRead.Add(unlinkedTakeoverDelay)
+			}
+		})
+		return nil
+	})
+}
+
+// listedShardedServices returns the sharded services of which targets are listed.
+func (c *Coordinator) listedShardedServices() (names []string) {
 	table := c.Table()
 	if table == nil {
-		return false
+		return nil
 	}
+	view := c.Roster.Load()
 	for i := range table.Config.Services {
-		if s := &table.Config.Services[i]; s.Sharded && c.Links.Down(now, s.Name) {
-			return true
+		if s := &table.Config.Services[i]; s.Sharded && len(view.Zones(s.Name)) > 0 {
+			names = append(names, s.Name)
 		}
 	}
-	return false
+	return names
 }
--- a/gateway/coordinator/links_test.go
+++ b/gateway/coordinator/links_test.go
@@ -1,9 +1,15 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"basilcross.example/basilcross/links"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/peers"
 	"gotest.tools/v3/assert"
 )
@@ -29,3 +35,29 @@
 		assert.DeepEqual(t, zones, map[string]int{"graz": linksAsked - 2, "wien": 1, "linz": 1})
 	}
 }
+
+// Guards against keys without an owner because an instance takes over that does not reach the
+// targets either, and has not noticed since it has few callers.
+func TestInstanceProbesItsLinksBeforeTakeover(t *testing.T) {
+	for _, reaches := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			targets := &roster.Roster{}
+			targets.Replace(time.Now(), []*roster.Target{{ID: "a", Service: "s", Zone: "z"}}, 1)
+			table := routing.New(&routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Sharded: true}}})
+			c := New(Options{
+				Table: func() *routing.Table { return table }, Roster: targets, Peers: &peers.Peers{}, Links: &links.Monitor{},
+				Self: peers.Instance{Name: "me", Incarnation: "a"}, Joined: func() bool { return true },
+				ReachesTargets: func(context.Context, string) bool { time.Sleep(200 * time.Millisecond); return reaches },
+			})
+			c.observe(7, Lease{Term: 1, Holder: "other"})
+			start := time.Now()
+			assert.Assert(t, !c.leaseReadDue(start))
+			c.probeBeforeTakeover(t.Context())
+			c.step(t.Context())
+			assert.Assert(t, c.probing && !c.leaseCallActive, "it waits for the probes")
+			(<-c.events)()
+			assert.Assert(t, !c.probing)
+			assert.Equal(t, c.nextLeaseRead.Sub(start) >= unlinkedTakeoverDelay, !reaches)
+		})
+	}
+}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -144,7 +144,7 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
-		Links: i.links, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
+		Links: i.links, ReachesTargets: i.reachesTargets, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff}
