Offer requests to the hubs of a large zone, not to its thin instances

What callers saw: 503 linksDown at a thin instance though its hubs, or others through them, could serve.

Cause: all listed instances of the zone were asked alike, also those without rows of their own and those that have ended: in TestThinInstanceServesWhileItsHubsHaveNoLinks four that were gone were asked for one request, and no hub. A thin carrier would have reserved its slot through a hub anyway. In a zone of up to 32 all instances are hubs, so nothing changes there.

TestHubsOfLargeZoneAreAsked failed before (a thin one asked first).

--- a/gateway/front/carriersearch.go
+++ b/gateway/front/carriersearch.go
@@ -107,13 +107,19 @@
 	return may
 }
 
-// candidates returns the listed instances, and those not listed that have served a request for
-// the service of late: a thin instance lists its zone's hubs only.
+// candidates returns the listed instances but the thin ones of the own zone, which reserve slots
+// through its hubs, and those not listed that have served a request for the service of late: a thin
+// instance lists its zone's hubs only.
 func (fw *Forwarder) candidates(now time.Time, service string) []peers.Instance {
-	list := fw.Peers.All()
+	list := slices.Clone(fw.Peers.Hubs(fw.Self.Zone))
+	for _, i := range fw.Peers.All() {
+		if i.Zone != fw.Self.Zone {
+			list = append(list, i)
+		}
+	}
 	for _, i := range fw.recentlyServed(now, service) {
 		if fw.Peers.Find(i.Name).Name == "" {
-			list = append(slices.Clip(list), i)
+			list = append(list, i)
 		}
 	}
 	return list
