--- a/gateway/front/carriersearch.go
+++ b/gateway/front/carriersearch.go
@@ -75,19 +75,14 @@
 // nearest returns the available instances of the nearest tier that has any, from the given one
 // outwards, or else of the nearer ones.
 func (s *carrierSearch) nearest(now time.Time, first tier) []peers.Instance {
-	var tiers [tierCount][]peers.Instance
-	for _, i := range s.available(now, s.forwarder.candidates(now, s.service)) {
-		t := s.forwarder.tierOf(&i)
-		tiers[t] = append(tiers[t], i)
-	}
 	for t := first; t < tierCount; t++ {
-		if len(tiers[t]) > 0 {
-			return tiers[t]
+		if list := s.available(now, s.forwarder.inTier(now, s.service, t)); len(list) > 0 {
+			return list
 		}
 	}
 	for t := first - 1; t >= ownZone; t-- {
-		if len(tiers[t]) > 0 {
-			return tiers[t]
+		if list := s.available(now, s.forwarder.inTier(now, s.service, t)); len(list) > 0 {
+			return list
 		}
 	}
 	return nil
@@ -107,18 +102,20 @@
 	return may
 }
 
-// candidates returns the listed instances but the thin ones of the own zone, which reserve slots
-// through its hubs, and those not listed that have served a request for the service of late: a thin
-// instance lists its zone's hubs only.
-func (fw *Forwarder) candidates(now time.Time, service string) []peers.Instance {
-	list := slices.Clone(fw.Peers.Hubs(fw.Self.Zone))
+// inTier returns the instances of a tier: of the own zone its hubs, since thin ones reserve slots
+// through these, and of others all that are listed. Those that have served a request for the
+// service of late are included if they are not listed: a thin instance lists only its zone's hubs.
+func (fw *Forwarder) inTier(now time.Time, service string, t tier) (list []peers.Instance) {
+	if t == ownZone {
+		return fw.Peers.Hubs(fw.Self.Zone)
+	}
 	for _, i := range fw.Peers.All() {
-		if i.Zone != fw.Self.Zone {
+		if fw.tierOf(&i) == t {
 			list = append(list, i)
 		}
 	}
 	for _, i := range fw.recentlyServed(now, service) {
-		if fw.Peers.Find(i.Name).Name == "" {
+		if fw.tierOf(&i) == t && fw.Peers.Find(i.Name).Name == "" {
 			list = append(list, i)
 		}
 	}
