Log and count the targets that end while they run a request

What was missing: a target's end could not be told from a lost response, and no line said under which requests a target had ended; a caller that comes again has another request id each time.

A request whose connection the target closes before the response is followed by one connection to the target, shared by all requests that ask at the moment: if it is refused, event 414 is logged with the request's fingerprint (method, host, path with query, shard key, Authorization and body), and counted by basilcross_requests_ended_with_target_total. No decision depends on it; a retry after such an end waits for the probe, one round trip.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -90,6 +90,7 @@
 	TargetAvoided     = Event{411, "targetAvoided", slog.LevelInfo, "The instance that schedules a target's slots sends it no requests for a while. The line has the result that led to this, the number of failures since its last answer, and the instance that reported the result.", ""}
 	RequestForwarded  = Event{412, "requestForwarded", slog.LevelInfo, "A request was sent through another instance, the carrier, since this one's links to the targets are down. The line has the carrier's zone, how many instances were asked so far, and the outcome: answered, a cause for which the carrier refused or declined it, or unreachable; another carrier may be asked then. The carrier's lines about the request name this instance as the one it is from.", ""}
 	ForwardUnusable   = Event{413, "forwardUnusable", slog.LevelWarn, "A request that another instance forwarded has a description that this one does not understand. It was declined, and has not run.", "Check the versions of the instances."}
+	TargetEndedUnder  = Event{414, "targetEndedUnder", slog.LevelInfo, "A target ended while it ran a request: it closed the connection before the response, and refuses new ones. Requests that are the same have the same fingerprint, whatever their ID. All requests that the target was running are reported, of which at most one is the cause.", ""}
 	LinesLeftOut      = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded          = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading           = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -106,7 +107,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder,
 		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -253,6 +253,7 @@
 	r.awaitOwner = c.sharded && !wrote && !c.mayForward()
 	f.exclude(c, reservation.Target.ID)
 	f.logAttempt(c, r, err)
+	f.endedUnder(ctx, c, t, err)
 	return r
 }
 
@@ -287,6 +288,7 @@
 		reservation.Release(schedule.Failed)
 		f.exclude(c, reservation.Target.ID)
 		f.logAttempt(c, r, err)
+		f.endedUnder(ctx, c, reservation.Target, err)
 		return nil, r
 	}
 	response := &targetResponse{head: res, body: body}
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/hopheader"
 )
@@ -70,6 +71,8 @@
 	counted bool
 	// failure is a target's failure response, forwarded if no later attempt succeeds.
 	failure *targetResponse
+	// identity is the request's fingerprint; nil until it is needed.
+	identity *quarantine.Fingerprint
 }
 
 // kind returns the number of the call's route: requests of a route take similar work.
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -18,6 +18,7 @@
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/broker"
+	"golang.org/x/sync/singleflight"
 )
 
 // Options configure a Front. All fields must be set.
@@ -74,6 +75,7 @@
 	abort             context.CancelFunc
 	carried           carried
 	direct            directRequests
+	endProbes         singleflight.Group
 	mu                sync.Mutex
 	budgets           map[string]*retry.Budget
 	// latencies are the average response times by route.
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -15,6 +15,7 @@
 	retries    *prometheus.CounterVec
 	forwarded  *prometheus.CounterVec
 	carried    *prometheus.CounterVec
+	endedUnder *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -41,7 +42,10 @@
 	m.carried = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_carried_requests_total", Help: "Requests served for another instance, by status and cause.",
 	}, []string{"service", "status", "cause"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried)
+	m.endedUnder = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_requests_ended_with_target_total", Help: "Requests under which their target ended.",
+	}, []string{"service"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder)
 	return m
 }
 
