A test that fails: instances decline to carry while a few targets have ended

What callers see: 503 linksDown and connectFailed at instances without links, though two others reach 13 of 16 targets: 387 of 704 requests served. Their lines 409: three targets out of reach, none or two reached since the first of them failed, so they take their own links to be down.

--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -145,3 +145,26 @@
 		}
 	})
 }
+
+// Guards against callers of an instance without links being refused since the others take a few
+// targets that have ended for broken links of their own, and decline to carry.
+func TestInstanceCarriesWhileSomeTargetsHaveEnded(t *testing.T) {
+	t.Parallel()
+	f, targets, all := startMortalFleet(t, "menus", false)
+	stopOthers := f.callAround("/menus/x", []*runningInstance{all[0], all[3]})
+	all[1].links.Set(instance.Reset)
+	all[2].links.Set(instance.Reset)
+	time.Sleep(stableWindow)
+	stop := f.callAround("/menus/x", all[1:3])
+	for n := range 9 {
+		targets.all[n].end()
+		time.Sleep(300 * time.Millisecond)
+		if n%3 == 2 {
+			time.Sleep(time.Second)
+		}
+	}
+	sent, served := stop()
+	stopOthers()
+	t.Logf("%d of %d served", served, sent)
+	assert.Assert(t, float64(served) >= 0.95*float64(sent))
+}
