Take another target where one alone is out of reach, instead of declining

What callers saw: 503 linksDown at instances without links while a few targets had ended: 387 of 704 requests served, though two instances of four reached 13 of 16 targets. On a deployment this is a cut together with targets that crash, which no earlier test played.

Cause: an instance that does not reach the target assigned to a request forwarded it, whether its links were down or the one target had ended. A carrier can't forward, so it declined with linksDown, and was avoided for a second by the one that asked. Each ended target, until its row is gone, made all carriers decline in turn.

Change: a request without keys is assigned another target, unless the instance's links are down. For a key's owner the carrier declines with targetUnreached, for which it is not avoided.

Tried beside it and dropped, since it changed nothing: probing seven targets at once when the links are taken to be down, and carriers that try while theirs are.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -70,7 +70,12 @@
 	}
 	if !f.mayConnect(c, reservation.Target) {
 		reservation.Release(schedule.Abandoned)
-		return f.forward(ctx, c)
+		if c.sharded || f.Links.Down(time.Now(), c.service) {
+			return f.forward(ctx, c)
+		}
+		c.sends++
+		f.exclude(c, reservation.Target.ID)
+		return nil, newNotRun(causeTargetUnreached, retryAfterFailure)
 	}
 	c.sends++
 	c.lastTarget = reservation.Target.ID
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -52,7 +52,12 @@
 func (f *Front) forward(ctx context.Context, c *call) (*targetResponse, *refusal) {
 	if c.from != "" {
 		// At most one instance carries a request, so that none goes round in circles.
-		return nil, &refusal{status: http.StatusServiceUnavailable, cause: causeLinksDown, final: true, retryAfter: retryAfterNoTarget}
+		r := newNotRun(causeLinksDown, retryAfterNoTarget)
+		if !f.Links.Down(time.Now(), c.service) {
+			r.cause = causeTargetUnreached
+		}
+		r.final = true
+		return nil, r
 	}
 	search := carrierSearch{forwarder: f.Forwarder, service: c.service, regions: c.route.Regions}
 	for len(c.body) <= maxForwardedBody {
--- a/gateway/front/forwardmessage.go
+++ b/gateway/front/forwardmessage.go
@@ -19,7 +19,9 @@
 
 // The causes with which an instance declines to carry a request; it has not run.
 const (
-	causeLinksDown       = "linksDown"
+	causeLinksDown = "linksDown"
+	// causeTargetUnreached: it does not reach the key's owner alone.
+	causeTargetUnreached = "targetUnreached"
 	causeCarrierFull     = "carrierFull"
 	causeCarrierNotReady = "carrierNotReady"
 )
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -71,7 +71,7 @@
 	}
 	if c.from != "" {
 		result := forwardedResult{Target: c.lastTarget, Cause: r.cause, MayHaveRun: r.mayHaveRun, Runs: c.runs, RetryAfter: r.retryAfter}
-		if r.cause == causeLinksDown {
+		if r.cause == causeLinksDown || r.cause == causeTargetUnreached {
 			result.Suggested = f.suggestions(c)
 		}
 		h.Set(forwardHeader, result.encode())
