Let a carrier try targets although it takes its links to be down

Cause: three targets out of reach, and not more reached since, mean that an instance's own links are down. A sound instance with few requests concludes this when three targets end. It then declined what it was asked to carry, and was avoided for a second; with two sound instances both could be avoided.

Change: a carrier tries each assigned target that it does not know to be out of reach, and declines only when none is left, or for a key's owner. It is avoided for that only if no connection to the service works.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -70,7 +70,7 @@
 	}
 	if !f.mayConnect(c, reservation.Target) {
 		reservation.Release(schedule.Abandoned)
-		if c.sharded || f.Links.Down(time.Now(), c.service) {
+		if c.sharded || c.from == "" && f.Links.Down(time.Now(), c.service) {
 			return f.forward(ctx, c)
 		}
 		c.sends++
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -75,6 +75,9 @@
 		f.writeResponse(w, c, response)
 		return
 	}
+	if unreached := refused.cause == "connectFailed" || refused.cause == causeTargetUnreached; unreached && !c.sharded && f.Links.Down(time.Now(), c.service) {
+		refused.cause = causeLinksDown
+	}
 	if r.Context().Err() != nil {
 		f.logRefused(c, refused, "callerGone")
 		panic(http.ErrAbortHandler)
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -24,9 +24,13 @@
 )
 
 // mustForward reports whether no target of the call's service can be reached directly.
-func (f *Front) mustForward(c *call) bool {
+func (f *Front) mustForward(c *call) bool { return c.mayForward() && f.linksBroken(c.service) }
+
+// linksBroken reports whether the links to a service's targets are down, and no connection to any
+// works.
+func (f *Front) linksBroken(service string) bool {
 	now := time.Now()
-	return c.mayForward() && f.Links.Down(now, c.service) && !f.Links.ReachedWithin(now, c.service, liveFor)
+	return f.Links.Down(now, service) && !f.Links.ReachedWithin(now, service, liveFor)
 }
 
 // mayForward reports whether the call may be sent through another instance: it came from a
@@ -41,7 +45,8 @@
 		return true
 	}
 	now := time.Now()
-	if !f.Links.TargetDown(now, c.service, t.ID) && !f.Links.Down(now, c.service) {
+	// A carrier tries also when its links are taken to be down: that may be wrong, and it learns so.
+	if !f.Links.TargetDown(now, c.service, t.ID) && (c.from != "" || !f.Links.Down(now, c.service)) {
 		return true
 	}
 	return f.Links.TargetReachedWithin(now, c.service, t.ID, liveFor) && f.Pools.Get(t).IdleCount() > 0
@@ -53,7 +58,7 @@
 	if c.from != "" {
 		// At most one instance carries a request, so that none goes round in circles.
 		r := newNotRun(causeLinksDown, retryAfterNoTarget)
-		if !f.Links.Down(time.Now(), c.service) {
+		if !f.linksBroken(c.service) {
 			r.cause = causeTargetUnreached
 		}
 		r.final = true
--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -168,3 +168,26 @@
 	t.Logf("%d of %d served", served, sent)
 	assert.Assert(t, float64(served) >= 0.95*float64(sent))
 }
+
+// Guards against callers of an instance without links being refused since three targets that have
+// ended at once make the others take their own links to be down.
+func TestEndedTargetsAreNotTakenForBrokenLinks(t *testing.T) {
+	t.Parallel()
+	f, targets, all := startMortalFleet(t, "menus", false)
+	stopOthers := f.callAround("/menus/x", []*runningInstance{all[0], all[3]})
+	all[1].links.Set(instance.Reset)
+	all[2].links.Set(instance.Reset)
+	time.Sleep(stableWindow)
+	stop := f.callAround("/menus/x", all[1:3])
+	for round := range 4 {
+		for n := range 3 {
+			targets.all[3*round+n].end()
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+	sent, served := stop()
+	stopOthers()
+	t.Logf("%d of %d served", served, sent)
+	assert.Assert(t, float64(served) >= 0.95*float64(sent))
+}
