Forward a request that has found three targets out of reach

What callers saw: 503 connectFailed in the first moments of a cut, at an instance that had answered from many targets just before: too little was known to conclude that its links were down, and each request tried eight targets in vain.

Change: a request that has failed to connect to three targets is forwarded, whatever is concluded of the links. If no instance takes it, the rest of its eight attempts follow as before.

TestRequestThatReachesNoTargetIsForwarded: 503 before, 200 now, for a request that must not run twice too.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -74,6 +74,7 @@
 			return f.forward(ctx, c)
 		}
 		c.sends++
+		c.unreached++
 		f.exclude(c, reservation.Target.ID)
 		return nil, newNotRun(causeTargetUnreached, retryAfterFailure)
 	}
@@ -234,7 +235,9 @@
 		f.Links.Failed(now, t.Service, t.ID)
 	}
 	r := newNotRun("connectFailed", retryAfterFailure)
-	if wrote {
+	if !wrote {
+		c.unreached++
+	} else {
 		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true, reachedTarget: true}
 		c.recordRun(reservation.Target.ID)
 	}
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -66,6 +66,8 @@
 	declined    bool
 	// carriersAsked is how many instances the request was sent to, until one served it.
 	carriersAsked int
+	// unreached counts the targets that were out of reach when the call was to be sent there.
+	unreached int
 	// counted is set once an instance's retry budget counts the request: that of the instance
 	// which sends it to a target first.
 	counted bool
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// maxUnreached is how many targets a call may find out of reach before it is forwarded.
+	maxUnreached = 3
 	// maxForwardedBody bounds the bodies of forwarded requests, which the other instance buffers
 	// too.
 	maxForwardedBody = 4 << 20
@@ -23,8 +25,11 @@
 	liveFor = time.Second
 )
 
-// mustForward reports whether no target of the call's service can be reached directly.
-func (f *Front) mustForward(c *call) bool { return c.mayForward() && f.linksBroken(c.service) }
+// mustForward reports whether no target of the call's service can be reached directly, or several
+// were out of reach for this call.
+func (f *Front) mustForward(c *call) bool {
+	return c.mayForward() && (c.unreached >= maxUnreached || f.linksBroken(c.service))
+}
 
 // linksBroken reports whether the links to a service's targets are down, and no connection to any
 // works.
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -319,3 +319,21 @@
 	}
 	assert.Assert(t, float64(served) >= 0.95*requests, "served %d of %d", served, requests)
 }
+
+// Guards against a request that is refused after it has failed to connect to one target after the
+// other, as long as too little is known to conclude that the links are down.
+func TestRequestThatReachesNoTargetIsForwarded(t *testing.T) {
+	_, address := startCarrier(t, &standin.Target{ID: "t"})
+	f := withoutLinks(t, address)
+	f.front.Links = &links.Monitor{}
+	for n := range 12 {
+		f.addTarget(fmt.Sprint("unreached", n), "127.0.0.1:1")
+	}
+	for n := range 40 {
+		f.front.Links.Reached(time.Now().Add(time.Minute), "s", fmt.Sprint("reached", n))
+	}
+	for _, path := range []string{"/safe/x", "/book/x"} {
+		res, text := f.call(t.Context(), http.MethodPost, path, "dough")
+		assert.Equal(t, res.StatusCode, http.StatusOK, text)
+	}
+}
