Quarantine requests that end each target which runs them

Cause: nobody remembered a request beyond its attempt. Each time it came, it was sent to a target, and to a second one if it was idempotent; and the end of a target was treated like a lost response.

Change: package quarantine counts, at each hub, the targets that ended under a request, by a fingerprint that leaves the request ID out. From the third on the request is refused at once everywhere, 503 with Retry-After. The coordinator repeats the list in its heartbeats and keeps it in the lease's row, which costs no call. A target has ended if it closed the connection and refuses another; an instance whose links count as down must reach another target first. A request that was answered within two seconds is no suspect.

Not built: a command to list and lift entries, a limit of an account's rate of ended targets.

--- /dev/null
+++ b/basilcross/quarantine/quarantine_test.go
@@ -0,0 +1,160 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/quarantine"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+func request(n int) quarantine.Fingerprint { return quarantine.Identify([]byte(fmt.Sprint(n))) }
+
+func endUnder(l *quarantine.List, now time.Time, f quarantine.Fingerprint, targets ...string) (quarantined bool) {
+	for _, t := range targets {
+		if e, _ := l.RecordEnd(now, f, t); e != nil {
+			quarantined = true
+		}
+	}
+	return quarantined
+}
+
+// Guards against a request that is sent on after three targets have ended under it, and against one
+// that is refused after two.
+func TestThirdEndQuarantines(t *testing.T) {
+	var l quarantine.List
+	now := time.Now()
+	assert.Assert(t, !endUnder(&l, now, request(1), "a", "b", "b"))
+	assert.Equal(t, l.Ends(now, request(1)), 2)
+	assert.Assert(t, endUnder(&l, now, request(1), "c"))
+	left, quarantined := l.Left(now, request(1))
+	assert.Assert(t, quarantined && left > time.Minute)
+	_, quarantined = l.Left(now, request(2))
+	assert.Assert(t, !quarantined)
+}
+
+// Guards against requests that are refused since they were under way with the poison request.
+func TestOthersUnderWayAreExplained(t *testing.T) {
+	var l quarantine.List
+	now := time.Now()
+	poison, other := request(1), request(2)
+	endUnder(&l, now, poison, "a", "b")
+	endUnder(&l, now, other, "a", "b")
+	endUnder(&l, now, poison, "c")
+	assert.Equal(t, l.Ends(now, other), 0)
+	assert.Assert(t, !endUnder(&l, now, other, "d", "e"))
+}
+
+// Guards against a request that everybody sends being refused when several targets end at once.
+func TestAnsweredRequestIsNotQuarantined(t *testing.T) {
+	var l quarantine.List
+	now := time.Now()
+	assert.Assert(t, l.MaySuspect(now, request(1)))
+	assert.Assert(t, !l.RecordAnswer(now, request(1)), "nobody suspects it")
+	assert.Assert(t, !l.MaySuspect(now.Add(900*time.Millisecond), request(1)))
+	_, cleared := l.RecordEnd(now, request(1), "a")
+	assert.Assert(t, !cleared)
+	l.RecordEnd(now, request(1), "b")
+	e, cleared := l.RecordEnd(now, request(1), "c")
+	assert.Assert(t, e == nil && cleared)
+	assert.Assert(t, l.MaySuspect(now.Add(3*time.Second), request(1)))
+	endUnder(&l, now.Add(3*time.Second), request(1), "d", "e", "f")
+	assert.Assert(t, l.RecordAnswer(now.Add(3*time.Second), request(1)), "others must be told")
+	_, quarantined := l.Left(now.Add(3*time.Second), request(1))
+	assert.Assert(t, !quarantined)
+}
+
+// Guards against a quarantine without end, and against three more targets that end after each.
+func TestFirstEndAfterQuarantineRenewsIt(t *testing.T) {
+	var l quarantine.List
+	now := time.Now()
+	endUnder(&l, now, request(1), "a", "b", "c")
+	left, _ := l.Left(now, request(1))
+	now = now.Add(left)
+	_, quarantined := l.Left(now, request(1))
+	assert.Assert(t, !quarantined)
+	assert.Equal(t, l.Ends(now, request(1)), quarantine.Threshold, "it is not retried")
+	assert.Assert(t, endUnder(&l, now, request(1), "d"))
+	renewed, quarantined := l.Left(now, request(1))
+	assert.Assert(t, quarantined && renewed == 2*left)
+	now = now.Add(2 * renewed)
+	assert.Equal(t, l.Ends(now, request(1)), 0)
+}
+
+// Guards against memory that grows with the requests of a caller.
+func TestListIsBounded(t *testing.T) {
+	var l quarantine.List
+	now := time.Now()
+	for n := range 5000 {
+		endUnder(&l, now, request(n), "a", "b")
+		l.RecordAnswer(now, request(100000+n))
+	}
+	for n := range 500 {
+		endUnder(&l, now, request(200000+n), fmt.Sprint("x", n), fmt.Sprint("y", n), fmt.Sprint("z", n))
+	}
+	suspects, quarantined := l.Count(now)
+	assert.Assert(t, suspects <= 512 && quarantined <= 32, "%d, %d", suspects, quarantined)
+}
+
+// Guards against an instance that never learns of a quarantined request since a report was lost,
+// whatever the order of reports, repetitions and copies of entries, and against one that refuses
+// a request which targets answer.
+func TestInstancesAgreeOnPoison(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const poison, innocent, instances = 0, 1, 4
+		now := time.Unix(1000, 0)
+		lists := make([]quarantine.List, instances)
+		ends := 0
+		for range rapid.IntRange(3, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			at := rapid.IntRange(0, instances-1).Draw(t, "instance")
+			if rapid.Bool().Draw(t, "answer") {
+				if lists[at].RecordAnswer(now, request(innocent)) {
+					for k := range lists {
+						lists[k].Clear(request(innocent))
+					}
+				}
+				continue
+			}
+			if _, quarantined := lists[at].Left(now, request(poison)); quarantined {
+				continue
+			}
+			ends++
+			for _, f := range []int{poison, innocent} {
+				if f == innocent && (rapid.Bool().Draw(t, "alone") || !lists[at].MaySuspect(now, request(f))) {
+					continue
+				}
+				for k := range lists {
+					if k == at || !rapid.Bool().Draw(t, "lost") {
+						lists[k].RecordEnd(now, request(f), fmt.Sprint(ends))
+					}
+				}
+			}
+			// The coordinator's heartbeat has its entries, and it gets the others'.
+			for k := range lists {
+				for _, e := range lists[k].Entries(now) {
+					lists[0].Merge(now, e)
+				}
+			}
+			for k := range lists {
+				for _, e := range lists[0].Entries(now) {
+					lists[k].Merge(now, e)
+				}
+			}
+		}
+		_, known := lists[0].Left(now, request(poison))
+		for k := range lists {
+			_, quarantined := lists[k].Left(now, request(poison))
+			assert.Equal(t, quarantined, known, "instance %d", k)
+		}
+		// Each instance sees its own ends, whatever is lost.
+		assert.Assert(t, ends <= instances*(quarantine.Threshold-1)+1, "%d ends", ends)
+		for k := range lists {
+			if lists[k].RecordAnswer(now, request(innocent)); lists[k].Ends(now, request(innocent)) > 0 {
+				t.Fatal("an answered request is still suspected")
+			}
+		}
+	})
+}
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -15,6 +15,7 @@
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
@@ -73,6 +74,7 @@
 	table := routing.New(config)
 	log := slog.New(slog.NewTextHandler(testLogWriter{t}, nil))
 	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {},
 		Self:          peers.Instance{Name: "one", Incarnation: "a", Cores: 1},
 		Store:         &platform.Store{Address: strings.TrimPrefix(store.URL, "http://"), HTTP: store.Client()},
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
@@ -244,7 +246,9 @@
 // write renews it. The release must be reported as unsent: otherwise the piece waits for its
 // outcome forever, and its keys have no owner for the rest of the term.
 func TestUnsentReleaseIsReported(t *testing.T) {
-	c := New(Options{Log: slog.New(slog.DiscardHandler), ReleaseClient: &platform.GrantClient{HTTP: http.DefaultClient}})
+	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Log: slog.New(slog.DiscardHandler), ReleaseClient: &platform.GrantClient{HTTP: http.DefaultClient},
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	l := newLeadership(ctx, cancel, Lease{Term: 1}, 1, 0.8)
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
@@ -77,6 +78,10 @@
 	// ReachesTargets reports whether this instance reaches targets of a service; it probes some if
 	// none has answered of late.
 	ReachesTargets func(ctx context.Context, service string) bool
+	// Quarantine has the requests that end targets, and OnQuarantined receives those of the lease's
+	// row.
+	Quarantine    *quarantine.List
+	OnQuarantined func(now time.Time, list []peers.Quarantined)
 	// AskLinks reports whether another instance reaches the services' targets. One whose version
 	// does not know the question counts as assumed.
 	AskLinks func(ctx context.Context, other peers.Instance, services []string, assumed bool) bool
@@ -398,7 +403,10 @@
 	}
 	l := Lease{}
 	if row.Revision != 0 {
-		if l, err = ParseLease(row.Value); err != nil {
+		if l, err = ParseLease(row.Value); err == nil {
+			err = c.mergeQuarantined(time.Now(), row.Value)
+		}
+		if err != nil {
 			c.logStoreFailure("parse lease", err)
 			return
 		}
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -134,6 +134,7 @@
 func (c *Coordinator) heartbeat(l *leadership) *peers.Message {
 	return &peers.Message{Revisions: c.Revisions(), Heartbeat: &peers.Heartbeat{
 		Term: l.lease.Term, LeaseRevision: l.revision, LeaseMs: l.lease.LeaseMs, Members: c.countMembers(time.Now()), InDoubt: l.inDoubt,
+		Quarantined: peers.EncodeQuarantined(time.Now(), c.Quarantine.Entries(time.Now())),
 	}}
 }
 
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"time"
 
+	"basilcross.example/basilcross/quarantine"
+	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
 	"golang.org/x/sync/errgroup"
 )
@@ -53,14 +56,50 @@
 	Seq int64 `json:"seq"`
 }
 
-func (l *Lease) encode() []byte {
-	text, err := json.Marshal(l)
+// leaseRow is what the lease's row holds: the lease, and the quarantined requests, which outlast all
+// instances there.
+type leaseRow struct {
+	Lease
+	Quarantined []quarantinedRow `json:"quarantined,omitempty"`
+}
+
+// quarantinedRow is a quarantined request. LeftMs is what is left of DurationMs when the row is
+// written.
+type quarantinedRow struct {
+	Fingerprint []byte `json:"fingerprint"`
+	LeftMs      int64  `json:"leftMs"`
+	DurationMs  int64  `json:"durationMs"`
+}
+
+func (r *leaseRow) encode() []byte {
+	text, err := json.Marshal(r)
 	if err != nil {
 		panic("coordinator: encode lease: " + err.Error())
 	}
 	return text
 }
 
+func quarantinedRows(now time.Time, entries []quarantine.Entry) (rows []quarantinedRow) {
+	for _, q := range peers.EncodeQuarantined(now, entries) {
+		rows = append(rows, quarantinedRow{Fingerprint: q.Fingerprint, LeftMs: q.LeftMs, DurationMs: q.DurationMs})
+	}
+	return rows
+}
+
+// mergeQuarantined adds the quarantined requests that the row holds.
+func (c *Coordinator) mergeQuarantined(now time.Time, text []byte) error {
+	r := leaseRow{}
+	if err := json.Unmarshal(text, &r); err != nil {
+		return fmt.Errorf("parse lease: %w", err)
+	}
+	var list []peers.Quarantined
+	for _, q := range r.Quarantined {
+		list = append(list, peers.Quarantined{Fingerprint: q.Fingerprint, LeftMs: q.LeftMs, DurationMs: q.DurationMs})
+	}
+	c.OnQuarantined(now, list)
+	return nil
+}
+
 // observedLease is the newest state of the lease's row that this instance has received.
 type observedLease struct {
 	revision uint64
@@ -108,7 +147,8 @@
 func (c *Coordinator) writeLease(ctx context.Context, lease *Lease, expected uint64, tx platform.Transaction) writeResult {
 	started := time.Now()
 	tx.Conditions = []platform.Condition{{Table: LeaseTable, Key: LeaseKey, Revision: expected}}
-	tx.Set = append([]platform.Write{{Table: LeaseTable, Key: LeaseKey, Value: lease.encode()}}, tx.Set...)
+	row := leaseRow{Lease: *lease, Quarantined: quarantinedRows(started, c.Quarantine.Entries(started))}
+	tx.Set = append([]platform.Write{{Table: LeaseTable, Key: LeaseKey, Value: row.encode()}}, tx.Set...)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	responses := make(chan storeResponse, 1)
--- a/gateway/coordinator/lease_test.go
+++ b/gateway/coordinator/lease_test.go
@@ -19,6 +19,7 @@
 
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/channel"
@@ -59,6 +60,7 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	return store, New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {},
 		Store: &platform.Store{Address: strings.TrimPrefix(server.URL, "http://"), HTTP: server.Client()},
 		Log:   slog.New(slog.DiscardHandler),
 		Table: func() *routing.Table { return nil },
@@ -81,7 +83,7 @@
 func TestLeaseWriteFailsIfAnotherInstanceHoldsIt(t *testing.T) {
 	store, c := newWithStore(t)
 	other := Lease{Term: 2, Holder: "two", Incarnation: "b", LeaseMs: 2000, Seq: 1}
-	store.Put(LeaseTable, LeaseKey, other.encode())
+	store.Put(LeaseTable, LeaseKey, (&leaseRow{Lease: other}).encode())
 	mine := Lease{Term: 1, Holder: "one", Incarnation: "a", LeaseMs: 2000, Seq: 9}
 	s := c.writeLease(context.Background(), &mine, 0, platform.Transaction{Set: []platform.Write{{Table: AssignmentTable, Key: "s", Value: []byte("x")}}})
 	assert.Assert(t, !s.ok)
@@ -145,7 +147,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		calls := &callCounter{}
 		var group errgroup.Group
-		c := New(Options{Log: slog.New(slog.DiscardHandler), Links: &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return true }, Roster: &roster.Roster{}, Table: func() *routing.Table { return nil }})
+		c := New(Options{
+			Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Log: slog.New(slog.DiscardHandler), Links: &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return true }, Roster: &roster.Roster{}, Table: func() *routing.Table { return nil },
+		})
 		c.Channels = &channel.Set{Dial: func(context.Context, string, string) (net.Conn, error) {
 			client, server := net.Pipe()
 			group.Go(func() error { return calls.serve(server) })
@@ -182,9 +186,11 @@
 		"alike":  {Name: "alike", Cores: 0.16, Datagram: "127.0.0.1:9"},
 	})
 	linked := false
-	c := New(Options{Log: p.Log, Peers: p, Self: peers.Instance{Name: "small", Cores: 0.16}, AskLinks: func(_ context.Context, other peers.Instance, _ []string, assumed bool) bool {
-		return linked && assumed && other.Name == "strong"
-	}})
+	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Log: p.Log, Peers: p, Self: peers.Instance{Name: "small", Cores: 0.16}, AskLinks: func(_ context.Context, other peers.Instance, _ []string, assumed bool) bool {
+			return linked && assumed && other.Name == "strong"
+		},
+	})
 	c.leadership = newLeadership(context.Background(), func() {}, Lease{Term: 1}, 1, 0.8)
 	c.leadership.recorded = map[string]*ownership.Assignment{}
 	c.leadership.started = now
@@ -216,7 +222,9 @@
 // expired, no instance may call the store. After that, each waits for its takeover delay, in
 // which it receives the next coordinator's heartbeat.
 func TestLeaseIsNotReadBeforeItCanHaveExpired(t *testing.T) {
-	c := New(Options{Table: func() *routing.Table { return nil }, Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Incarnation: "a"}})
+	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Table: func() *routing.Table { return nil }, Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Incarnation: "a"},
+	})
 	now := time.Now()
 	assert.Assert(t, c.leaseReadDue(now), "no row was received")
 	c.observe(7, Lease{Term: 1, Holder: "other", LeaseMs: 2000})
@@ -250,7 +258,9 @@
 
 // An instance that shuts down must not take over the lease that another one has released.
 func TestStoppingInstanceDoesNotTakeOver(t *testing.T) {
-	c := New(Options{Table: func() *routing.Table { return nil }, Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Incarnation: "a"}, Log: slog.New(slog.DiscardHandler)})
+	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Table: func() *routing.Table { return nil }, Peers: &peers.Peers{}, Self: peers.Instance{Name: "me", Incarnation: "a"}, Log: slog.New(slog.DiscardHandler),
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error {
@@ -269,6 +279,6 @@
 	released := Lease{Term: 1, Holder: "other"}
 	c.observe(7, released)
 	c.step(context.Background())
-	c.onLeaseRead(context.Background(), platform.Row{Revision: 7, Value: released.encode()}, nil)
+	c.onLeaseRead(context.Background(), platform.Row{Revision: 7, Value: (&leaseRow{Lease: released}).encode()}, nil)
 	assert.Assert(t, !c.leaseCallActive && c.leadership == nil)
 }
--- a/gateway/coordinator/links_test.go
+++ b/gateway/coordinator/links_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"basilcross.example/basilcross/links"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/peers"
@@ -25,7 +26,9 @@
 		list[name] = peers.Instance{Name: name, Zone: "graz"}
 	}
 	p.SetInstances(list)
-	c := New(Options{Self: self, Peers: p})
+	c := New(Options{
+		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {}, Self: self, Peers: p,
+	})
 	for range 20 {
 		zones := map[string]int{}
 		for _, i := range c.chooseOthers() {
@@ -45,6 +48,7 @@
 			targets.Replace(time.Now(), []*roster.Target{{ID: "a", Service: "s", Zone: "z"}}, 1)
 			table := routing.New(&routing.Config{Version: 1, Services: []routing.Service{{Name: "s", Sharded: true}}})
 			c := New(Options{
+				Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {},
 				Table: func() *routing.Table { return table }, Roster: targets, Peers: &peers.Peers{}, Links: &links.Monitor{},
 				Self: peers.Instance{Name: "me", Incarnation: "a"}, Joined: func() bool { return true },
 				ReachesTargets: func(context.Context, string) bool { time.Sleep(200 * time.Millisecond); return reaches },
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -36,6 +36,9 @@
 // attempt reserves a slot at a target and sends the request to it once, or sends the request
 // through another instance if this one's links are down.
 func (f *Front) attempt(ctx context.Context, c *call) (*targetResponse, *refusal) {
+	if refused := f.quarantined(c); refused != nil {
+		return nil, refused
+	}
 	if f.mustForward(c) {
 		return f.forward(ctx, c)
 	}
@@ -62,6 +65,10 @@
 		reservation.Release(schedule.Abandoned)
 		return nil, f.reservationRefused(c, err)
 	}
+	if refused := f.quarantined(c); refused != nil {
+		reservation.Release(schedule.Abandoned)
+		return nil, refused
+	}
 	if c.sharded && c.lastRunTarget == reservation.Target.ID && f.ownerChangedSinceRun(c, reservation) {
 		// The key had another owner since the first run. Two runs at the same target
 		// would look like one run, during which the key changed its owner.
@@ -261,7 +268,7 @@
 	r.awaitOwner = c.sharded && !wrote && !c.mayForward()
 	f.exclude(c, reservation.Target.ID)
 	f.logAttempt(c, r, err)
-	f.endedUnder(ctx, c, t, err)
+	f.checkEnded(ctx, c, t, r, err)
 	return r
 }
 
@@ -296,7 +303,7 @@
 		reservation.Release(schedule.Failed)
 		f.exclude(c, reservation.Target.ID)
 		f.logAttempt(c, r, err)
-		f.endedUnder(ctx, c, reservation.Target, err)
+		f.checkEnded(ctx, c, reservation.Target, r, err)
 		return nil, r
 	}
 	response := &targetResponse{head: res, body: body}
--- a/gateway/front/ended.go
+++ b/gateway/front/ended.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"syscall"
 	"time"
@@ -18,6 +19,9 @@
 // between regions.
 const endProbeTimeout = 200 * time.Millisecond
 
+// causeQuarantined is the cause of refusals of requests that end the targets which run them.
+const causeQuarantined = "quarantined"
+
 // authorizationHeader identifies the client account on interfaces that have accounts.
 const authorizationHeader = "Authorization"
 
@@ -45,16 +49,52 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// endedUnder reports whether the target has ended while it ran the call: it closed the
-// connection, and its address accepts no other. A lost response alone does not prove that.
-func (f *Front) endedUnder(ctx context.Context, c *call, t *roster.Target, err error) bool {
+// checkEnded finds out whether the target has ended while it ran the call: it closed the connection,
+// and its address accepts no other. A lost response alone does not prove that. If it has, the
+// request may be the cause; it is not retried if another target has ended under it before.
+func (f *Front) checkEnded(ctx context.Context, c *call, t *roster.Target, r *refusal, err error) {
 	if !closedByTarget(err) || !f.refusesConnections(ctx, t) {
-		return false
+		return
 	}
-	event.TargetEndedUnder.Log(f.Log, "request", c.id, "fingerprint", c.fingerprint(f.Headers.ShardKey).String(), "route", c.route.Name,
-		"service", t.Service, "target", t.ID, "from", c.from, "ageMs", time.Since(c.arrived).Milliseconds())
+	identity, now := c.fingerprint(f.Headers.ShardKey), time.Now()
+	// What an instance without links sees says nothing about the targets.
+	suspected := f.Quarantine.MaySuspect(now, identity) && (!f.Links.Down(now, t.Service) || f.ProbeTargets(ctx, t.Service))
+	event.TargetEndedUnder.Log(f.Log, "request", c.id, "fingerprint", identity.String(), "route", c.route.Name, "service", t.Service,
+		"target", t.ID, "suspected", suspected, "from", c.from, "ageMs", time.Since(c.arrived).Milliseconds())
 	f.Metrics.endedUnder.WithLabelValues(t.Service).Inc()
-	return true
+	if suspected {
+		f.OnEnded(t, identity)
+	}
+	r.final = r.final || f.Quarantine.Ends(now, identity) > 1
+}
+
+// quarantined returns the refusal of a call whose request must not reach a target; nil if it may.
+func (f *Front) quarantined(c *call) *refusal {
+	if f.Quarantine.Empty() {
+		return nil
+	}
+	left, quarantined := f.Quarantine.Left(time.Now(), c.fingerprint(f.Headers.ShardKey))
+	if !quarantined {
+		return nil
+	}
+	r := newNotRun(causeQuarantined, left)
+	r.final = true
+	return r
+}
+
+// maxIdentifiedBody bounds the bodies of requests whose answers are recorded: identifying a request
+// takes time in proportion to its body, and each answered one pays it.
+const maxIdentifiedBody = 64 << 10
+
+// recordAnswer records that a target has answered the call, unless the response is a failure.
+func (f *Front) recordAnswer(c *call, response *targetResponse) {
+	if c.carrier != "" || response.head.StatusCode >= http.StatusInternalServerError || len(c.body) > maxIdentifiedBody {
+		return
+	}
+	identity := c.fingerprint(f.Headers.ShardKey)
+	if f.Quarantine.RecordAnswer(time.Now(), identity) {
+		f.OnCleared(identity)
+	}
 }
 
 // refusesConnections reports whether the target's address refuses a new connection. Requests that
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -14,6 +14,7 @@
 
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/retry"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
@@ -34,6 +35,14 @@
 	// ReachesTargets reports whether this instance reaches targets of a service; it probes some if
 	// none has answered of late.
 	ReachesTargets func(ctx context.Context, service string) bool
+	// Quarantine has the requests that end the targets which run them. OnEnded is called if a target
+	// ended while it ran a request that may be the cause, and OnCleared if one that was suspected
+	// was answered.
+	Quarantine *quarantine.List
+	OnEnded    func(t *roster.Target, f quarantine.Fingerprint)
+	OnCleared  func(f quarantine.Fingerprint)
+	// ProbeTargets reports whether any of some targets of a service accepts a connection.
+	ProbeTargets func(ctx context.Context, service string) bool
 	// Forwarder sends requests through other instances while those links are down.
 	Forwarder *Forwarder
 	// Table returns the routing table in force; nil before the first configuration.
@@ -177,6 +186,7 @@
 	for {
 		response, failed := f.attempt(ctx, c)
 		if response != nil {
+			f.recordAnswer(c, response)
 			return response, nil
 		}
 		c.mayHaveRun = c.mayHaveRun || failed.mayHaveRun
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -19,6 +19,7 @@
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
+	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/broker"
@@ -55,13 +56,16 @@
 		Broker: broker.New(broker.Options{
 			Self: p.Self, Placement: f.policy.Load, Peers: p, Dispatcher: &dispatch.Dispatcher{Roster: f.roster}, Roster: f.roster, Log: log,
 		}),
-		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, ReachesTargets: func(context.Context, string) bool { return true }, Forwarder: &front.Forwarder{Self: p.Self, Peers: p, Region: func(string) string { return "" }}, Table: f.table.Load,
+		Roster: f.roster, Pools: &front.Pools{}, Links: &links.Monitor{}, ReachesTargets: func(context.Context, string) bool { return true }, ProbeTargets: func(context.Context, string) bool { return true }, Quarantine: &quarantine.List{}, OnCleared: func(quarantine.Fingerprint) {}, Forwarder: &front.Forwarder{Self: p.Self, Peers: p, Region: func(string) string { return "" }}, Table: f.table.Load,
 		CurrentAssignment: func(string) (*ownership.Assignment, <-chan struct{}) { return nil, nil },
 		OwnerChangedSince: func(string, int, time.Time) bool { return false },
 		Loads:             &front.Loads{},
 		RetryLimits:       func() front.RetryLimits { return front.RetryLimits{Ratio: 0.2, Slack: 60, Instances: 1} },
 		Metrics:           front.NewMetrics(prometheus.NewRegistry()), Log: log,
 	})
+	f.front.OnEnded = func(t *roster.Target, identity quarantine.Fingerprint) {
+		f.front.Quarantine.RecordEnd(time.Now(), identity, t.ID)
+	}
 	f.server = httptest.NewServer(f.front)
 	t.Cleanup(f.server.Close)
 	return f
--- /dev/null
+++ b/gateway/front/quarantine_test.go
@@ -0,0 +1,131 @@
+package front_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/quarantine"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"gotest.tools/v3/assert"
+)
+
+// startEndingTarget adds a target that ends when it gets a request: it closes the connection and its
+// listener.
+func (f *fixture) startEndingTarget(id string, runs *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	f.t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = c.Read(make([]byte, 1000))
+		runs.Add(1)
+		_ = l.Close()
+		_ = c.Close()
+	}()
+	f.addTarget(id, l.Addr().String())
+}
+
+// Guards against a request that ends each target which runs it being sent on: in an attempt after
+// the second end, and at all after the third.
+func TestPoisonRequestIsRefusedAfterThreeEnds(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/book/x"} {
+		f := newFixture(t)
+		f.setRoutes(4 * time.Second)
+		var runs atomic.Int64
+		for n := range 8 {
+			f.startEndingTarget("ends"+strconv.Itoa(n), &runs)
+		}
+		for runs.Load() < 3 {
+			res, text := f.call(t.Context(), http.MethodPost, path, "dough")
+			assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+		}
+		assert.Equal(t, runs.Load(), int64(3))
+		res, text := f.call(t.Context(), http.MethodPost, path, "dough")
+		assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable, text)
+		assert.Assert(t, strings.Contains(text, "quarantined"), text)
+		after, err := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, after > 60, "%v", after)
+		assert.Equal(t, runs.Load(), int64(3))
+	}
+}
+
+// Guards against other requests being refused with a poison request: those of another client account,
+// path or body.
+func TestOthersAreServedBesidePoisonRequest(t *testing.T) {
+	f := newFixture(t)
+	f.setRoutes(4 * time.Second)
+	var runs atomic.Int64
+	for n := range 3 {
+		f.startEndingTarget("ends"+strconv.Itoa(n), &runs)
+	}
+	for runs.Load() < 3 {
+		f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+	}
+	f.targets = nil
+	f.startTarget("t", &standin.Target{ID: "t"})
+	for _, c := range []struct{ path, body, account string }{
+		{"/book/x", "other", ""}, {"/book/x?day=2", "dough", ""}, {"/safe/x", "dough", ""}, {"/book/x", "dough", "Bearer other"},
+	} {
+		req, err := http.NewRequest(http.MethodPost, f.server.URL+c.path, strings.NewReader(c.body))
+		assert.NilError(t, err)
+		req.Host = "cakes.example"
+		req.Header.Set(platform.RequestID, "other")
+		if c.account != "" {
+			req.Header.Set("Authorization", c.account)
+		}
+		res, err := f.server.Client().Do(req)
+		assert.NilError(t, err)
+		text, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
+		res.Body.Close()
+		assert.Equal(t, res.StatusCode, http.StatusOK, "%v: %s", c, text)
+	}
+	res, text := f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable, text)
+}
+
+// Guards against a request being held responsible for lost responses and reset connections: its
+// targets still accept others.
+func TestLostResponseIsNoEndOfTarget(t *testing.T) {
+	f := newFixture(t)
+	f.setRoutes(4 * time.Second)
+	for n := range 4 {
+		f.startRawTarget("loses"+strconv.Itoa(n), func(string) string { return "" })
+	}
+	for range 8 {
+		res, text := f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+		assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+	}
+	suspects, quarantined := f.front.Quarantine.Count(time.Now())
+	assert.Equal(t, suspects+quarantined, 0)
+}
+
+// Guards against a path that everybody asks for being refused since it was under way when targets
+// ended.
+func TestAnsweredRequestIsNotSuspected(t *testing.T) {
+	f := newFixture(t)
+	f.setRoutes(4 * time.Second)
+	var ended []string
+	f.front.OnEnded = func(target *roster.Target, _ quarantine.Fingerprint) { ended = append(ended, target.ID) }
+	f.startTarget("t", &standin.Target{ID: "t"})
+	res, text := f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+	assert.Equal(t, res.StatusCode, http.StatusOK, text)
+	f.targets = nil
+	var runs atomic.Int64
+	f.startEndingTarget("ends", &runs)
+	res, text = f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+	assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+	assert.Equal(t, len(ended), 0)
+}
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -95,8 +95,12 @@
 		route = c.route.Name
 		leftMs = time.Until(c.deadline).Milliseconds()
 	}
+	fingerprint := ""
+	if c.identity != nil {
+		fingerprint = c.identity.String()
+	}
 	event.RequestRefused.Log(f.Log, "request", c.id, "route", route, "service", c.service, "key", c.key, "outcome", outcome,
-		"cause", r.cause, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "target", c.lastTarget, "queued", r.queueLength,
+		"cause", r.cause, "fingerprint", fingerprint, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "target", c.lastTarget, "queued", r.queueLength,
 		"from", c.from, "carrier", c.carrier, "asked", c.carriersAsked, "waitedMs", c.queueTime.Milliseconds(), "ageMs", time.Since(c.arrived).Milliseconds(), "leftMs", leftMs,
 		"retryAfterMs", r.retryAfter.Milliseconds())
 }
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -98,6 +98,7 @@
 	broker      *broker.Broker
 	pools       *front.Pools
 	links       *links.Monitor
+	quarantiner *quarantiner
 	loads       *front.Loads
 	front       *front.Front
 	forwarder   *front.Forwarder
@@ -137,6 +138,7 @@
 		Cores: s.Cores,
 	}}
 	i.links = &links.Monitor{OnChange: i.linksChanged}
+	i.quarantiner = &quarantiner{Instance: i}
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store,
@@ -144,7 +146,7 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
-		Links: i.links, ReachesTargets: i.reachesTargets, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
+		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff}
@@ -156,7 +158,8 @@
 	peerDialer := &egress.Dialer{DialTimeout: targetDialTimeout, UserTimeout: targetUserTimeout, KeepAliveInterval: keepAliveInterval}
 	i.forwarder = &front.Forwarder{Self: i.peers.Self, Peers: i.peers, Dial: peerDialer.DialContext, Region: func(zone string) string { return i.state.policy().Regions[zone] }}
 	i.front = front.New(front.Options{
-		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets, Forwarder: i.forwarder, Table: i.state.routes.Load,
+		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets,
+		ProbeTargets: i.probeTargets, Quarantine: &i.quarantiner.list, OnEnded: i.quarantiner.ended, OnCleared: i.quarantiner.cleared, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
 		RetryLimits: func() front.RetryLimits {
 			now := i.liveSettings.Load()
--- a/gateway/instance/linkstatus.go
+++ b/gateway/instance/linkstatus.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/roster"
 	"basilcross.example/gateway/peers"
 	"golang.org/x/sync/errgroup"
 )
@@ -47,17 +49,14 @@
 	if i.links.ReachedWithin(now, service, freshEvidence) {
 		return true
 	}
-	view := i.state.roster.Load()
+	return i.probeTargets(ctx, service)
+}
+
+// probeTargets reports whether any of some targets of a service accepts a connection.
+func (i *Instance) probeTargets(ctx context.Context, service string) bool {
 	var reached atomic.Bool
 	var group errgroup.Group
-	probed := 0
-	for _, zone := range view.Zones(service) {
-		targets := view.InZone(service, zone)
-		if len(targets) == 0 || probed == statusProbes {
-			continue
-		}
-		probed++
-		t := targets[rand.N(len(targets))]
+	for _, t := range i.chooseProbed(service) {
 		group.Go(func() error {
 			if i.pools.Get(t).Warm(ctx) == nil {
 				reached.Store(true)
@@ -69,6 +68,24 @@
 	return reached.Load()
 }
 
+// chooseProbed returns up to statusProbes random targets of a service that are not known to be out
+// of reach, of different zones if possible.
+func (i *Instance) chooseProbed(service string) (chosen []*roster.Target) {
+	now, view := time.Now(), i.state.roster.Load()
+	var more []*roster.Target
+	for _, zone := range view.Zones(service) {
+		list := slices.DeleteFunc(slices.Clone(view.InZone(service, zone)), func(t *roster.Target) bool {
+			return i.links.TargetDown(now, service, t.ID)
+		})
+		rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+		if len(list) > 0 {
+			chosen, more = append(chosen, list[0]), append(more, list[1:]...)
+		}
+	}
+	chosen = append(chosen, more...)
+	return chosen[:min(len(chosen), statusProbes)]
+}
+
 // askLinks reports whether another instance reaches the services' targets. One that does not know
 // the question counts as assumed.
 func (i *Instance) askLinks(ctx context.Context, other peers.Instance, services []string, assumed bool) bool {
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -48,6 +48,14 @@
 	gauge("basilcross_services_unreached", "Services of which this instance reaches no target.", func() float64 {
 		return float64(len(i.links.DownServices(time.Now())))
 	})
+	gauge("basilcross_suspected_requests", "Requests under which targets have ended, not yet quarantined.", func() float64 {
+		suspects, _ := i.quarantiner.list.Count(time.Now())
+		return float64(suspects)
+	})
+	gauge("basilcross_quarantined_requests", "Requests that do not reach targets, since three have ended under each.", func() float64 {
+		_, quarantined := i.quarantiner.list.Count(time.Now())
+		return float64(quarantined)
+	})
 	gauge("basilcross_instances", "Instances among which retries are shared.", func() float64 {
 		return float64(i.countMembers())
 	})
--- a/gateway/instance/poison_test.go
+++ b/gateway/instance/poison_test.go
@@ -1,6 +1,7 @@
 package instance_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -122,3 +123,36 @@
 	t.Logf("%d of %d served", served, sent)
 	assert.Check(t, float64(served) >= 0.99*float64(sent))
 }
+
+// Guards against a poison request that a thin instance, which gets no message from the coordinator,
+// sends on after all hubs know it.
+func TestPoisonRequestAtThinInstanceEndsFewTargets(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.putAbsentInstances()
+	targets := startMortalTargets(f, "menus", false, 16)
+	f.cores = 0.8
+	var hubs []*runningInstance
+	for n := range 6 {
+		hubs = append(hubs, f.start(fmt.Sprint("hub", n)))
+	}
+	for _, r := range hubs {
+		r.awaitReady(t)
+		f.awaitResponse(r, "/menus/x", 0, "m")
+	}
+	f.cores = 0.1
+	var thin []*runningInstance
+	for n := range 2 {
+		r := f.start(fmt.Sprint("thin", n))
+		r.awaitReady(t)
+		f.awaitResponse(r, "/menus/x", 0, "m")
+		thin = append(thin, r)
+	}
+	t.Cleanup(func() { stopAll(append(hubs, thin...)) })
+	for _, at := range [][]*runningInstance{thin, hubs, thin} {
+		f.poisonFor(3*time.Second, "/menus/poison", at)
+	}
+	t.Logf("%d targets ended, %d runs late", targets.ended(), targets.lateRuns())
+	assert.Check(t, targets.lateRuns() <= allowedRetries)
+	assert.Check(t, targets.ended() <= aimedEnds)
+}
--- /dev/null
+++ b/gateway/instance/quarantiner.go
@@ -0,0 +1,118 @@
+package instance
+
+import (
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/quarantine"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/gateway/peers"
+)
+
+// quarantiner exchanges with other instances under which requests targets ended. Each instance counts
+// the ends that all have seen, so that none depends on the coordinator; the coordinator repeats
+// the result with its heartbeats and keeps it in the lease's row.
+type quarantiner struct {
+	*Instance
+	list quarantine.List
+	// repeated are the requests in the coordinator's last heartbeat.
+	repeated atomic.Pointer[map[quarantine.Fingerprint]bool]
+}
+
+// ended records that a target ended while it ran a request of this instance, and tells others.
+func (q *quarantiner) ended(t *roster.Target, f quarantine.Fingerprint) {
+	name := t.ID + "/" + strconv.FormatInt(t.Started, 10)
+	q.recordEnd(f, name, q.settings.Instance)
+	q.tellHubs(&peers.PoisonReport{Target: name, Suspects: [][]byte{f[:]}})
+}
+
+// cleared tells others that a suspected request was answered.
+func (q *quarantiner) cleared(f quarantine.Fingerprint) {
+	event.QuarantineEnded.Log(q.log, "fingerprint", f.String())
+	q.tellHubs(&peers.PoisonReport{Cleared: [][]byte{f[:]}})
+}
+
+func (q *quarantiner) tellHubs(r *peers.PoisonReport) {
+	q.peers.BroadcastToHubs(&peers.Message{PoisonReport: r})
+}
+
+func (q *quarantiner) recordEnd(f quarantine.Fingerprint, target, reporter string) {
+	entry, cleared := q.list.RecordEnd(time.Now(), f, target)
+	switch {
+	case cleared:
+		q.cleared(f)
+	case entry != nil:
+		event.RequestQuarantined.Log(q.log, "fingerprint", f.String(), "targets", entry.Targets, "reporter", reporter, "forMs", entry.Duration.Milliseconds())
+	}
+}
+
+// receive applies another instance's report. A thin instance tells the hubs of its zone only, and
+// lists no others: they pass its reports on, and those of others to the thin instances.
+func (q *quarantiner) receive(from string, r *peers.PoisonReport) {
+	for _, text := range r.Suspects {
+		if f, ok := parseFingerprint(text); ok {
+			q.recordEnd(f, r.Target, from)
+		}
+	}
+	for _, text := range r.Cleared {
+		if f, ok := parseFingerprint(text); ok && q.list.Clear(f) {
+			event.QuarantineEnded.Log(q.log, "fingerprint", f.String(), "reporter", from)
+		}
+	}
+	if q.replicator.thin.Load() {
+		return
+	}
+	switch sender := q.peers.Find(from); {
+	case sender.Zone == q.settings.Zone && !q.replicator.isHub(from):
+		q.tellHubs(r)
+	case !q.replicator.passive.Load():
+		q.replicator.sendToThin(&peers.Message{PoisonReport: r})
+	}
+}
+
+func parseFingerprint(text []byte) (f quarantine.Fingerprint, ok bool) {
+	return f, copy(f[:], text) == len(f) && len(text) == len(f)
+}
+
+// merge adds quarantined requests that another instance or the store has.
+func (q *quarantiner) merge(now time.Time, list []peers.Quarantined) {
+	for _, r := range list {
+		if e, ok := r.Entry(now); ok && q.list.Merge(now, e) {
+			event.RequestQuarantined.Log(q.log, "fingerprint", e.Fingerprint.String(), "forMs", r.LeftMs)
+		}
+	}
+}
+
+// receiveHeartbeat adds the requests that the coordinator has.
+func (q *quarantiner) receiveHeartbeat(list []peers.Quarantined) {
+	if len(list) == 0 && q.repeated.Load() == nil {
+		return
+	}
+	now := time.Now()
+	q.merge(now, list)
+	repeated := map[quarantine.Fingerprint]bool{}
+	for _, r := range list {
+		if e, ok := r.Entry(now); ok {
+			repeated[e.Fingerprint] = true
+		}
+	}
+	q.repeated.Store(&repeated)
+}
+
+// encoded returns the quarantined requests as they are sent now.
+func (q *quarantiner) encoded() []peers.Quarantined {
+	now := time.Now()
+	return peers.EncodeQuarantined(now, q.list.Entries(now))
+}
+
+// unrepeated returns the requests that the coordinator's last heartbeat did not have.
+func (q *quarantiner) unrepeated(now time.Time) []peers.Quarantined {
+	entries := q.list.Entries(now)
+	if repeated := q.repeated.Load(); repeated != nil {
+		entries = slices.DeleteFunc(entries, func(e quarantine.Entry) bool { return (*repeated)[e.Fingerprint] })
+	}
+	return peers.EncodeQuarantined(now, entries)
+}
--- a/gateway/instance/replicator.go
+++ b/gateway/instance/replicator.go
@@ -308,6 +308,7 @@
 	s.peers.SendAll(thin, &peers.Message{ReaderHeartbeat: &peers.ReaderHeartbeat{
 		MirrorRevisions: map[string]uint64{operator.Table: operator.Revision()},
 		TargetsDigest:   r.TargetsDigest, Thin: true, Members: s.countMembers(),
+		Quarantined: s.quarantiner.encoded(),
 	}})
 }
 
@@ -399,6 +400,7 @@
 	if r.Thin {
 		s.memberCount.Store(int64(r.Members))
 		s.mostMembers.record(now, r.Members)
+		s.quarantiner.merge(now, r.Quarantined)
 		return
 	}
 	s.compareDigest(r)
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -202,6 +202,9 @@
 		if rounds++; rounds%latencyReportEvery == 0 {
 			reports[0].Latencies = r.targetLatencies()
 		}
+		if list := r.quarantiner.unrepeated(time.Now()); len(list) > 0 {
+			reports = append(reports, &peers.Report{Quarantined: list})
+		}
 		name := r.coordinatorName.Load()
 		for _, report := range reports {
 			if name == nil || *name == r.settings.Instance {
@@ -264,6 +267,8 @@
 	switch {
 	case m.AssignmentUpdate != nil:
 		i.applyAssignmentUpdate(m.AssignmentUpdate)
+	case m.PoisonReport != nil:
+		i.quarantiner.receive(m.From, m.PoisonReport)
 	case m.Hello != nil:
 		i.receiveHello(m)
 	case m.Leaving:
@@ -277,6 +282,9 @@
 	case m.Report != nil && i.peers.Find(m.From).Name == "":
 		i.instances.Refresh()
 	}
+	if m.Report != nil {
+		i.quarantiner.merge(time.Now(), m.Report.Quarantined)
+	}
 	i.state.recordRevisions(m.From, m.Revisions)
 	i.coordinator.Receive(m)
 }
@@ -284,6 +292,7 @@
 func (i *Instance) receiveCoordinatorHeartbeat(m *peers.Message) {
 	wasAlive := i.replicator.coordinatorAlive()
 	i.recordCoordinator(m.From, m.Heartbeat.Members)
+	i.quarantiner.receiveHeartbeat(m.Heartbeat.Quarantined)
 	if m.Heartbeat.InDoubt {
 		// The coordinator's connection to the store confirms nothing any more.
 		i.lastHeartbeat.Store(nil)
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -32,6 +32,28 @@
 	Leaving         bool
 	ReaderHeartbeat *ReaderHeartbeat
 	TableUpdate     *TableUpdate
+	PoisonReport    *PoisonReport
+}
+
+// PoisonReport tells of requests under which a target ended, or of ones that a target answered
+// though they were suspected. Requests are named by their fingerprints.
+type PoisonReport struct {
+	_ struct{} `cbor:",toarray"`
+
+	// Target is the incarnation that ended under Suspects.
+	Target   string
+	Suspects [][]byte
+	Cleared  [][]byte
+}
+
+// Quarantined is a quarantined request. LeftMs is what is left of DurationMs, in milliseconds; it is
+// negative once the time is over.
+type Quarantined struct {
+	_ struct{} `cbor:",toarray"`
+
+	Fingerprint []byte
+	LeftMs      int64
+	DurationMs  int64
 }
 
 // ReaderHeartbeat is the heartbeat of a feed reader: an instance that polls the store's
@@ -47,8 +69,10 @@
 	TargetsDigest uint64
 	// Thin is set if the receiver is a thin instance, as the sender sees it.
 	Thin bool
-	// Members is the number of instances of the fleet that report, for thin instances.
-	Members int
+	// Members is the number of instances of the fleet that report, for thin instances, and
+	// Quarantined are the quarantined requests.
+	Members     int
+	Quarantined []Quarantined
 }
 
 // TableUpdate holds the changes of a table after revision From, up to and including
@@ -165,7 +189,8 @@
 	// Resigned is set in the last heartbeat of a coordinator that released its lease.
 	Resigned bool
 	// InDoubt is set while the store does not answer the coordinator.
-	InDoubt bool
+	InDoubt     bool
+	Quarantined []Quarantined
 }
 
 // AssignmentUpdate is a change of a service's assignment that was recorded in the
@@ -195,6 +220,8 @@
 	// own. Members is the number of thin instances that report to the sender.
 	Thin    bool
 	Members int
+	// Quarantined are those of the sender that the coordinator's last heartbeat did not have.
+	Quarantined []Quarantined
 }
 
 // TargetLatency is a target's normal response time, in milliseconds.
