--- a/basilcross/quarantine/quarantine_test.go
+++ b/basilcross/quarantine/quarantine_test.go
@@ -98,63 +98,87 @@
 	assert.Assert(t, suspects <= 512 && quarantined <= 32, "%d, %d", suspects, quarantined)
 }
 
+const (
+	poison = iota
+	innocent
+)
+
+// fleet are the lists of instances, of which the first coordinates.
+type fleet struct {
+	lists []quarantine.List
+	// ends is how many targets have ended.
+	ends int
+}
+
+// answer lets an instance answer the innocent request, and tells all if it was suspected.
+func (f *fleet) answer(now time.Time, at int) {
+	if !f.lists[at].RecordAnswer(now, request(innocent)) {
+		return
+	}
+	for k := range f.lists {
+		f.lists[k].Clear(request(innocent))
+	}
+}
+
+// end ends a target under the poison request, and under the innocent one if that was under way there.
+// Reports to other instances may be lost.
+func (f *fleet) end(now time.Time, at int, both bool, lost func() bool) {
+	f.ends++
+	suspects := []int{poison}
+	if both && f.lists[at].MaySuspect(now, request(innocent)) {
+		suspects = append(suspects, innocent)
+	}
+	for _, s := range suspects {
+		for k := range f.lists {
+			if k == at || !lost() {
+				f.lists[k].RecordEnd(now, request(s), fmt.Sprint(f.ends))
+			}
+		}
+	}
+}
+
+// exchange gives the coordinator what the others have, and the others what it has.
+func (f *fleet) exchange(now time.Time) {
+	for k := range f.lists {
+		f.merge(now, 0, k)
+	}
+	for k := range f.lists {
+		f.merge(now, k, 0)
+	}
+}
+
+func (f *fleet) merge(now time.Time, to, from int) {
+	for _, e := range f.lists[from].Entries(now) {
+		f.lists[to].Merge(now, e)
+	}
+}
+
 // Guards against an instance that never learns of a quarantined request since a report was lost,
-// whatever the order of reports, repetitions and copies of entries, and against one that refuses
-// a request which targets answer.
+// whatever the order of reports, repetitions and copies of entries, and against one that holds
+// something against a request which targets answer.
 func TestInstancesAgreeOnPoison(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const poison, innocent, instances = 0, 1, 4
+		const instances = 4
 		now := time.Unix(1000, 0)
-		lists := make([]quarantine.List, instances)
-		ends := 0
+		f := &fleet{lists: make([]quarantine.List, instances)}
 		for range rapid.IntRange(3, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			at := rapid.IntRange(0, instances-1).Draw(t, "instance")
 			if rapid.Bool().Draw(t, "answer") {
-				if lists[at].RecordAnswer(now, request(innocent)) {
-					for k := range lists {
-						lists[k].Clear(request(innocent))
-					}
-				}
-				continue
-			}
-			if _, quarantined := lists[at].Left(now, request(poison)); quarantined {
-				continue
-			}
-			ends++
-			for _, f := range []int{poison, innocent} {
-				if f == innocent && (rapid.Bool().Draw(t, "alone") || !lists[at].MaySuspect(now, request(f))) {
-					continue
-				}
-				for k := range lists {
-					if k == at || !rapid.Bool().Draw(t, "lost") {
-						lists[k].RecordEnd(now, request(f), fmt.Sprint(ends))
-					}
-				}
-			}
-			// The coordinator's heartbeat has its entries, and it gets the others'.
-			for k := range lists {
-				for _, e := range lists[k].Entries(now) {
-					lists[0].Merge(now, e)
-				}
-			}
-			for k := range lists {
-				for _, e := range lists[0].Entries(now) {
-					lists[k].Merge(now, e)
-				}
+				f.answer(now, at)
+			} else if _, quarantined := f.lists[at].Left(now, request(poison)); !quarantined {
+				f.end(now, at, rapid.Bool().Draw(t, "both"), func() bool { return rapid.Bool().Draw(t, "lost") })
 			}
+			f.exchange(now)
 		}
-		_, known := lists[0].Left(now, request(poison))
-		for k := range lists {
-			_, quarantined := lists[k].Left(now, request(poison))
+		_, known := f.lists[0].Left(now, request(poison))
+		for k := range f.lists {
+			_, quarantined := f.lists[k].Left(now, request(poison))
 			assert.Equal(t, quarantined, known, "instance %d", k)
 		}
 		// Each instance sees its own ends, whatever is lost.
-		assert.Assert(t, ends <= instances*(quarantine.Threshold-1)+1, "%d ends", ends)
-		for k := range lists {
-			if lists[k].RecordAnswer(now, request(innocent)); lists[k].Ends(now, request(innocent)) > 0 {
-				t.Fatal("an answered request is still suspected")
-			}
-		}
+		assert.Assert(t, f.ends <= instances*(quarantine.Threshold-1)+1, "%d ends", f.ends)
+		f.answer(now, 0)
+		assert.Equal(t, f.lists[0].Ends(now, request(innocent)), 0)
 	})
 }
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -13,6 +13,7 @@
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/pool"
+	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
 )
@@ -47,10 +48,10 @@
 		c.counted = true
 		f.budget(c.service).Deposit()
 	}
-	request := schedule.Request{Service: c.service, Kind: c.kind(), Excluded: c.excluded, Priority: c.route.Priority}
-	request.Objective = c.arrived.Add(c.route.Objective)
-	request.Deadline = c.deadline
-	request.Regions = c.route.Regions
+	request := schedule.Request{
+		Service: c.service, Kind: c.kind(), Excluded: c.excluded, Priority: c.route.Priority,
+		Objective: c.arrived.Add(c.route.Objective), Deadline: c.deadline, Regions: c.route.Regions,
+	}
 	start := time.Now()
 	reservation, failed := f.reserve(ctx, c, &request)
 	c.queueTime += time.Since(start)
@@ -60,34 +61,46 @@
 	case failed != nil:
 		return nil, failed
 	}
-	if err := f.Broker.Check(reservation.Target, &request); err != nil {
-		// The zone was evacuated while the request waited for the slot.
+	if refused := f.checkReservation(c, reservation, &request); refused != nil {
 		reservation.Release(schedule.Abandoned)
-		return nil, f.reservationRefused(c, err)
+		return nil, refused
 	}
-	if refused := f.quarantined(c); refused != nil {
+	if !f.mayConnect(c, reservation.Target) {
 		reservation.Release(schedule.Abandoned)
-		return nil, refused
+		return f.passOver(ctx, c, reservation.Target)
+	}
+	c.sends++
+	c.lastTarget = reservation.Target.ID
+	return f.send(ctx, c, reservation)
+}
+
+// checkReservation returns a refusal if the call must not be sent to the reserved target: things may
+// have changed while it waited for the slot.
+func (f *Front) checkReservation(c *call, reservation *broker.Reservation, request *schedule.Request) *refusal {
+	if err := f.Broker.Check(reservation.Target, request); err != nil {
+		return f.reservationRefused(c, err)
+	}
+	if refused := f.quarantined(c); refused != nil {
+		return refused
 	}
 	if c.sharded && c.lastRunTarget == reservation.Target.ID && f.ownerChangedSinceRun(c, reservation) {
 		// The key had another owner since the first run. Two runs at the same target
 		// would look like one run, during which the key changed its owner.
-		reservation.Release(schedule.Abandoned)
-		return nil, &refusal{status: http.StatusBadGateway, cause: "ranBefore", mayHaveRun: true, final: true}
+		return &refusal{status: http.StatusBadGateway, cause: "ranBefore", mayHaveRun: true, final: true}
 	}
-	if !f.mayConnect(c, reservation.Target) {
-		reservation.Release(schedule.Abandoned)
-		if c.sharded || c.from == "" && f.Links.Down(time.Now(), c.service) {
-			return f.forward(ctx, c)
-		}
-		c.sends++
-		c.unreached++
-		f.exclude(c, reservation.Target.ID)
-		return nil, newNotRun(causeTargetUnreached, retryAfterFailure)
+	return nil
+}
+
+// passOver forwards a call whose target this instance does not reach, or makes the next attempt choose
+// another target, if any may serve the call.
+func (f *Front) passOver(ctx context.Context, c *call, t *roster.Target) (*targetResponse, *refusal) {
+	if c.sharded || c.from == "" && f.Links.Down(time.Now(), c.service) {
+		return f.forward(ctx, c)
 	}
 	c.sends++
-	c.lastTarget = reservation.Target.ID
-	return f.send(ctx, c, reservation)
+	c.unreached++
+	f.exclude(c, t.ID)
+	return nil, newNotRun(causeTargetUnreached, retryAfterFailure)
 }
 
 // reserve reserves a slot, of the key's owner if the service is sharded. For that one it sets
--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -146,26 +146,35 @@
 	})
 }
 
-// Guards against callers of an instance without links being refused since the others take a few
-// targets that have ended for broken links of their own, and decline to carry.
-func TestInstanceCarriesWhileSomeTargetsHaveEnded(t *testing.T) {
-	t.Parallel()
+// servedWithoutLinks returns how many requests were sent to two instances without links, and how many
+// of these two others served, while end ends targets.
+func servedWithoutLinks(t *testing.T, end func(targets []*mortalTarget)) (sent, served int64) {
 	f, targets, all := startMortalFleet(t, "menus", false)
 	stopOthers := f.callAround("/menus/x", []*runningInstance{all[0], all[3]})
 	all[1].links.Set(instance.Reset)
 	all[2].links.Set(instance.Reset)
 	time.Sleep(stableWindow)
 	stop := f.callAround("/menus/x", all[1:3])
-	for n := range 9 {
-		targets.all[n].end()
-		time.Sleep(300 * time.Millisecond)
-		if n%3 == 2 {
-			time.Sleep(time.Second)
-		}
-	}
-	sent, served := stop()
+	end(targets.all)
+	sent, served = stop()
 	stopOthers()
 	t.Logf("%d of %d served", served, sent)
+	return sent, served
+}
+
+// Guards against callers of an instance without links being refused since the others take a few
+// targets that have ended for broken links of their own, and decline to carry.
+func TestInstanceCarriesWhileSomeTargetsHaveEnded(t *testing.T) {
+	t.Parallel()
+	sent, served := servedWithoutLinks(t, func(targets []*mortalTarget) {
+		for n := range 9 {
+			targets[n].end()
+			time.Sleep(300 * time.Millisecond)
+			if n%3 == 2 {
+				time.Sleep(time.Second)
+			}
+		}
+	})
 	assert.Assert(t, float64(served) >= 0.95*float64(sent))
 }
 
@@ -173,21 +182,14 @@
 // ended at once make the others take their own links to be down.
 func TestEndedTargetsAreNotTakenForBrokenLinks(t *testing.T) {
 	t.Parallel()
-	f, targets, all := startMortalFleet(t, "menus", false)
-	stopOthers := f.callAround("/menus/x", []*runningInstance{all[0], all[3]})
-	all[1].links.Set(instance.Reset)
-	all[2].links.Set(instance.Reset)
-	time.Sleep(stableWindow)
-	stop := f.callAround("/menus/x", all[1:3])
-	for round := range 4 {
-		for n := range 3 {
-			targets.all[3*round+n].end()
-			time.Sleep(20 * time.Millisecond)
+	sent, served := servedWithoutLinks(t, func(targets []*mortalTarget) {
+		for round := range 4 {
+			for n := range 3 {
+				targets[3*round+n].end()
+				time.Sleep(20 * time.Millisecond)
+			}
+			time.Sleep(1500 * time.Millisecond)
 		}
-		time.Sleep(1500 * time.Millisecond)
-	}
-	sent, served := stop()
-	stopOthers()
-	t.Logf("%d of %d served", served, sent)
+	})
 	assert.Assert(t, float64(served) >= 0.95*float64(sent))
 }
--- a/gateway/instance/quarantiner.go
+++ b/gateway/instance/quarantiner.go
@@ -49,6 +49,15 @@
 	}
 }
 
+// handleMessage handles reports of poison requests, and reports whether m is one.
+func (q *quarantiner) handleMessage(m *peers.Message) bool {
+	if m.PoisonReport == nil {
+		return false
+	}
+	q.receive(m.From, m.PoisonReport)
+	return true
+}
+
 // receive applies another instance's report. A thin instance tells the hubs of its zone only, and
 // lists no others: they pass its reports on, and those of others to the thin instances.
 func (q *quarantiner) receive(from string, r *peers.PoisonReport) {
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -255,7 +255,7 @@
 }
 
 func (i *Instance) receive(m *peers.Message) {
-	if i.broker.Receive(m) || i.replicator.handleMessage(m) {
+	if i.broker.Receive(m) || i.replicator.handleMessage(m) || i.quarantiner.handleMessage(m) {
 		return
 	}
 	if m.Heartbeat != nil && i.replicator.thin.Load() {
@@ -267,28 +267,35 @@
 	switch {
 	case m.AssignmentUpdate != nil:
 		i.applyAssignmentUpdate(m.AssignmentUpdate)
-	case m.PoisonReport != nil:
-		i.quarantiner.receive(m.From, m.PoisonReport)
 	case m.Hello != nil:
 		i.receiveHello(m)
 	case m.Leaving:
 		i.peers.Remove(m.From)
-	case m.Report != nil && m.Report.Thin:
-		i.replicator.recordThin(m.From)
-		if !i.replicator.isCoordinator() {
-			i.loads.AddReport(m.Report)
-			return
-		}
-	case m.Report != nil && i.peers.Find(m.From).Name == "":
-		i.instances.Refresh()
-	}
-	if m.Report != nil {
-		i.quarantiner.merge(time.Now(), m.Report.Quarantined)
+	case m.Report != nil && i.takeReport(m):
+		return
 	}
 	i.state.recordRevisions(m.From, m.Revisions)
 	i.coordinator.Receive(m)
 }
 
+// takeReport handles an instance's report, and reports whether the coordinator does not need it: a
+// thin instance's loads are passed on with those of this one.
+func (i *Instance) takeReport(m *peers.Message) bool {
+	i.quarantiner.merge(time.Now(), m.Report.Quarantined)
+	if !m.Report.Thin {
+		if i.peers.Find(m.From).Name == "" {
+			i.instances.Refresh()
+		}
+		return false
+	}
+	i.replicator.recordThin(m.From)
+	if i.replicator.isCoordinator() {
+		return false
+	}
+	i.loads.AddReport(m.Report)
+	return true
+}
+
 func (i *Instance) receiveCoordinatorHeartbeat(m *peers.Message) {
 	wasAlive := i.replicator.coordinatorAlive()
 	i.recordCoordinator(m.From, m.Heartbeat.Members)
