List quarantined requests with basilcross fleet quarantined

An operator could find them only in the logs. The command reads the row of the lease, where the coordinator records them. Event 416 is called requestCleared: it ends suspicions more often than quarantines.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -92,7 +92,7 @@
 	ForwardUnusable    = Event{413, "forwardUnusable", slog.LevelWarn, "A request that another instance forwarded has a description that this one does not understand. It was declined, and has not run.", "Check the versions of the instances."}
 	TargetEndedUnder   = Event{414, "targetEndedUnder", slog.LevelInfo, "A target ended while it ran a request: it closed the connection before the response, and refuses new ones. Requests that are the same have the same fingerprint, whatever their ID. All requests that the target was running are reported, of which at most one is the cause.", ""}
 	RequestQuarantined = Event{415, "requestQuarantined", slog.LevelWarn, "A request under which three targets have ended does not reach any more targets: it is refused at all instances. The line has its fingerprint, the targets that ended as far as they are known here, and how long this lasts. After that it may reach one target; if this ends too, the time doubles.", "Find the request by the lines 414 with its fingerprint, and the fault in the targets' software or data. A new release of the targets, or corrected data, ends the quarantine only after its time."}
-	QuarantineEnded    = Event{416, "quarantineEnded", slog.LevelInfo, "A request that was suspected or quarantined was answered by a target; nothing is held against it any more. The line has the instance that reported it, if it was another one.", ""}
+	RequestCleared     = Event{416, "requestCleared", slog.LevelInfo, "A request that was suspected or quarantined was answered by a target; nothing is held against it any more. The line has the instance that reported it, if it was another one.", ""}
 	LinesLeftOut       = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded           = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading            = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -109,7 +109,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, QuarantineEnded,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared,
 		ConfigInForce, ConfigAccepted, ConfigStale, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken,
--- a/ctl/command/fleet_test.go
+++ b/ctl/command/fleet_test.go
@@ -28,7 +28,8 @@
 	config, err := os.ReadFile("../../platform/testdata/config.json")
 	assert.NilError(t, err)
 	store.Put(platform.OperatorTable, platform.ConfigKey, config)
-	store.Put("coordinator", "lease", []byte(`{"term":4,"holder":"gw-2","life":"x","leaseMs":2000,"seq":9}`))
+	store.Put("coordinator", "lease", []byte(`{"term":4,"holder":"gw-2","life":"x","leaseMs":2000,"seq":9,`+
+		`"quarantined":[{"fingerprint":"nEHQe+Ki82jRpAJie4Tbtg==","leftMs":423400,"durationMs":600000}]}`))
 	store.Put("assignment", "menus-next", []byte(fleetAssignment))
 	store.Put("instance", "gw-1", []byte(`{"name":"gw-1","zone":"graz"}`))
 	store.Put("instance", "gw-2", []byte(`{"name":"gw-2","zone":"wien"}`))
@@ -49,16 +50,18 @@
 
 func TestFleetOutput(t *testing.T) {
 	for name, args := range map[string][]string{
-		"fleet-status":     {"status"},
-		"fleet-status-js":  {"status", "--output", "json"},
-		"fleet-owner":      {"owner", "4711", "--service", "menus-next"},
-		"fleet-owner-js":   {"owner", "4711", "--service", "menus-next", "--output", "json"},
-		"fleet-pieces":     {"pieces", "--service", "menus-next"},
-		"fleet-targets":    {"targets"},
-		"fleet-targets-js": {"targets", "--output", "json"},
-		"fleet-routes-js":  {"routes", "cakes.example", "/lists/x", "--output", "json"},
-		"fleet-routes":     {"routes"},
-		"fleet-routes-one": {"routes", "cakes.example", "/book/graz"},
+		"fleet-status":         {"status"},
+		"fleet-status-js":      {"status", "--output", "json"},
+		"fleet-owner":          {"owner", "4711", "--service", "menus-next"},
+		"fleet-owner-js":       {"owner", "4711", "--service", "menus-next", "--output", "json"},
+		"fleet-pieces":         {"pieces", "--service", "menus-next"},
+		"fleet-targets":        {"targets"},
+		"fleet-targets-js":     {"targets", "--output", "json"},
+		"fleet-routes-js":      {"routes", "cakes.example", "/lists/x", "--output", "json"},
+		"fleet-routes":         {"routes"},
+		"fleet-quarantined":    {"quarantined"},
+		"fleet-quarantined-js": {"quarantined", "--output", "json"},
+		"fleet-routes-one":     {"routes", "cakes.example", "/book/graz"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			out, err := runFleet(t, args...)
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -403,13 +403,15 @@
 	}
 	l := Lease{}
 	if row.Revision != 0 {
-		if l, err = ParseLease(row.Value); err == nil {
-			err = c.mergeQuarantined(time.Now(), row.Value)
-		}
-		if err != nil {
+		if l, err = ParseLease(row.Value); err != nil {
 			c.logStoreFailure("parse lease", err)
 			return
 		}
+		if list, err := ParseQuarantined(row.Value); err != nil {
+			c.logStoreFailure("parse lease", err)
+		} else {
+			c.OnQuarantined(time.Now(), list)
+		}
 	}
 	if renewed := c.observed.known && row.Revision > c.observed.revision; renewed {
 		// The holder is running, but its heartbeats do not arrive; it may not have this
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -86,18 +86,16 @@
 	return rows
 }
 
-// mergeQuarantined adds the quarantined requests that the row holds.
-func (c *Coordinator) mergeQuarantined(now time.Time, text []byte) error {
+// ParseQuarantined decodes the quarantined requests in the value of the lease's row.
+func ParseQuarantined(text []byte) (list []peers.Quarantined, err error) {
 	r := leaseRow{}
 	if err := json.Unmarshal(text, &r); err != nil {
-		return fmt.Errorf("parse lease: %w", err)
+		return nil, fmt.Errorf("parse quarantined requests of the lease: %w", err)
 	}
-	var list []peers.Quarantined
 	for _, q := range r.Quarantined {
 		list = append(list, peers.Quarantined{Fingerprint: q.Fingerprint, LeftMs: q.LeftMs, DurationMs: q.DurationMs})
 	}
-	c.OnQuarantined(now, list)
-	return nil
+	return list, nil
 }
 
 // observedLease is the newest state of the lease's row that this instance has received.
--- a/gateway/instance/quarantiner.go
+++ b/gateway/instance/quarantiner.go
@@ -31,7 +31,7 @@
 
 // cleared tells others that a suspected request was answered.
 func (q *quarantiner) cleared(f quarantine.Fingerprint) {
-	event.QuarantineEnded.Log(q.log, "fingerprint", f.String())
+	event.RequestCleared.Log(q.log, "fingerprint", f.String())
 	q.tellHubs(&peers.PoisonReport{Cleared: [][]byte{f[:]}})
 }
 
@@ -68,7 +68,7 @@
 	}
 	for _, text := range r.Cleared {
 		if f, ok := parseFingerprint(text); ok && q.list.Clear(f) {
-			event.QuarantineEnded.Log(q.log, "fingerprint", f.String(), "reporter", from)
+			event.RequestCleared.Log(q.log, "fingerprint", f.String(), "reporter", from)
 		}
 	}
 	if q.replicator.thin.Load() {
