Pass on a thin instance's reports by two hubs

Each hub of a zone passed each report of its thin instances on to all hubs: 16 times as many datagrams as needed in a zone of 160. Two hubs, chosen by the sender's name, do so now; thin instances hear of quarantined requests with their hubs' heartbeats only. The tests of poison requests pass as before (3 targets, 4 at thin instances, once each).

--- a/gateway/front/carriersearch.go
+++ b/gateway/front/carriersearch.go
@@ -75,12 +75,8 @@
 // nearest returns the available instances of the nearest tier that has any, from the given one
 // outwards, or else of the nearer ones.
 func (s *carrierSearch) nearest(now time.Time, first tier) []peers.Instance {
-	for t := first; t < tierCount; t++ {
-		if list := s.available(now, s.forwarder.inTier(now, s.service, t)); len(list) > 0 {
-			return list
-		}
-	}
-	for t := first - 1; t >= ownZone; t-- {
+	for step := range tierCount {
+		t := (first + step) % tierCount
 		if list := s.available(now, s.forwarder.inTier(now, s.service, t)); len(list) > 0 {
 			return list
 		}
--- a/gateway/instance/quarantiner.go
+++ b/gateway/instance/quarantiner.go
@@ -10,6 +10,7 @@
 	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/gateway/peers"
+	"github.com/cespare/xxhash/v2"
 )
 
 // quarantiner exchanges with other instances under which requests targets ended. Each instance counts
@@ -58,8 +59,7 @@
 	return true
 }
 
-// receive applies another instance's report. A thin instance tells the hubs of its zone only, and
-// lists no others: they pass its reports on, and those of others to the thin instances.
+// receive applies another instance's report.
 func (q *quarantiner) receive(from string, r *peers.PoisonReport) {
 	for _, text := range r.Suspects {
 		if f, ok := parseFingerprint(text); ok {
@@ -71,17 +71,26 @@
 			event.RequestCleared.Log(q.log, "fingerprint", f.String(), "reporter", from)
 		}
 	}
-	if q.replicator.thin.Load() {
-		return
-	}
-	switch sender := q.peers.Find(from); {
-	case sender.Zone == q.settings.Zone && !q.replicator.isHub(from):
+	if q.relays(from) {
 		q.tellHubs(r)
-	case !q.replicator.passive.Load():
-		q.replicator.sendToThin(&peers.Message{PoisonReport: r})
 	}
 }
 
+// relayingHubs is how many hubs pass on the reports of a thin instance, so that one may be lost.
+const relayingHubs = 2
+
+// relays reports whether this instance passes on the reports of another one to the hubs: a thin
+// instance lists those of its own zone only.
+func (q *quarantiner) relays(from string) bool {
+	if q.replicator.thin.Load() || q.peers.Find(from).Zone != q.settings.Zone || q.replicator.isHub(from) {
+		return false
+	}
+	hubs := q.peers.Hubs(q.settings.Zone)
+	self := slices.IndexFunc(hubs, func(i peers.Instance) bool { return i.Name == q.settings.Instance })
+	first := int(xxhash.Sum64String(from) % uint64(max(1, len(hubs))))
+	return self >= 0 && (self-first+len(hubs))%len(hubs) < relayingHubs
+}
+
 func parseFingerprint(text []byte) (f quarantine.Fingerprint, ok bool) {
 	return f, copy(f[:], text) == len(f) && len(text) == len(f)
 }
