Decline a carried request that reached no target

What callers saw: 503 connectFailed, at the first moments of a cut, from an instance that had asked another one which had just lost its links too.

Cause: a carrier that had failed to connect to eight targets answered connectFailed, which is no decline unless its links were known to be down; no other instance was asked. It proves that the carrier has not run the request, so it is a decline now. TestCarrierThatReachesNoTargetDeclines: 503 before.

--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -75,8 +75,8 @@
 		f.writeResponse(w, c, response)
 		return
 	}
-	if unreached := refused.cause == "connectFailed" || refused.cause == causeTargetUnreached; unreached && !c.sharded && f.Links.Down(time.Now(), c.service) {
-		refused.cause = causeLinksDown
+	if refused.cause == "connectFailed" || refused.cause == causeTargetUnreached {
+		refused.cause = f.declineUnreached(c)
 	}
 	if r.Context().Err() != nil {
 		f.logRefused(c, refused, "callerGone")
@@ -85,6 +85,14 @@
 	f.writeRefusal(w, c, refused)
 }
 
+// declineUnreached returns the cause with which a carried call is declined that reached no target.
+func (f *Front) declineUnreached(c *call) string {
+	if f.linksBroken(c.service) || !c.sharded && f.Links.Down(time.Now(), c.service) {
+		return causeLinksDown
+	}
+	return causeTargetUnreached
+}
+
 // canCarry reports whether this instance reaches the targets of the call's service. One with few
 // callers may not have noticed that its links are down.
 func (f *Front) canCarry(ctx context.Context, c *call) bool {
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -337,3 +337,22 @@
 		assert.Equal(t, res.StatusCode, http.StatusOK, text)
 	}
 }
+
+// Guards against a request that is refused since the instance asked to carry it has just lost its
+// links too, and does not know yet.
+func TestCarrierThatReachesNoTargetDeclines(t *testing.T) {
+	_, address := startCarrier(t, &standin.Target{ID: "t"})
+	other := newFixture(t)
+	other.setRoutes(4 * time.Second)
+	for n := range 12 {
+		other.addTarget(fmt.Sprint("unreached", n), "127.0.0.1:1")
+	}
+	for n := range 40 {
+		other.front.Links.Reached(time.Now().Add(time.Minute), "s", fmt.Sprint("reached", n))
+	}
+	f := withoutLinks(t, address, startControl(t, http.HandlerFunc(other.front.ServeForwarded)))
+	for range 10 {
+		res, text := f.call(t.Context(), http.MethodPost, "/book/x", "dough")
+		assert.Equal(t, res.StatusCode, http.StatusOK, text)
+	}
+}
