--- a/basilcross/quarantine/quarantine_test.go
+++ b/basilcross/quarantine/quarantine_test.go
@@ -21,8 +21,7 @@
 	return quarantined
 }
 
-// Guards against a request that is sent on after three targets have ended under it, and against one
-// that is refused after two.
+// Guards against a request that is sent on after three ends, and against one refused after two.
 func TestThirdEndQuarantines(t *testing.T) {
 	var l quarantine.List
 	now := time.Now()
@@ -35,7 +34,7 @@
 	assert.Assert(t, !quarantined)
 }
 
-// Guards against requests that are refused since they were under way with the poison request.
+// Guards against requests being refused since they were under way with a poison request.
 func TestOthersUnderWayAreExplained(t *testing.T) {
 	var l quarantine.List
 	now := time.Now()
@@ -47,7 +46,7 @@
 	assert.Assert(t, !endUnder(&l, now, other, "d", "e"))
 }
 
-// Guards against a request that everybody sends being refused when several targets end at once.
+// Guards against a busy request being refused when several targets end at once.
 func TestAnsweredRequestIsNotQuarantined(t *testing.T) {
 	var l quarantine.List
 	now := time.Now()
@@ -66,7 +65,7 @@
 	assert.Assert(t, !quarantined)
 }
 
-// Guards against a quarantine without end, and against three more targets that end after each.
+// Guards against a quarantine without end, and against three more ends after each.
 func TestFirstEndAfterQuarantineRenewsIt(t *testing.T) {
 	var l quarantine.List
 	now := time.Now()
@@ -153,9 +152,7 @@
 	}
 }
 
-// Guards against an instance that never learns of a quarantined request since a report was lost,
-// whatever the order of reports, repetitions and copies of entries, and against one that holds
-// something against a request which targets answer.
+// Guards against instances that disagree after lost reports, and against suspicion of answered requests.
 func TestInstancesAgreeOnPoison(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const instances = 4
--- a/gateway/coordinator/links_test.go
+++ b/gateway/coordinator/links_test.go
@@ -15,8 +15,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against keys without an owner because a coordinator whose whole zone has lost its links
-// asks that zone only, and goes on coordinating.
+// Guards against keys without an owner while a coordinator without links asks its own zone only.
 func TestUnlinkedCoordinatorAsksOtherZones(t *testing.T) {
 	self := peers.Instance{Name: "graz0", Zone: "graz"}
 	p := &peers.Peers{Self: self}
@@ -39,8 +38,7 @@
 	}
 }
 
-// Guards against keys without an owner because an instance takes over that does not reach the
-// targets either, and has not noticed since it has few callers.
+// Guards against keys without an owner since the next coordinator has no links either.
 func TestInstanceProbesItsLinksBeforeTakeover(t *testing.T) {
 	for _, reaches := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gateway/front/carrierfleet_test.go
+++ b/gateway/front/carrierfleet_test.go
@@ -119,8 +119,7 @@
 	return float64(served) / float64(sent)
 }
 
-// Guards against callers of instances without links being refused in a large fleet, of which a
-// zone, a region, the largest or most instances have lost theirs.
+// Guards against refusals in a large fleet of which a zone, a region or most have lost their links.
 func TestInstancesWithoutLinksServeInLargeFleet(t *testing.T) {
 	for name, isCut := range map[string]func(i *peers.Instance, draw float64) bool{
 		"zone": func(i *peers.Instance, _ float64) bool { return i.Zone == "z0" },
--- a/gateway/front/carriersearch_test.go
+++ b/gateway/front/carriersearch_test.go
@@ -40,8 +40,7 @@
 	return list
 }
 
-// Guards against requests that are refused since the instances asked have all lost their links
-// with their zone or region.
+// Guards against refusals where all instances asked have lost their links with their zone or region.
 func TestCarriersOfSeveralZonesAreAsked(t *testing.T) {
 	all := append(append(instances("z", 20, 0.2), instances("y", 20, 0.2)...), instances("x", 20, 0.2)...)
 	assert.Equal(t, newSearch(all...).askAll(), "zzyx")
@@ -49,8 +48,7 @@
 	assert.Equal(t, newSearch(instances("x", 5, 0.2)...).askAll(), "xxxx")
 }
 
-// Guards against an endless search, and against one that asks an instance twice, when others
-// suggest the same ones again and again.
+// Guards against an endless search, when others suggest the same instances again and again.
 func TestSuggestedCarriersAreAskedNextAndOnce(t *testing.T) {
 	s := newSearch(instances("z", 20, 0.2)...)
 	first, _ := s.next(time.Now())
@@ -64,8 +62,7 @@
 	assert.Equal(t, s.askAll(), "xxxzzz")
 }
 
-// Guards against thin instances of a large zone that are asked instead of its hubs: few of them
-// may be running, and each would reserve a slot through a hub.
+// Guards against thin instances being asked, which may be gone and reserve slots through the hubs.
 func TestHubsOfLargeZoneAreAsked(t *testing.T) {
 	s := newSearch(append(instances("z", 40, 0.1), instances("z", 8, 0.8)...)...)
 	for range 4 {
@@ -74,8 +71,7 @@
 	}
 }
 
-// Guards against an instance that serves such requests being unknown to those that have no other
-// way, and against one of the zone being suggested that declines.
+// Guards against an instance that serves being unknown to those that have no other way.
 func TestDecliningInstanceSuggestsOneThatServes(t *testing.T) {
 	s := newSearch(append(instances("z", 20, 0.2), instances("x", 3, 0.2)...)...)
 	fw, now := s.forwarder, time.Now()
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -293,8 +293,7 @@
 	}
 }
 
-// Guards against requests that are refused since all instances asked are of one zone, which has lost
-// its links as a whole, while those of another zone reach the targets.
+// Guards against refusals where all instances asked are of one zone, which has lost its links.
 func TestRequestIsServedThoughItsZoneHasNoLinks(t *testing.T) {
 	const zoneSize, requests = 22, 20
 	_, linked := startCarrier(t, &standin.Target{ID: "t"})
@@ -320,8 +319,7 @@
 	assert.Assert(t, float64(served) >= 0.95*requests, "served %d of %d", served, requests)
 }
 
-// Guards against a request that is refused after it has failed to connect to one target after the
-// other, as long as too little is known to conclude that the links are down.
+// Guards against refusals in the first moments of a cut, before the links count as down.
 func TestRequestThatReachesNoTargetIsForwarded(t *testing.T) {
 	_, address := startCarrier(t, &standin.Target{ID: "t"})
 	f := withoutLinks(t, address)
@@ -338,8 +336,7 @@
 	}
 }
 
-// Guards against a request that is refused since the instance asked to carry it has just lost its
-// links too, and does not know yet.
+// Guards against refusals where the carrier has just lost its links and does not know yet.
 func TestCarrierThatReachesNoTargetDeclines(t *testing.T) {
 	_, address := startCarrier(t, &standin.Target{ID: "t"})
 	other := newFixture(t)
--- a/gateway/front/quarantine_test.go
+++ b/gateway/front/quarantine_test.go
@@ -36,8 +36,7 @@
 	f.addTarget(id, l.Addr().String())
 }
 
-// Guards against a request that ends each target which runs it being sent on: in an attempt after
-// the second end, and at all after the third.
+// Guards against a request that is sent on after three targets have ended under it.
 func TestPoisonRequestIsRefusedAfterThreeEnds(t *testing.T) {
 	for _, path := range []string{"/safe/x", "/book/x"} {
 		f := newFixture(t)
@@ -61,8 +60,7 @@
 	}
 }
 
-// Guards against other requests being refused with a poison request: those of another client account,
-// path or body.
+// Guards against requests of another account, path or body being refused with a poison request.
 func TestOthersAreServedBesidePoisonRequest(t *testing.T) {
 	f := newFixture(t)
 	f.setRoutes(4 * time.Second)
@@ -96,8 +94,7 @@
 	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable, text)
 }
 
-// Guards against a request being held responsible for lost responses and reset connections: its
-// targets still accept others.
+// Guards against lost responses and reset connections being held against a request.
 func TestLostResponseIsNoEndOfTarget(t *testing.T) {
 	f := newFixture(t)
 	f.setRoutes(4 * time.Second)
@@ -112,8 +109,7 @@
 	assert.Equal(t, suspects+quarantined, 0)
 }
 
-// Guards against a path that everybody asks for being refused since it was under way when targets
-// ended.
+// Guards against a busy path being suspected since it was under way when a target ended.
 func TestAnsweredRequestIsNotSuspected(t *testing.T) {
 	f := newFixture(t)
 	f.setRoutes(4 * time.Second)
--- a/gateway/instance/links_test.go
+++ b/gateway/instance/links_test.go
@@ -162,8 +162,7 @@
 	return sent, served
 }
 
-// Guards against callers of an instance without links being refused since the others take a few
-// targets that have ended for broken links of their own, and decline to carry.
+// Guards against carriers that decline since the one target assigned has ended.
 func TestInstanceCarriesWhileSomeTargetsHaveEnded(t *testing.T) {
 	t.Parallel()
 	sent, served := servedWithoutLinks(t, func(targets []*mortalTarget) {
@@ -178,8 +177,7 @@
 	assert.Assert(t, float64(served) >= 0.95*float64(sent))
 }
 
-// Guards against callers of an instance without links being refused since three targets that have
-// ended at once make the others take their own links to be down.
+// Guards against carriers that decline since three targets have ended at once.
 func TestEndedTargetsAreNotTakenForBrokenLinks(t *testing.T) {
 	t.Parallel()
 	sent, served := servedWithoutLinks(t, func(targets []*mortalTarget) {
--- a/gateway/instance/poison_test.go
+++ b/gateway/instance/poison_test.go
@@ -41,8 +41,7 @@
 	return statuses
 }
 
-// Guards against a request that ends each target which runs it, and ends all targets of a service
-// one after the other since it comes again.
+// Guards against a request that ends one target after the other since it comes again.
 func TestPoisonRequestEndsFewTargets(t *testing.T) {
 	t.Parallel()
 	for path, service := range map[string]string{"/menus/poison": "menus", "/book/poison": "menus", "/lists/poison": "lists"} {
@@ -62,8 +61,7 @@
 	}
 }
 
-// Guards against a request that ends targets one after the other through an instance without links,
-// for which others carry it.
+// Guards against a request that ends targets through an instance without links.
 func TestPoisonRequestAtInstanceWithoutLinksEndsFewTargets(t *testing.T) {
 	t.Parallel()
 	f, targets, all := startMortalFleet(t, "menus", false)
@@ -101,8 +99,7 @@
 	assert.Check(t, before >= 3)
 }
 
-// Guards against a request that everybody sends being refused because it is under way whenever
-// targets end, or whenever instances lose their links.
+// Guards against a busy path being refused since it is under way whenever targets end.
 func TestBusyRequestIsNotTakenForPoison(t *testing.T) {
 	t.Parallel()
 	f, targets, all := startMortalFleet(t, "menus", false)
@@ -124,8 +121,7 @@
 	assert.Check(t, float64(served) >= 0.99*float64(sent))
 }
 
-// Guards against a poison request that a thin instance, which gets no message from the coordinator,
-// sends on after all hubs know it.
+// Guards against a thin instance that sends a poison request on, though all hubs know it.
 func TestPoisonRequestAtThinInstanceEndsFewTargets(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/gateway/instance/zonelinks_test.go
+++ b/gateway/instance/zonelinks_test.go
@@ -61,8 +61,7 @@
 	return float64(served) / (2 * rounds)
 }
 
-// Guards against callers being refused since only instances of the own zone are asked to serve
-// their requests, and the whole zone has no links to targets.
+// Guards against callers of a zone without links being refused though another zone serves.
 func TestZoneWithoutLinksServes(t *testing.T) {
 	t.Parallel()
 	for name, cut := range map[string]instance.Cut{"silent": instance.Silent, "reset": instance.Reset, "refused": instance.Refused} {
@@ -80,8 +79,7 @@
 	}
 }
 
-// Guards against callers of a thin instance being refused since it lists the hubs of its zone
-// only, and none of these reaches the targets.
+// Guards against callers of a thin instance being refused while none of its hubs has links.
 func TestThinInstanceServesWhileItsHubsHaveNoLinks(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
