Tests: each fleet has a loopback address of its own

Seen once; the lines were not kept.

Suspected, not proved: tests of fleets run in one process side by side, their instances have the same names, and the ports that one leaves were taken by another; a fleet that restarts writes to all rows of before, and a hello from another fleet replaces an instance of the same name. An attempt to bring that about with a running fleet did not (60 of 60 served at each of four instances).

No check is changed.

--- a/gateway/instance/instance_test.go
+++ b/gateway/instance/instance_test.go
@@ -35,6 +35,9 @@
 	targets   map[string]*standin.Target
 	addresses map[string]string
 	requests  atomic.Int64
+	// ip is the address of all instances of the fleet, and of its targets that restart: an address that
+	// one fleet leaves must not be taken by another, whose instances have the same names.
+	ip string
 	// cores and zone are those of the instances that are started next.
 	cores float64
 	zone  string
@@ -42,7 +45,7 @@
 
 func newFleet(t *testing.T) *fleet {
 	t.Helper()
-	f := &fleet{t: t, store: &standin.Store{}, targets: map[string]*standin.Target{}, addresses: map[string]string{}, zone: "graz"}
+	f := &fleet{t: t, store: &standin.Store{}, targets: map[string]*standin.Target{}, addresses: map[string]string{}, zone: "graz", ip: nextLoopbackAddress()}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.address = strings.TrimPrefix(server.URL, "http://")
@@ -91,10 +94,19 @@
 	stop           func() error
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
+// fleets is the number of fleets so far.
+var fleets atomic.Int32
+
+// nextLoopbackAddress returns an address of the loopback network that no other fleet has.
+func nextLoopbackAddress() string {
+	n := fleets.Add(1)
+	return fmt.Sprintf("127.77.%d.%d", n/250, 1+n%250)
+}
+
+func (f *fleet) freeAddress() string {
+	f.t.Helper()
+	l, err := net.Listen("tcp", f.ip+":0")
+	assert.NilError(f.t, err)
 	defer l.Close()
 	return l.Addr().String()
 }
@@ -117,8 +129,8 @@
 func (f *fleet) tryStart(name string, seeds []string) *runningInstance {
 	s := instance.Defaults()
 	s.Instance, s.Zone, s.Region, s.Regions = name, f.zone, "ost", map[string]string{"graz": "ost", "wien": "ost"}
-	s.CallersListen, s.ReadyListen = freeAddress(f.t), freeAddress(f.t)
-	s.ControlListen, s.DatagramListen = freeAddress(f.t), freeAddress(f.t)
+	s.CallersListen, s.ReadyListen = f.freeAddress(), f.freeAddress()
+	s.ControlListen, s.DatagramListen = f.freeAddress(), f.freeAddress()
 	s.Store, s.Seeds, s.Cores = f.address, seeds, f.cores
 	assert.NilError(f.t, s.Validate())
 	sink := logsink.New(io.Discard)
--- a/gateway/instance/mortal_test.go
+++ b/gateway/instance/mortal_test.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &mortalTargets{f: f, ctx: ctx}
 	for k := range n {
-		t := &mortalTarget{targets: m, service: service, sharded: sharded, number: k, address: "127.0.0.1:0"}
+		t := &mortalTarget{targets: m, service: service, sharded: sharded, number: k, address: f.ip + ":0"}
 		t.start()
 		m.all = append(m.all, t)
 	}
