--- a/basilcross/links/links.go
+++ b/basilcross/links/links.go
@@ -1,4 +1,4 @@
-// Package links tells an instance's own broken links from targets that are down, by which
+// Package links distinguishes an instance's own broken links from targets that are down, by which
 // targets it reaches and which it does not.
 package links
 
--- a/basilcross/quarantine/fingerprint.go
+++ b/basilcross/quarantine/fingerprint.go
@@ -6,8 +6,8 @@
 	"encoding/hex"
 )
 
-// Fingerprint identifies requests that are the same: whoever could find another request with the
-// fingerprint of a given one could get that one refused, so it is cryptographic.
+// Fingerprint identifies requests that are the same. It is a cryptographic hash: a caller that
+// constructed a collision could get another caller's request refused.
 type Fingerprint [16]byte
 
 // Identify returns the fingerprint of a request with the given parts.
--- a/basilcross/quarantine/quarantine.go
+++ b/basilcross/quarantine/quarantine.go
@@ -158,7 +158,7 @@
 }
 
 // RecordAnswer records that a target has answered the request. It reports whether the request was
-// suspected or quarantined, which others must be told.
+// suspected or quarantined, which must be reported to other instances.
 func (l *List) RecordAnswer(now time.Time, f Fingerprint) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/basilcross/quarantine/quarantine_test.go
+++ b/basilcross/quarantine/quarantine_test.go
@@ -109,7 +109,7 @@
 	ends int
 }
 
-// answer lets an instance answer the innocent request, and tells all if it was suspected.
+// answer records an answer to the innocent request, and reports it to all if it was suspected.
 func (f *fleet) answer(now time.Time, at int) {
 	if !f.lists[at].RecordAnswer(now, request(innocent)) {
 		return
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -446,39 +446,6 @@
 	return delay
 }
 
-// acquireLease writes the lease's row for the next term, on the condition that the row is
-// still the observed one.
-func (c *Coordinator) acquireLease(ctx context.Context) {
-	c.leaseCallActive = true
-	sent := boottime()
-	lease := Lease{Term: c.observed.lease.Term + 1, Holder: c.Self.Name, Incarnation: c.Self.Incarnation, LeaseMs: leaseDuration.Milliseconds(), Seq: 1}
-	expected := c.observed.revision
-	c.group.Go(func() error {
-		callCtx, cancel := context.WithTimeout(ctx, leaseDuration)
-		defer cancel()
-		result := c.writeLease(callCtx, &lease, expected, platform.Transaction{})
-		c.enqueue(ctx, func() { c.onLeaseAcquired(ctx, lease, sent, result) })
-		return nil
-	})
-}
-
-func (c *Coordinator) onLeaseAcquired(ctx context.Context, lease Lease, sent time.Duration, result writeResult) {
-	c.leaseCallActive = false
-	if !result.ok {
-		if result.revision != 0 {
-			c.observe(result.revision, result.current)
-		}
-		return
-	}
-	termCtx, cancel := context.WithCancel(ctx)
-	c.observe(result.revision, lease)
-	c.leadership = newLeadership(termCtx, cancel, lease, result.revision, c.Self.Cores)
-	c.leadership.authorityEnd.Store(int64(sent + leaseDuration - orderMargin))
-	c.RestartFeeds()
-	event.LeadGained.Log(c.Log, "term", lease.Term, "revision", result.revision)
-	c.lead(ctx)
-}
-
 func newLeadership(ctx context.Context, cancel context.CancelFunc, lease Lease, revision uint64, cores float64) *leadership {
 	return &leadership{
 		lease: lease, revision: revision, writeStarted: time.Now(), started: time.Now(),
--- a/gateway/coordinator/links.go
+++ b/gateway/coordinator/links.go
@@ -37,7 +37,7 @@
 	othersReach bool
 }
 
-// checkLinks tells the managers of the services to whose targets the links are down, and asks
+// checkLinks notifies the managers of the services to whose targets the links are down, and asks
 // other instances whether they reach these.
 func (c *Coordinator) checkLinks(ctx context.Context, now time.Time) {
 	l := c.leadership
--- a/gateway/front/forward_test.go
+++ b/gateway/front/forward_test.go
@@ -234,7 +234,7 @@
 	assert.Equal(t, running.Load(), int64(32))
 }
 
-// Guards against a target that goes on working for a caller that has disconnected from the
+// Guards against a target that continues a request whose caller has disconnected from the
 // instance which forwarded the request.
 func TestCallersDisconnectionReachesTargetThroughCarrier(t *testing.T) {
 	started, gone := make(chan struct{}), make(chan struct{})
