Features that a deployment's contracts or settings switch on

What is built for callers who ask for more than there is room for must not change how earlier deployments are served. Event 100 lists what is on. Nothing uses the features yet.

--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -17,6 +17,7 @@
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/egress"
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/feature"
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/placement"
@@ -85,6 +86,7 @@
 // Instance is one gateway process. Create it with New, and start it with Run.
 type Instance struct {
 	settings Settings
+	features feature.Set
 	log      *slog.Logger
 	sink     *logsink.Sink
 	registry *prometheus.Registry
@@ -136,6 +138,8 @@
 // no listener; the sink is where the log's lines are written.
 func New(s Settings, log *slog.Logger, sink *logsink.Sink) *Instance {
 	i := &Instance{settings: s, log: log, sink: sink, registry: prometheus.NewRegistry(), loads: &front.Loads{}}
+	// Validate has already checked the names.
+	i.features, _ = s.FeatureSet()
 	i.transfers = newTransfers(i.registry, log)
 	i.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	i.liveSettings.Store(&s)
@@ -327,7 +331,7 @@
 			return err
 		})
 	}
-	event.Started.Log(i.log, "life", i.peers.Self.Incarnation, "callers", i.settings.CallersListen, "zone", i.settings.Zone,
+	event.Started.Log(i.log, "life", i.peers.Self.Incarnation, "features", i.features.On(), "callers", i.settings.CallersListen, "zone", i.settings.Zone,
 		"store", i.settings.Store, "seeds", i.settings.Seeds)
 	select {
 	case <-ctx.Done():
--- a/gateway/instance/settings.go
+++ b/gateway/instance/settings.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"basilcross.example/basilcross/feature"
+	"basilcross.example/platform"
 	"github.com/spf13/pflag"
 )
 
@@ -39,6 +41,8 @@
 	RetryWindow    time.Duration
 	Cores          float64
 	MemoryMB       int
+	Contracts      []string
+	Features       []string
 	Bootstrap      bool
 	LogLevel       string
 	Pprof          bool
@@ -89,6 +93,8 @@
 	f.DurationVar(&s.RetryWindow, "retry-window", s.RetryWindow, "time over which retries are counted against the ratio and the slack")
 	f.Float64Var(&s.Cores, "cores", s.Cores, "CPU cores that this instance has, such as 0.5; instances with more coordinate first")
 	f.IntVar(&s.MemoryMB, "memory-mb", s.MemoryMB, "memory of this instance in MB; 0: as the operating system reports")
+	f.StringSliceVar(&s.Contracts, "contracts", s.Contracts, "the platform's contracts in force, which switch on the features that they call for")
+	f.StringSliceVar(&s.Features, "features", s.Features, "features to switch on besides: "+strings.Join(feature.Names(), ", "))
 	f.BoolVar(&s.Bootstrap, "bootstrap", s.Bootstrap, "the whole fleet starts for the first time: other instances are known only once all have written their rows")
 	f.StringVar(&s.LogLevel, "log-level", s.LogLevel, "debug, info, warn or error")
 	f.BoolVar(&s.Pprof, "pprof", s.Pprof, "serve profiles on the metrics address")
@@ -137,10 +143,18 @@
 	check(s.RetryWindow >= minRetryWindow, "retry-window", s.RetryWindow, minRetryWindow.String()+" or more")
 	check(s.Cores >= 0, "cores", s.Cores, "0 or more")
 	check(s.MemoryMB >= 0, "memory-mb", s.MemoryMB, "0 or more")
+	_, err := s.FeatureSet()
+	check(err == nil, "features", strings.Join(s.Features, ","), "some of "+strings.Join(feature.Names(), ", "))
 	check(slices.Contains([]string{"debug", "info", "warn", "error"}, s.LogLevel), "log-level", s.LogLevel, "debug, info, warn or error")
 	return errors.Join(errs...)
 }
 
+// FeatureSet returns the features that the contracts in force call for and those that are named. The
+// error is a *feature.NameError for each unknown one, joined.
+func (s *Settings) FeatureSet() (feature.Set, error) {
+	return feature.Parse(slices.Concat(platform.Features(s.Contracts), s.Features))
+}
+
 // minRetryWindow is above the time from a request to its last retry that the limits allow for.
 const minRetryWindow = time.Second
 
