Only the next instance replaces the scheduler of a limited target

Cause: an instance that hears nothing of a target's scheduler for 150 ms takes the next instance in order that responds, which adds 0.4 of the target's limit. Where no datagram arrives, each instance takes all others to be unresponsive, so that each adds 0.4; and one that is asked by another instance added 0.4 even if it was the third. Ruled out: the token bucket (8 of 8 in twelve runs on one core each, race detector, without losses). Change: only the next one of the full list counts a part, whatever responds. The cost: if the first two do not respond, the third sends nothing to a limited target until the list of instances changes; those callers are refused at once.

--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -288,25 +288,25 @@
 func (b *Broker) Scheduler(req *schedule.Request) string { return b.chooseScheduler(req, true) }
 
 // counting returns which part of the requests to a target with a limited rate this instance counts: all
-// if it is the scheduler of a request while all listed instances respond, and a part if it replaces one that
-// does not respond.
+// if it is the scheduler of a request while all listed instances respond, and a part if it is the next one
+// and replaces one that does not respond. No others count a part: while none receives the messages of the
+// others, each takes all others to be unresponsive.
 func (b *Broker) counting(req *schedule.Request) schedule.Counting {
+	first := b.chooseScheduler(req, false)
 	switch b.Self.Name {
-	case b.chooseScheduler(req, false):
+	case first:
 		return schedule.CountsAll
-	case b.chooseScheduler(req, true):
+	case b.chooseSchedulerExcept(req, false, first):
 		return schedule.CountsPart
 	}
 	return schedule.CountsNone
 }
 
-// countingFor returns the same for another instance's request: that one has found no other scheduler that
-// responds.
-func (b *Broker) countingFor(req *schedule.Request) schedule.Counting {
-	return min(b.counting(req), schedule.CountsPart)
+func (b *Broker) chooseScheduler(req *schedule.Request, responsive bool) string {
+	return b.chooseSchedulerExcept(req, responsive, "")
 }
 
-func (b *Broker) chooseScheduler(req *schedule.Request, responsive bool) string {
+func (b *Broker) chooseSchedulerExcept(req *schedule.Request, responsive bool, except string) string {
 	key := req.Target
 	if key == "" {
 		key = req.Service
@@ -316,7 +316,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, i := range b.Peers.Hubs(req.Zone) {
-		if responsive && len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) || stopping && i.Name == b.Self.Name {
+		if i.Name == except || responsive && len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) || stopping && i.Name == b.Self.Name {
 			continue
 		}
 		cores := 0.0
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -17,14 +17,16 @@
 	"basilcross.example/basilcross/schedule"
 	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/peers"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 )
 
 type testInstance struct {
-	broker *broker.Broker
-	peers  *peers.Peers
-	roster *roster.Roster
+	broker     *broker.Broker
+	peers      *peers.Peers
+	roster     *roster.Roster
+	dispatcher *dispatch.Dispatcher
 	// receiveHook, if set, receives messages in place of the broker.
 	receiveHook atomic.Pointer[func(*peers.Message)]
 	thin        atomic.Bool
@@ -44,7 +46,7 @@
 		assert.NilError(t, err)
 		address := c.LocalAddr().String()
 		assert.NilError(t, c.Close())
-		n := &testInstance{roster: targets}
+		n := &testInstance{roster: targets, dispatcher: &dispatch.Dispatcher{Roster: targets}}
 		n.peers = &peers.Peers{Self: peers.Instance{Name: name, Incarnation: "1", Zone: "z", Datagram: address}, Log: log}
 		n.peers.Receive = func(m *peers.Message) {
 			if f := n.receiveHook.Load(); f != nil {
@@ -54,7 +56,7 @@
 			n.broker.Receive(m)
 		}
 		n.broker = broker.New(broker.Options{
-			Self: n.peers.Self, Placement: func() *placement.Policy { return &placement.Policy{} }, Peers: n.peers, Dispatcher: &dispatch.Dispatcher{Roster: targets}, Roster: targets, Log: log,
+			Self: n.peers.Self, Placement: func() *placement.Policy { return &placement.Policy{} }, Peers: n.peers, Dispatcher: n.dispatcher, Roster: targets, Log: log,
 			Thin: n.thin.Load,
 		})
 		assert.NilError(t, n.peers.Listen())
@@ -330,3 +332,39 @@
 	res.Release(schedule.Shed)
 	assert.Assert(t, stated[1].Stated && stated[1].PerSecond == perSecond)
 }
+
+// Guards against a target that gets a part of its rate limit from each instance while none receives the
+// datagrams of the others: each takes all others to be unresponsive.
+func TestOnlyOneInstanceReplacesSchedulerOfLimitedTarget(t *testing.T) {
+	const (
+		limit  = 2.0
+		settle = 2 * time.Second
+		window = 4 * time.Second
+	)
+	all := startInstances(t, "a", "b", "c", "d", "e")
+	var group errgroup.Group
+	var sent atomic.Int64
+	start := time.Now()
+	for _, n := range all {
+		n.dispatcher.RateLimit = func(roster.Incarnation) (float64, bool) { return limit, true }
+		n.receiveHook.Store(new(func(*peers.Message)))
+		*n.receiveHook.Load() = func(*peers.Message) {}
+		group.Go(func() error {
+			for time.Since(start) < settle+window {
+				res, err := n.broker.Acquire(t.Context(), request(time.Second, 3*time.Second))
+				if err == nil {
+					if time.Since(start) > settle {
+						sent.Add(1)
+					}
+					res.Release(schedule.Answered)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	assert.NilError(t, group.Wait())
+	t.Logf("%d requests in %v", sent.Load(), window)
+	// The users allow one and a half times the limit and five requests more.
+	assert.Check(t, float64(sent.Load()) <= 1.5*limit*window.Seconds()+5)
+}
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -106,7 +106,7 @@
 	if m.Delegated {
 		res, err = b.reserveDelegated(ctx, req, m, reply)
 	} else {
-		req.Counting = b.countingFor(&req)
+		req.Counting = b.counting(&req)
 		res, err = b.acquireHere(ctx, req)
 	}
 	if err != nil {
