Loads with lognormal work, a tail and callers with different deadlines

Loads could only have work that is evenly distributed around its mean.

Kinds have sigma, tail with tailTimes, and deadlineSpread. The mean work includes the tail, so that a level means the same share of the capacity. Loads have the switches admission and waitlist; nothing reads them yet.

--- a/standin/experiment/arrivalorder.go
+++ b/standin/experiment/arrivalorder.go
@@ -47,7 +47,7 @@
 	for f.busy[n] < f.targets[n].Slots && len(f.waiting[n]) > 0 {
 		r := f.waiting[n][0]
 		f.waiting[n] = f.waiting[n][1:]
-		if f.Now > r.arrival+millis(r.kind.Deadline) {
+		if f.Now > r.arrival+r.deadline {
 			f.report.recordRefusal(r)
 			continue
 		}
--- a/standin/experiment/arrivals.go
+++ b/standin/experiment/arrivals.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -9,9 +10,11 @@
 type request struct {
 	kind *Kind
 	// kindNumber is the kind's index + 1.
-	kindNumber  uint32
-	arrival     time.Duration
-	work        time.Duration
+	kindNumber uint32
+	arrival    time.Duration
+	work       time.Duration
+	// deadline is the caller's, from arrival on.
+	deadline    time.Duration
 	oneWayDelay time.Duration
 	// target is the index of the only target that can serve it; -1 if any can.
 	target           int
@@ -66,7 +69,11 @@
 		n := l.drawKind(random)
 		k := &l.Kinds[n]
 		r := &request{kind: k, kindNumber: uint32(n + 1), arrival: millis(at * 1000), target: -1, retryImmediately: random.Float64() < l.ImmediateRetryShare}
-		r.work = millis(k.MeanWork * (1 + k.Spread*(2*random.Float64()-1)))
+		r.work = millis(k.drawWork(random))
+		r.deadline = millis(k.Deadline)
+		if k.DeadlineSpread > 0 {
+			r.deadline = millis(k.Deadline * (1 - k.DeadlineSpread*random.Float64()))
+		}
 		r.oneWayDelay = millis(l.OneWayDelays[random.IntN(len(l.OneWayDelays))])
 		if l.Sharded {
 			r.target = pickTarget(targets, random.Float64())
@@ -75,6 +82,28 @@
 	}
 }
 
+// drawWork returns the work of a random request of the kind, in milliseconds.
+func (k *Kind) drawWork(random *rand.Rand) float64 {
+	if k.Sigma == 0 && k.TailShare == 0 {
+		return k.MeanWork * (1 + k.Spread*(2*random.Float64()-1))
+	}
+	meanTail := (k.TailFactors[0] + k.TailFactors[1]) / 2
+	work := k.MeanWork / (1 + k.TailShare*(meanTail-1))
+	if k.Sigma > 0 {
+		// The mean of a lognormal distribution is exp(mu + sigma^2 / 2).
+		work *= math.Exp(k.Sigma*random.NormFloat64() - k.Sigma*k.Sigma/2)
+	} else {
+		work *= 1 + k.Spread*(2*random.Float64()-1)
+	}
+	if random.Float64() < k.TailShare {
+		work *= k.TailFactors[0] + random.Float64()*(k.TailFactors[1]-k.TailFactors[0])
+	}
+	return work
+}
+
+// deviation returns the usual deviation from the mean work, as a share of it.
+func (k *Kind) deviation() float64 { return max(k.Spread, k.Sigma) }
+
 // burstFactor returns the factor on the request rate, at a time in seconds.
 func (l *Load) burstFactor(at float64) float64 {
 	factor := 1.0
--- a/standin/experiment/bound.go
+++ b/standin/experiment/bound.go
@@ -113,7 +113,7 @@
 	if !o.estimatesWork {
 		return r.work
 	}
-	return millis(r.kind.MeanWork * (1 + o.margin*r.kind.Spread))
+	return millis(r.kind.MeanWork * (1 + o.margin*r.kind.deviation()))
 }
 
 // assignSlots gives free slots of a group to its waiting requests.
@@ -171,11 +171,11 @@
 func (o *oracleRun) dropExpired(g int, slow float64) {
 	kept := o.waiting[g][:0:0]
 	for _, r := range o.waiting[g] {
-		limit := r.kind.Objective
+		limit := millis(r.kind.Objective)
 		if o.servesLate {
-			limit = r.kind.Deadline
+			limit = r.deadline
 		}
-		if o.expectedEnd(r, slow) <= r.arrival+millis(limit) {
+		if o.expectedEnd(r, slow) <= r.arrival+limit {
 			kept = append(kept, r)
 			continue
 		}
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"slices"
@@ -140,6 +142,24 @@
 	}
 }
 
+// Guards against a tail or a sigma that changes the mean work, and thereby the level of a load.
+func TestWorkHasTheStatedMean(t *testing.T) {
+	for _, k := range []Kind{
+		{MeanWork: 100, Spread: 0.5},
+		{MeanWork: 100, Sigma: 0.7},
+		{MeanWork: 100, Spread: 0.5, TailShare: 0.01, TailFactors: [2]float64{3, 5}},
+		{MeanWork: 100, Sigma: 0.7, TailShare: 0.01, TailFactors: [2]float64{3, 5}},
+	} {
+		random := rand.New(rand.NewPCG(1, 1))
+		sum := 0.0
+		const count = 200_000
+		for range count {
+			sum += k.drawWork(random)
+		}
+		assert.Check(t, math.Abs(sum/count-100) < 1, "%+v: mean %.2f", k, sum/count)
+	}
+}
+
 const smallLoad = `{
   "name": "small", "seconds": 2, "levels": [0.5],
   "targets": [{"count": 2, "slots": 1, "slowness": 1}],
--- a/standin/experiment/load.go
+++ b/standin/experiment/load.go
@@ -32,6 +32,9 @@
 	Bursts       []Burst   `json:"bursts"`
 	// ImmediateRetryShare is the share of callers that retry without the requested wait.
 	ImmediateRetryShare float64 `json:"atOnceShare"`
+	// Admission and Waitlist switch on the features of the same names.
+	Admission bool `json:"admission"`
+	Waitlist  bool `json:"waitlist"`
 }
 
 // Target is a group of identical targets.
@@ -54,13 +57,23 @@
 	Share float64 `json:"share"`
 	// MeanWork is the mean processing time at an average target; Spread is the
 	// largest deviation from it, as a share of it.
-	MeanWork  float64 `json:"workMs"`
-	Spread    float64 `json:"spread"`
-	Worth     float64 `json:"worth"`
-	LateWorth float64 `json:"lateWorth"`
-	Priority  int     `json:"priority"`
-	Objective float64 `json:"objectiveMs"`
-	Deadline  float64 `json:"deadlineMs"`
+	MeanWork float64 `json:"workMs"`
+	Spread   float64 `json:"spread"`
+	// Sigma, if above 0, makes the work lognormal instead; it is the standard deviation of
+	// the work's logarithm.
+	Sigma float64 `json:"sigma"`
+	// TailShare of the requests take a random multiple of their work, between the two
+	// TailFactors. MeanWork includes them.
+	TailShare   float64    `json:"tail"`
+	TailFactors [2]float64 `json:"tailTimes"`
+	Worth       float64    `json:"worth"`
+	LateWorth   float64    `json:"lateWorth"`
+	Priority    int        `json:"priority"`
+	Objective   float64    `json:"objectiveMs"`
+	Deadline    float64    `json:"deadlineMs"`
+	// DeadlineSpread is by how much the deadlines of callers are shorter at most, as a share
+	// of Deadline; they are evenly distributed.
+	DeadlineSpread float64 `json:"deadlineSpread"`
 	// MaxRetries is how often a refused caller retries.
 	MaxRetries int `json:"retries"`
 }
@@ -137,6 +150,10 @@
 		check(k.Share > 0, prefix+"share", "a number above 0")
 		check(k.MeanWork > 0, prefix+"workMs", "a number above 0")
 		check(0 <= k.Spread && k.Spread < 1, prefix+"spread", "a share below 1")
+		check(k.Sigma >= 0 && (k.Sigma == 0 || k.Spread == 0), prefix+"sigma", "a number of 0 or more, without spread")
+		check(0 <= k.TailShare && k.TailShare < 1, prefix+"tail", "a share below 1")
+		check(k.TailShare == 0 || 0 < k.TailFactors[0] && k.TailFactors[0] <= k.TailFactors[1], prefix+"tailTimes", "two numbers above 0, the lower one first")
+		check(0 <= k.DeadlineSpread && k.Deadline*(1-k.DeadlineSpread) >= k.Objective, prefix+"deadlineSpread", "a share that leaves objectiveMs")
 		check(k.Worth > 0, prefix+"worth", "a number above 0")
 		check(0 <= k.LateWorth && k.LateWorth <= k.Worth, prefix+"lateWorth", "at most worth")
 		check(k.Objective > 0, prefix+"objectiveMs", "a number above 0")
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -55,7 +55,7 @@
 	switch {
 	case at <= q.arrival+millis(q.kind.Objective):
 		o.InTime++
-	case at <= q.arrival+millis(q.kind.Deadline):
+	case at <= q.arrival+q.deadline:
 		o.Late++
 	default:
 		o.Refused++
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -94,7 +94,7 @@
 	r := schedule.Request{
 		Service: "s", Kind: a.req.kindNumber, Zone: "z", Excluded: a.excluded, Priority: a.req.kind.Priority,
 		Objective:   startTime.Add(a.started + millis(a.req.kind.Objective)),
-		Deadline:    startTime.Add(a.req.arrival + millis(a.req.kind.Deadline)),
+		Deadline:    startTime.Add(a.req.arrival + a.req.deadline),
 		OneWayDelay: a.req.oneWayDelay,
 	}
 	if a.req.target >= 0 {
@@ -220,7 +220,7 @@
 		wait = max(wait, busy.Wait)
 	}
 	responseAt := s.Now + a.req.oneWayDelay
-	left := a.req.arrival + millis(a.req.kind.Deadline) - responseAt
+	left := a.req.arrival + a.req.deadline - responseAt
 	if a.req.retryImmediately {
 		wait = reconnectDelay
 	}
