Bound the wait for slots of a pool, and give refused callers places

In overload the queue of a pool stays as long as the objective allows, so that every request in it is answered at the limit of its objective or late.

With Scheduler.Admission, a request of a pool waits at most 2 / sqrt(slots) of the mean response time, or the wait that makes one request in a hundred late by the kind's distribution of response times. Beyond that it is refused at once if the load by requests of the same or a higher priority is above 1.1, or as many late requests wait as there are slots. The load is 0 until 20 responses of a kind are known, and is averaged over a second at least, so that a start is no overload. Where all targets state a rate limit nothing changes. With Scheduler.Waitlist, refused callers get places above a load of 1.15. Events 423 and 424 tell when an overload begins and ends. All of it is off unless the fields are set.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -29,6 +29,10 @@
 	HasAlternative func(r *schedule.Request) bool
 	// OnBackoff is used as in schedule.Scheduler. It must not call the Dispatcher.
 	OnBackoff func(schedule.Backoff)
+	// Admission and Waitlist are used as in schedule.Scheduler. Admission.OnOverload must not call the
+	// Dispatcher.
+	Admission *schedule.Admission
+	Waitlist  bool
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -53,6 +57,7 @@
 	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
 	d.scheduler.IsBound, d.scheduler.HasAlternative = d.IsBound, d.HasAlternative
 	d.scheduler.OnBackoff, d.scheduler.RateLimit = d.OnBackoff, d.RateLimit
+	d.scheduler.Admission, d.scheduler.Waitlist = d.Admission, d.Waitlist
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -101,6 +101,8 @@
 	TargetRests        = Event{420, "targetRests", slog.LevelInfo, "A target turned a request away, and wants no requests from this instance for the stated time. It is logged when its rest is prolonged by a tenth of a second or more.", "Find out what the target is short of."}
 	TargetLeaves       = Event{421, "targetLeaves", slog.LevelInfo, "A target states in its answers that it leaves. The line has the instance that reported it, if it was another one.", ""}
 	WithdrawalUnusable = Event{422, "withdrawalUnusable", slog.LevelWarn, "A target states a rest, or that it leaves, in a form that is not known. It is ignored, and logged once for the service.", "Check the target's version."}
+	PoolOverloaded     = Event{423, "poolOverloaded", slog.LevelWarn, "More requests arrive for the targets of a service in a zone than they can serve. Those that cannot be answered in time are refused at once, until event 424. The load is the work that arrives, as a multiple of what the slots can do.", "Add targets to the service, or find out why the demand has risen."}
+	PoolRecovered      = Event{424, "poolRecovered", slog.LevelInfo, "The overload of event 423 is over. The line has its duration and the number of requests that were refused.", ""}
 	LinesLeftOut       = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded           = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading            = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -117,7 +119,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable, PoolOverloaded, PoolRecovered,
 		ConfigInForce, ConfigAccepted, ConfigStale, ConfigOverdue, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken, TransferBroken,
--- /dev/null
+++ b/basilcross/schedule/admission_test.go
@@ -0,0 +1,314 @@
+package schedule_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
+	"gotest.tools/v3/assert"
+)
+
+// pool drives a scheduler with a pool of targets, each request of which takes its kind's work.
+type pool struct {
+	t         *testing.T
+	scheduler *schedule.Scheduler
+	at        time.Time
+	// waiting has the tickets without a slot, ends when the others are answered.
+	waiting []*schedule.Ticket
+	ends    map[*schedule.Ticket]time.Time
+	// refused are the errors since the last call of takeRefused.
+	refused   []*schedule.BusyError
+	overloads []schedule.Overload
+	// timeLimit, if set, is that of all requests.
+	timeLimit time.Duration
+}
+
+func newPool(t *testing.T, targets int) *pool {
+	t.Helper()
+	var list []*roster.Target
+	for n := range targets {
+		list = append(list, &roster.Target{ID: fmt.Sprint("t", n), Slots: 2})
+	}
+	p := &pool{t: t, scheduler: newScheduler(list...), at: now, ends: map[*schedule.Ticket]time.Time{}}
+	p.scheduler.Admission = &schedule.Admission{OnOverload: func(o schedule.Overload) { p.overloads = append(p.overloads, o) }}
+	p.scheduler.Waitlist = true
+	return p
+}
+
+var workOf = map[uint32]time.Duration{urgent: 40 * time.Millisecond, long: 240 * time.Millisecond}
+
+func (p *pool) start(tickets ...*schedule.Ticket) {
+	for _, ticket := range tickets {
+		p.ends[ticket] = p.at.Add(workOf[ticket.Request.Kind])
+	}
+}
+
+// step lets a millisecond pass.
+func (p *pool) step() {
+	p.at = p.at.Add(time.Millisecond)
+	for ticket, end := range p.ends {
+		if !end.After(p.at) {
+			delete(p.ends, ticket)
+			p.start(p.scheduler.Release(p.at, ticket, schedule.Answered)...)
+		}
+	}
+	kept := p.waiting[:0]
+	for _, ticket := range p.waiting {
+		if ticket.Target != nil {
+			continue
+		}
+		if !ticket.WaitUntil.After(p.at) {
+			if err := p.scheduler.Expire(p.at, ticket); err != nil {
+				p.recordRefusal(err)
+				continue
+			}
+		}
+		kept = append(kept, ticket)
+	}
+	p.waiting = kept
+}
+
+func (p *pool) recordRefusal(err error) {
+	p.t.Helper()
+	var busy *schedule.BusyError
+	assert.Assert(p.t, errors.As(err, &busy), "%v", err)
+	p.refused = append(p.refused, busy)
+}
+
+func (p *pool) submit(kind uint32) {
+	p.t.Helper()
+	r := request(p.at, kind, "")
+	if p.timeLimit > 0 {
+		r.Deadline = p.at.Add(p.timeLimit)
+	}
+	p.submitRequest(r)
+}
+
+func (p *pool) submitRequest(r schedule.Request) {
+	p.t.Helper()
+	ticket, err := p.scheduler.Submit(p.at, r)
+	switch {
+	case err != nil:
+		p.recordRefusal(err)
+	case ticket.Target != nil:
+		p.start(ticket)
+	default:
+		p.waiting = append(p.waiting, ticket)
+	}
+}
+
+// run sends the given number of requests of each kind per second for a while, evenly spaced.
+func (p *pool) run(d time.Duration, perSecond map[uint32]float64) {
+	p.t.Helper()
+	due := map[uint32]float64{}
+	for end := p.at.Add(d); p.at.Before(end); {
+		for _, kind := range []uint32{urgent, long} {
+			for due[kind] += perSecond[kind] / 1000; due[kind] >= 1; due[kind]-- {
+				p.submit(kind)
+			}
+		}
+		p.step()
+	}
+}
+
+func (p *pool) takeRefused() []*schedule.BusyError {
+	list := p.refused
+	p.refused = nil
+	return list
+}
+
+// capacityOf is how many requests of a kind a pool of that many targets can serve per second.
+func capacityOf(targets int, kind uint32) float64 { return float64(2*targets) / workOf[kind].Seconds() }
+
+// Guards against requests that are held until their objective, or until a part of their time left has
+// passed, and refused only then.
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(10*time.Second, map[uint32]float64{long: 0.8 * capacityOf(6, long)})
+	assert.Equal(t, len(p.takeRefused()), 0)
+	p.run(10*time.Second, map[uint32]float64{long: 1.4 * capacityOf(6, long)})
+	p.takeRefused()
+	p.run(2*time.Second, map[uint32]float64{long: 1.4 * capacityOf(6, long)})
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 20, "%d refused", len(refused))
+	for _, busy := range refused {
+		assert.Equal(t, busy.Reason, schedule.ReasonOverload)
+		assert.Assert(t, busy.Load > 1.3 && busy.Load < 1.5, "load %.2f, want 1.4", busy.Load)
+		// All work is alike, so that a wait until the latest start makes no request late.
+		assert.Assert(t, busy.Bound > 300*time.Millisecond && busy.Bound <= 465*time.Millisecond, "bound %v", busy.Bound)
+	}
+	assert.Assert(t, len(p.waiting) < 30, "%d wait", len(p.waiting))
+}
+
+// Guards against a request that is refused in a zone for good although another zone has free slots: the bound
+// holds there too, and the load counts it where it is served or finally refused.
+func TestBoundHoldsInFirstPassOverZones(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(5*time.Second, map[uint32]float64{long: 0.9 * capacityOf(6, long)})
+	for len(p.takeRefused()) == 0 {
+		r := request(p.at, long, "")
+		r.RejectLate = true
+		p.submitRequest(r)
+	}
+	waiting := len(p.waiting)
+	for range 500 {
+		r := request(p.at, long, "")
+		r.RejectLate = true
+		p.submitRequest(r)
+	}
+	assert.Equal(t, len(p.waiting), waiting)
+	assert.Equal(t, len(p.takeRefused()), 500)
+	p.submit(long)
+	assert.Equal(t, len(p.takeRefused()), 0, "a late request may wait, since the load is below 1.1")
+}
+
+// Guards against refusals for the load of other instances' first moments: a scheduler that has just taken
+// over sees all requests of the pool at once, and does not know their work.
+func TestStartIsNoOverload(t *testing.T) {
+	p := newPool(t, 6)
+	for range 40 {
+		p.submit(urgent)
+	}
+	p.run(2*time.Second, map[uint32]float64{urgent: 0.9 * capacityOf(6, urgent)})
+	for _, busy := range p.takeRefused() {
+		assert.Check(t, busy.Reason != schedule.ReasonOverload, "refused for a load of %.2f", busy.Load)
+	}
+	assert.Equal(t, len(p.overloads), 0)
+}
+
+// Guards against an overload that a scheduler notices only after several half-lives, since its count
+// begins empty.
+func TestSuccessorNoticesOverloadSoon(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(2*time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	p.takeRefused()
+	p.run(time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	for _, busy := range refused {
+		assert.Check(t, busy.Load > 1.2, "load %.2f, want 1.5", busy.Load)
+	}
+}
+
+// Guards against a successor that refuses or delays callers for places that it did not give: its waitlist is
+// empty, and its callers' first places are the soonest.
+func TestSuccessorBeginsWithEmptyWaitlist(t *testing.T) {
+	first, successor := newPool(t, 6), newPool(t, 6)
+	first.timeLimit, successor.timeLimit = 6*time.Second, 6*time.Second
+	rate := map[uint32]float64{long: 1.5 * capacityOf(6, long)}
+	first.run(20*time.Second, rate)
+	successor.at = first.at
+	successor.run(20*time.Second, rate)
+	for _, p := range []*pool{first, successor} {
+		var shortest time.Duration
+		for n, busy := range p.refused {
+			if n == 0 || busy.Wait < shortest {
+				shortest = busy.Wait
+			}
+		}
+		// The first place is 400 ms, in which 0.05 of the capacity serves a request, after the expected wait
+		// of 465 ms.
+		assert.Assert(t, shortest < 900*time.Millisecond, "the shortest Retry-After is %v", shortest)
+	}
+}
+
+// Guards against callers that are all told the same time, and against a Retry-After that grows with every
+// refused caller.
+func TestRefusedCallersGetPlaces(t *testing.T) {
+	p := newPool(t, 6)
+	p.timeLimit = 6 * time.Second
+	p.run(20*time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	p.takeRefused()
+	p.at = p.at.Add(2 * time.Second)
+	different := map[time.Time]bool{}
+	for range 50 {
+		p.submit(long)
+	}
+	for _, busy := range p.takeRefused() {
+		different[p.at.Add(busy.Wait)] = true
+		assert.Check(t, busy.Wait < 3*time.Second, "Retry-After %v", busy.Wait)
+	}
+	// A caller with 6 s left retries after 2 s at the latest. Places are 400 ms apart, the last one is told
+	// to all others.
+	assert.Assert(t, len(different) >= 3 && len(different) <= 5, "%d places", len(different))
+	p.scheduler.Waitlist = false
+	p.submit(long)
+	for _, busy := range p.takeRefused() {
+		assert.Check(t, busy.Wait < 500*time.Millisecond, "without a waitlist, Retry-After is the expected wait, not %v", busy.Wait)
+	}
+}
+
+// Guards against urgent requests that are refused for the load of less urgent ones, and less urgent ones
+// that get no slot.
+func TestLessUrgentLoadDoesNotRefuseUrgentRequests(t *testing.T) {
+	p := newPool(t, 6)
+	rate := map[uint32]float64{urgent: 0.4 * capacityOf(6, urgent), long: 1.5 * capacityOf(6, long)}
+	p.run(10*time.Second, rate)
+	p.takeRefused()
+	p.run(5*time.Second, rate)
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	answered := 0
+	for ticket := range p.ends {
+		if ticket.Request.Kind == long {
+			answered++
+		}
+	}
+	assert.Assert(t, answered >= 4, "%d slots serve less urgent requests", answered)
+	assert.Equal(t, len(refused), p.refusedOf(refused, 1.5))
+}
+
+// refusedOf returns how many of the refusals were for a load above the given one, as only less urgent
+// requests see it.
+func (p *pool) refusedOf(list []*schedule.BusyError, above float64) (count int) {
+	for _, busy := range list {
+		if busy.Load > above {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against refusals, and a long queue, for longer than a burst of some seconds lasts.
+func TestQueueOfBurstIsGoneSoon(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(20*time.Second, map[uint32]float64{long: 0.7 * capacityOf(6, long)})
+	p.run(4*time.Second, map[uint32]float64{long: 3 * capacityOf(6, long)})
+	p.run(time.Second, map[uint32]float64{long: 0.7 * capacityOf(6, long)})
+	p.takeRefused()
+	p.run(10*time.Second, map[uint32]float64{long: 0.7 * capacityOf(6, long)})
+	assert.Equal(t, len(p.takeRefused()), 0)
+	assert.Equal(t, len(p.waiting), 0)
+	assert.Assert(t, len(p.overloads) == 2 && !p.overloads[0].Over && p.overloads[1].Over, "%+v", p.overloads)
+	assert.Assert(t, p.overloads[1].Refused > 0 && p.overloads[1].Duration < 15*time.Second, "%+v", p.overloads[1])
+}
+
+// Guards against an overload that never ends for operators, since its requests go to another scheduler or
+// have ended.
+func TestOverloadEndsWithoutRequests(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(20*time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	assert.Equal(t, len(p.overloads), 1)
+	p.scheduler.Prune(p.at.Add(time.Minute))
+	assert.Assert(t, len(p.overloads) == 2 && p.overloads[1].Over, "%+v", p.overloads)
+}
+
+// Guards against a bound for requests that only one target can serve: with few slots a short queue leaves
+// them idle.
+func TestOwnersQueueIsNotBounded(t *testing.T) {
+	with, without := newPool(t, 1), newPool(t, 1)
+	without.scheduler.Admission, without.scheduler.Waitlist = nil, false
+	for _, p := range []*pool{with, without} {
+		for range 3000 {
+			p.submitRequest(request(p.at, long, "t0"))
+			p.step()
+		}
+	}
+	assert.Equal(t, len(with.refused), len(without.refused))
+	for n, busy := range with.refused {
+		assert.Equal(t, *busy, *without.refused[n])
+	}
+}
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -37,6 +37,7 @@
 		return avail
 	}
 	t.Target, t.state = best, avail.state
+	t.poolLatency = avail.latency
 	if now.Before(t.state.backoffUntil) {
 		t.state.triedAt = now
 	}
--- a/basilcross/schedule/queue.go
+++ b/basilcross/schedule/queue.go
@@ -22,6 +22,8 @@
 	waiting  []*Ticket
 	lastSeq  uint64
 	arrivals map[uint32]*arrivalStats
+	// pool is set for requests that any target of a zone may serve, if a feature needs it.
+	pool *poolState
 }
 
 func (s *service) queueFor(r *Request) *queue {
@@ -37,37 +39,56 @@
 	return q
 }
 
-// enqueue queues the ticket and sets WaitUntil, or returns a *BusyError if the request
-// cannot be answered in time.
-func (t *Ticket) enqueue(now time.Time, avail capacity) error {
-	q, req := t.queue, &t.Request
-	wait := q.expectedWait(t, avail)
-	t.WaitUntil = req.Objective.Add(-seconds(avail.latency*safetyFactor) - answerMessages*req.OneWayDelay)
-	if now.Add(wait).After(t.WaitUntil) {
-		if err := t.waitPastObjective(now, avail); err != nil {
-			return err
-		}
+// enqueue queues the ticket and sets WaitUntil, or returns an error if the request cannot be answered in time.
+func (s *Scheduler) enqueue(now time.Time, t *Ticket, avail capacity) *BusyError {
+	var err *BusyError
+	if s.boundsWait(t, avail) {
+		err = t.setWaitInPool(now, avail)
+	} else {
+		err = t.setWait(now, avail)
+	}
+	if err != nil {
+		return err
 	}
+	q := t.queue
 	q.lastSeq++
 	t.seq = q.lastSeq
 	q.waiting = append(q.waiting, t)
 	return nil
 }
 
+// setWait sets WaitUntil, or returns an error if the request cannot be answered in time.
+func (t *Ticket) setWait(now time.Time, avail capacity) *BusyError {
+	t.WaitUntil = t.latestStart(avail)
+	if now.Add(t.queue.expectedWait(t, avail)).After(t.WaitUntil) {
+		return t.waitPastObjective(now, avail)
+	}
+	return nil
+}
+
+// latestStart is when the request has to be sent at the latest to meet its objective.
+func (t *Ticket) latestStart(avail capacity) time.Time {
+	return t.Request.Objective.Add(-seconds(avail.latency*safetyFactor) - answerMessages*t.Request.OneWayDelay)
+}
+
 // waitPastObjective sets WaitUntil for a request that cannot meet its objective. It
-// returns a *BusyError if the request may not wait that long, or was extended before.
-func (t *Ticket) waitPastObjective(now time.Time, avail capacity) error {
+// returns an error if the request may not wait that long, or was extended before.
+func (t *Ticket) waitPastObjective(now time.Time, avail capacity) *BusyError {
 	req := &t.Request
 	expected := seconds(avail.latency) + answerMessages*req.OneWayDelay
 	wait := t.queue.expectedWait(t, avail)
 	t.WaitUntil = now.Add(time.Duration(float64(req.Deadline.Sub(now)-expected) * lateWaitShare))
 	if req.RejectLate || t.late || now.Add(wait).After(t.WaitUntil) {
-		return &BusyError{Service: t.service.name, Wait: wait, Queued: len(t.queue.waiting), RateLimited: avail.allLimited()}
+		return t.busyError(wait, avail)
 	}
 	t.late = true
 	return nil
 }
 
+func (t *Ticket) busyError(wait time.Duration, avail capacity) *BusyError {
+	return &BusyError{Service: t.service.name, Wait: wait, Queued: len(t.queue.waiting), RateLimited: avail.allLimited()}
+}
+
 // expectedWait estimates the wait for a slot: the time until the first is free, and the
 // work of waiting requests of the same or a higher priority.
 func (q *queue) expectedWait(t *Ticket, avail capacity) time.Duration {
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -80,6 +80,11 @@
 	// RateLimited is set if all targets that the request may go to state how many requests per second they
 	// accept.
 	RateLimited bool
+	// Reason is set if admission refused the request. Load is then that of the pool by requests of the same
+	// or a higher priority, and Bound how long the request might have waited.
+	Reason Reason
+	Load   float64
+	Bound  time.Duration
 }
 
 func (e *BusyError) Error() string {
@@ -114,6 +119,11 @@
 	// OnBackoff, if set, is called when a target gets no requests for a while.
 	OnBackoff func(Backoff)
 
+	// Admission, if set, bounds the wait of requests that any target of a zone may serve.
+	Admission *Admission
+	// Waitlist tells refused callers of such requests to return one after the other.
+	Waitlist bool
+
 	services map[string]*service
 }
 
@@ -160,6 +170,10 @@
 	arrivesAt    time.Time
 	startedAt    time.Time
 	expectedWork time.Duration
+	// poolLatency is the expected response time of the pool when it was sent, in seconds, and bound how
+	// long it might wait to be answered in time; 0 if admission is off.
+	poolLatency float64
+	bound       time.Duration
 }
 
 // Submit assigns a slot to a request, or queues it. The error is a *BusyError, a
@@ -171,14 +185,18 @@
 	if err := s.rejected(now, t); err != nil {
 		return nil, err
 	}
+	pool := s.poolFor(now, t)
 	_, avail := s.bestTarget(now, t)
 	if s.mustYield(now, t, avail) {
-		return nil, &BusyError{Service: r.Service, Wait: avail.freeIn, Queued: len(t.queue.waiting), RateLimited: avail.allLimited()}
+		return nil, t.busyError(avail.freeIn, avail)
 	}
 	if !t.queue.outranks(now, t, avail.slowness) {
 		avail = s.assign(now, t)
 	}
+	s.checkOverload(now, svc, r.Zone, pool, avail)
 	if t.Target != nil {
+		pool.recordArrival(now, t, avail)
+		pool.recordServed(t)
 		return t, nil
 	}
 	if avail.targets == 0 && avail.denied > 0 {
@@ -187,7 +205,16 @@
 	if avail.targets == 0 {
 		return nil, &NoTargetError{Service: r.Service}
 	}
-	return t, t.enqueue(now, avail)
+	if !r.RejectLate {
+		pool.recordArrival(now, t, avail)
+	}
+	if err := s.enqueue(now, t, avail); err != nil {
+		return nil, s.refused(now, t, avail, err)
+	}
+	if r.RejectLate {
+		pool.recordArrival(now, t, avail)
+	}
+	return t, nil
 }
 
 // Expire must be called when a ticket has waited until WaitUntil. If a late answer is
@@ -195,11 +222,17 @@
 // queued; otherwise the ticket leaves the queue and the error is a *BusyError.
 func (s *Scheduler) Expire(now time.Time, t *Ticket) error {
 	_, avail := s.bestTarget(now, t)
-	err := t.waitPastObjective(now, avail)
-	if err != nil {
-		s.Cancel(t)
+	var err *BusyError
+	if s.boundsWait(t, avail) {
+		err = t.setLateWait(now, t.queue.expectedWait(t, avail), avail)
+	} else {
+		err = t.waitPastObjective(now, avail)
+	}
+	if err == nil {
+		return nil
 	}
-	return err
+	s.Cancel(t)
+	return s.refused(now, t, avail, err)
 }
 
 // Cancel removes a waiting ticket from its queue.
@@ -209,6 +242,9 @@
 // tickets that got a slot.
 func (s *Scheduler) Release(now time.Time, t *Ticket, r Result) []*Ticket {
 	t.state.recordResult(now, t, r)
+	if r == Answered && t.queue.pool != nil {
+		t.queue.pool.recordResponse(now, t)
+	}
 	if left := t.state.backoffUntil.Sub(now); s.OnBackoff != nil && (r == Failed || r == Unreachable) && left > 0 {
 		s.OnBackoff(Backoff{Target: t.Target, Duration: left, Failures: t.state.failures, Result: r, Requester: t.Request.Requester})
 	}
@@ -226,10 +262,16 @@
 			avail.slowness = like.service.slownessOf(now, best, avail.state, &like.Request)
 		}
 		next := q.next(now, avail.slowness)
+		if s.Admission != nil && q.pool != nil {
+			if owed := q.pool.owed(now, q, next, avail.slowness); owed != nil {
+				next = owed
+			}
+		}
 		s.assign(now, next)
 		if next.Target == nil {
 			break
 		}
+		q.pool.recordServed(next)
 		q.remove(next)
 		admitted = append(admitted, next)
 	}
@@ -263,6 +305,10 @@
 		}
 		for key, q := range svc.queues {
 			maps.DeleteFunc(q.arrivals, func(_ uint32, a *arrivalStats) bool { return now.Sub(a.updated) > kindTTL })
+			if q.pool != nil {
+				s.checkOverload(now, svc, key.zone, q.pool, q.pool.last)
+				q.pool.prune(now)
+			}
 			if len(q.waiting) == 0 && key.target != "" && view.Find(key.target) == nil {
 				delete(svc.queues, key)
 			}
