--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/golden"
 )
 
+// readLoads returns the loads without features; those with features have tests of their own.
 func readLoads(t *testing.T) []*Load {
 	t.Helper()
 	files, err := filepath.Glob("loads/*.json")
@@ -26,7 +27,9 @@
 	for _, file := range files {
 		l, err := Read(file)
 		assert.NilError(t, err)
-		list = append(list, l)
+		if !l.Admission {
+			list = append(list, l)
+		}
 	}
 	return list
 }
--- a/standin/experiment/load.go
+++ b/standin/experiment/load.go
@@ -35,6 +35,12 @@
 	// Admission and Waitlist switch on the features of the same names.
 	Admission bool `json:"admission"`
 	Waitlist  bool `json:"waitlist"`
+	// FirstAttemptKnown counts the objective of a caller retry from the first attempt, as a perfect
+	// estimate of that attempt's time would.
+	FirstAttemptKnown bool `json:"firstAttemptKnown"`
+
+	// observe, if set, is called with each request's outcome.
+	observe func(r *request, inTime bool)
 }
 
 // Target is a group of identical targets.
@@ -145,19 +151,7 @@
 	}
 	check(len(l.Kinds) > 0, "kinds", "at least one")
 	for i, k := range l.Kinds {
-		prefix := fmt.Sprintf("kinds[%d].", i)
-		check(k.Name != "", prefix+"name", "a name")
-		check(k.Share > 0, prefix+"share", "a number above 0")
-		check(k.MeanWork > 0, prefix+"workMs", "a number above 0")
-		check(0 <= k.Spread && k.Spread < 1, prefix+"spread", "a share below 1")
-		check(k.Sigma >= 0 && (k.Sigma == 0 || k.Spread == 0), prefix+"sigma", "a number of 0 or more, without spread")
-		check(0 <= k.TailShare && k.TailShare < 1, prefix+"tail", "a share below 1")
-		check(k.TailShare == 0 || 0 < k.TailFactors[0] && k.TailFactors[0] <= k.TailFactors[1], prefix+"tailTimes", "two numbers above 0, the lower one first")
-		check(0 <= k.DeadlineSpread && k.Deadline*(1-k.DeadlineSpread) >= k.Objective, prefix+"deadlineSpread", "a share that leaves objectiveMs")
-		check(k.Worth > 0, prefix+"worth", "a number above 0")
-		check(0 <= k.LateWorth && k.LateWorth <= k.Worth, prefix+"lateWorth", "at most worth")
-		check(k.Objective > 0, prefix+"objectiveMs", "a number above 0")
-		check(k.Deadline >= k.Objective, prefix+"deadlineMs", "at least objectiveMs")
+		k.validate(check, fmt.Sprintf("kinds[%d].", i))
 	}
 	for i, b := range l.Bursts {
 		check(b.Factor > 0, fmt.Sprintf("bursts[%d].times", i), "a number above 0")
@@ -165,6 +159,22 @@
 	return errors.Join(errs...)
 }
 
+// validate checks the kind's fields, whose names begin with prefix.
+func (k *Kind) validate(check func(ok bool, field, want string), prefix string) {
+	check(k.Name != "", prefix+"name", "a name")
+	check(k.Share > 0, prefix+"share", "a number above 0")
+	check(k.MeanWork > 0, prefix+"workMs", "a number above 0")
+	check(0 <= k.Spread && k.Spread < 1, prefix+"spread", "a share below 1")
+	check(k.Sigma >= 0 && (k.Sigma == 0 || k.Spread == 0), prefix+"sigma", "a number of 0 or more, without spread")
+	check(0 <= k.TailShare && k.TailShare < 1, prefix+"tail", "a share below 1")
+	check(k.TailShare == 0 || 0 < k.TailFactors[0] && k.TailFactors[0] <= k.TailFactors[1], prefix+"tailTimes", "two numbers above 0, the lower one first")
+	check(0 <= k.DeadlineSpread && k.Deadline*(1-k.DeadlineSpread) >= k.Objective, prefix+"deadlineSpread", "a share that leaves objectiveMs")
+	check(k.Worth > 0, prefix+"worth", "a number above 0")
+	check(0 <= k.LateWorth && k.LateWorth <= k.Worth, prefix+"lateWorth", "at most worth")
+	check(k.Objective > 0, prefix+"objectiveMs", "a number above 0")
+	check(k.Deadline >= k.Objective, prefix+"deadlineMs", "at least objectiveMs")
+}
+
 // capacity returns the requests per second that the targets can serve if work is distributed evenly.
 func (l *Load) capacity() float64 {
 	work, shares := 0.0, 0.0
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -15,6 +15,8 @@
 	// Level is the load, as a share of the targets' capacity.
 	Level float64
 	Kinds []Outcome
+
+	observe func(q *request, inTime bool)
 }
 
 // Outcome counts the outcomes of one kind's requests. Those answered after their
@@ -25,6 +27,10 @@
 	InTime  int
 	Late    int
 	Refused int
+	// RefusedAttempts counts refusals of the scheduler, also those after which the caller retried, and
+	// RefusedAtOnce those of them without a wait.
+	RefusedAttempts int
+	RefusedAtOnce   int
 	// QueueTime is the wait before a request is sent, in microseconds.
 	QueueTime *hdrhistogram.Histogram
 }
@@ -33,7 +39,7 @@
 const maxQueueTime = 60_000_000
 
 func (l *Load) newReport(strategy string, level float64) *Report {
-	r := &Report{Strategy: strategy, Level: level}
+	r := &Report{Strategy: strategy, Level: level, observe: l.observe}
 	for i := range l.Kinds {
 		r.Kinds = append(r.Kinds, Outcome{Kind: &l.Kinds[i], QueueTime: hdrhistogram.New(1, maxQueueTime, 3)})
 	}
@@ -43,7 +49,25 @@
 func (r *Report) outcomeOf(q *request) *Outcome { return &r.Kinds[q.kindNumber-1] }
 
 func (r *Report) recordArrival(q *request) { r.outcomeOf(q).Arrived++ }
-func (r *Report) recordRefusal(q *request) { r.outcomeOf(q).Refused++ }
+
+func (r *Report) recordRefusal(q *request) {
+	r.outcomeOf(q).Refused++
+	r.notify(q, false)
+}
+
+func (r *Report) notify(q *request, inTime bool) {
+	if r.observe != nil {
+		r.observe(q, inTime)
+	}
+}
+
+func (r *Report) recordRefusedAttempt(q *request, atOnce bool) {
+	o := r.outcomeOf(q)
+	o.RefusedAttempts++
+	if atOnce {
+		o.RefusedAtOnce++
+	}
+}
 
 func (r *Report) recordQueueTime(q *request, d time.Duration) {
 	// No wait exceeds maxQueueTime: every deadline is earlier.
@@ -52,8 +76,10 @@
 
 func (r *Report) recordResponse(q *request, at time.Duration) {
 	o := r.outcomeOf(q)
+	inTime := at <= q.arrival+millis(q.kind.Objective)
+	r.notify(q, inTime)
 	switch {
-	case at <= q.arrival+millis(q.kind.Objective):
+	case inTime:
 		o.InTime++
 	case at <= q.arrival+q.deadline:
 		o.Late++
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -38,6 +38,8 @@
 	ticketQueue  []*schedule.Ticket
 	admissionDue bool
 	report       *Report
+	// firstAttemptKnown is as in Load.
+	firstAttemptKnown bool
 }
 
 // targetQueue counts a target's busy slots and holds the requests waiting for one.
@@ -64,6 +66,7 @@
 	s := &schedulerRun{
 		random: rand.New(rand.NewPCG(seed, 23)), targets: l.simTargets(), targetIndex: map[string]int{},
 		waiting: map[*schedule.Ticket]*attempt{}, report: l.newReport("schedule", level),
+		firstAttemptKnown: l.FirstAttemptKnown,
 	}
 	list := make([]*roster.Target, 0, len(s.targets))
 	for n, target := range s.targets {
@@ -74,7 +77,10 @@
 	}
 	targets := &roster.Roster{}
 	targets.Replace(startTime.Add(-time.Hour), list, 1)
-	s.scheduler.Roster = targets
+	s.scheduler.Roster, s.scheduler.Waitlist = targets, l.Waitlist
+	if l.Admission {
+		s.scheduler.Admission = &schedule.Admission{}
+	}
 	for _, r := range l.requests(level, seed) {
 		s.After(r.arrival, func() {
 			s.report.recordArrival(r)
@@ -100,8 +106,12 @@
 	if a.req.target >= 0 {
 		r.Target = fmt.Sprintf("t%03d", a.req.target)
 	}
+	if s.firstAttemptKnown {
+		r.Objective = startTime.Add(a.req.arrival + millis(a.req.kind.Objective))
+	}
 	t, err := s.scheduler.Submit(s.clock(), r)
 	if err != nil {
+		s.report.recordRefusedAttempt(a.req, true)
 		s.handleRefusal(a, err)
 		return
 	}
@@ -124,6 +134,7 @@
 		}
 		if err := s.scheduler.Expire(s.clock(), t); err != nil {
 			delete(s.waiting, t)
+			s.report.recordRefusedAttempt(a.req, false)
 			s.handleRefusal(a, err)
 			return
 		}
