Test of caller retries on the waitlist, which fails without an estimate of first attempts

With the waitlist, refused callers return after up to a third of their time, when they are late already.

The test holds the plan's bound and fails until the simulation uses timelimit.

--- a/standin/experiment/admission_test.go
+++ b/standin/experiment/admission_test.go
@@ -69,6 +69,12 @@
 	checkInTime(t, l, 1.20, 0.74)
 }
 
+// Guards against caller retries that take the slots of requests that can be in time.
+func TestCallerRetriesLeaveOthersInTime(t *testing.T) {
+	t.Parallel()
+	checkInTime(t, readLoad(t, "confirm-retries"), 1.20, 0.74)
+}
+
 // Guards against a less urgent kind that is served more often than an urgent one, since its objective
 // allows it a longer wait, and against one that starves.
 func TestAdmissionServesUrgentKindsFirst(t *testing.T) {
