Learn the range of callers' time limits, and recognize caller retries

Requests that refused callers send again look like new ones. Package timelimit learns the usual range of the time left of each route's requests: sorted, the last 128 limits have a change point between the sparse retries and the dense first attempts, which the likelihood of two uniform densities finds. A request below the range is a caller retry. At most two are taken as such for each refusal: where nothing is refused there are no retries, so a smaller group of callers with shorter limits is not harmed then.

--- /dev/null
+++ b/basilcross/timelimit/timelimit.go
@@ -0,0 +1,144 @@
+// Package timelimit recognizes requests that callers send again after a refusal: they have less time left
+// than the callers of their route usually have.
+package timelimit
+
+import (
+	"container/list"
+	"sync"
+	"time"
+
+	"basilcross.example/basilcross/retry"
+)
+
+const (
+	// minSamples is how many requests of a route are taken as new until its range is learnt.
+	minSamples = 50
+	// window is how many of a route's last requests its range is learnt from.
+	window = 128
+	// fitInterval is how many requests the learnt range is used for.
+	fitInterval = 8
+	// maxRoutes bounds the routes that are remembered, those that were requested last.
+	maxRoutes = 1024
+	// retriesPerRefusal and maxRetries bound the requests that are taken as caller retries: each follows
+	// a refusal, but mostly one by another instance, so the numbers at one instance vary.
+	retriesPerRefusal = 2
+	maxRetries        = 64
+)
+
+// Learner learns the range of callers' time limits of each route. The zero value is ready to use, and safe
+// for concurrent use. It keeps at most 1,024 routes and 128 limits of each.
+type Learner struct {
+	mu     sync.Mutex
+	routes map[string]*list.Element
+	// recent has the routes, as *route, the one that was requested last first.
+	recent list.List
+}
+
+type route struct {
+	name string
+	// limits are the time limits of the last requests, in ms; next is the index of the oldest once there
+	// are as many as the window has.
+	limits []uint32
+	next   int
+	// unfitted counts the requests since the range was computed; usual is nil if nothing is assumed.
+	unfitted int
+	usual    *Range
+	// retries limits the requests that are taken as retries, by the refusals.
+	retries retry.Budget
+}
+
+// Age records a request of a route with the time that its caller has left, and returns how long ago the
+// caller's first attempt was, by estimate; 0 if the request is taken as new.
+func (l *Learner) Age(name string, left time.Duration) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.use(name)
+	known := len(r.limits) >= minSamples
+	if known && r.unfitted >= fitInterval {
+		r.fit()
+	}
+	r.record(left)
+	if !known || r.usual == nil || left >= r.usual.Lower || !r.retries.TryWithdraw() {
+		return 0
+	}
+	return r.usual.Middle() - left
+}
+
+// Refused records that a request of a route was refused, so that its caller may send it again. Where nothing
+// is refused, there are no caller retries: requests with little time left come from callers with short
+// limits.
+func (l *Learner) Refused(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.use(name).retries.Deposit()
+}
+
+// Usual returns the range of time limits that is learnt of a route; ok is false while nothing is assumed.
+func (l *Learner) Usual(name string) (usual Range, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.routes[name]
+	if e == nil {
+		return Range{}, false
+	}
+	r, _ := e.Value.(*route)
+	if len(r.limits) >= minSamples {
+		r.fit()
+	}
+	if r.usual == nil {
+		return Range{}, false
+	}
+	return *r.usual, true
+}
+
+// Retain forgets the routes that do not exist any more.
+func (l *Learner) Retain(exists func(name string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, e := range l.routes {
+		if !exists(name) {
+			l.recent.Remove(e)
+			delete(l.routes, name)
+		}
+	}
+}
+
+// use returns a route as the one that was requested last. l.mu must be held.
+func (l *Learner) use(name string) *route {
+	if e := l.routes[name]; e != nil {
+		l.recent.MoveToFront(e)
+		r, _ := e.Value.(*route)
+		return r
+	}
+	if l.routes == nil {
+		l.routes = map[string]*list.Element{}
+	}
+	if len(l.routes) >= maxRoutes {
+		oldest, _ := l.recent.Remove(l.recent.Back()).(*route)
+		delete(l.routes, oldest.name)
+	}
+	r := &route{name: name}
+	r.retries.Set(retriesPerRefusal, maxRetries)
+	r.retries.Clear()
+	l.routes[name] = l.recent.PushFront(r)
+	return r
+}
+
+func (r *route) record(left time.Duration) {
+	ms := uint32(min(max(0, left), maxLimit).Milliseconds())
+	r.unfitted++
+	if len(r.limits) < window {
+		r.limits = append(r.limits, ms)
+		return
+	}
+	r.limits[r.next] = ms
+	r.next = (r.next + 1) % window
+}
+
+func (r *route) fit() {
+	r.unfitted = 0
+	r.usual = nil
+	if usual, ok := fit(r.limits); ok {
+		r.usual = &usual
+	}
+}
