Count the objective of caller retries from the first attempt

Caller retries took slots from requests that can be in time. With the feature waitlist, the front estimates the age of the caller's first attempt from the raw time left, before the route's timeout caps it, and counts the objective from it. A forwarded request keeps the estimate in an optional field of its description; without a retry the description is as before. The estimate is in the log lines of the request and in basilcross_caller_retries_total.

Without the feature the learner is nil, and no line, metric or message changes.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -51,7 +51,7 @@
 	}
 	request := schedule.Request{
 		Service: c.service, Kind: c.kind(), Excluded: f.excludedTargets(c), Priority: c.route.Priority,
-		Objective: c.arrived.Add(c.route.Objective), Deadline: c.deadline, Regions: c.route.Regions,
+		Objective: c.objective(), Deadline: c.deadline, Regions: c.route.Regions,
 	}
 	start := time.Now()
 	reservation, failed := f.reserve(ctx, c, &request)
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -41,6 +41,9 @@
 	arrived time.Time
 	// deadline is when the response must be sent to the caller.
 	deadline time.Time
+	// sinceFirst is how long before arrived the caller's first attempt was, by estimate; 0 unless the
+	// request is taken as a caller retry.
+	sinceFirst time.Duration
 
 	// runs counts the attempts that a target may have run, sends all attempts.
 	runs  int
@@ -85,6 +88,9 @@
 	identity *quarantine.Fingerprint
 }
 
+// objective is when the response should be sent, counted from the caller's first attempt.
+func (c *call) objective() time.Time { return c.arrived.Add(c.route.Objective - c.sinceFirst) }
+
 // kind returns the number of the call's route: requests of a route take similar work.
 func (c *call) kind() uint32 { return c.route.Kind() }
 
@@ -156,7 +162,9 @@
 		if err != nil || ms <= 0 {
 			return &refusal{status: http.StatusBadRequest, cause: "badTimeLeft", final: true}
 		}
-		timeout = time.Duration(ms)*time.Millisecond - responseMargin
+		left := time.Duration(ms) * time.Millisecond
+		timeout = left - responseMargin
+		f.detectCallerRetry(c, table, left)
 	}
 	if c.route.Timeout > 0 {
 		timeout = min(timeout, c.route.Timeout)
@@ -170,6 +178,24 @@
 	return nil
 }
 
+// detectCallerRetry sets the age of the caller's first attempt if the time that the caller has left shows that
+// the request is a caller retry.
+func (f *Front) detectCallerRetry(c *call, table *routing.Table, left time.Duration) {
+	if f.TimeLimits == nil {
+		return
+	}
+	if f.limitsOf.Swap(table) != table {
+		routes := map[string]bool{}
+		for i := range table.Config.Routes {
+			routes[table.Config.Routes[i].Name] = true
+		}
+		f.TimeLimits.Retain(func(name string) bool { return routes[name] })
+	}
+	if c.sinceFirst = f.TimeLimits.Age(c.route.Name, left); c.sinceFirst > 0 {
+		f.Metrics.callerRetries.WithLabelValues(c.service).Inc()
+	}
+}
+
 // readBody reads the body up to the limit, and until the call's deadline.
 func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -113,7 +113,7 @@
 	}
 	now := time.Now()
 	c.from, c.uri, c.host, c.service, c.runs = forwarded.From, forwarded.URI, forwarded.Host, forwarded.Service, forwarded.Runs
-	c.counted = forwarded.Counted
+	c.counted, c.sinceFirst = forwarded.Counted, forwarded.SinceFirst
 	c.arrived, c.deadline = now.Add(-forwarded.Age), now.Add(forwarded.Left-carryMargin)
 	c.header = r.Header.Clone()
 	hopheader.Remove(c.header)
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -152,7 +152,7 @@
 		SetHeaders: func(now time.Time, h http.Header) {
 			r := forwardedRequest{
 				From: f.Forwarder.Self.Name, URI: c.uri, Host: c.host, Service: c.service, Version: version,
-				Age: now.Sub(c.arrived), Left: c.deadline.Sub(now), Runs: c.runs, Counted: c.counted,
+				Age: now.Sub(c.arrived), Left: c.deadline.Sub(now), Runs: c.runs, Counted: c.counted, SinceFirst: c.sinceFirst,
 			}
 			h.Set(forwardHeader, r.encode())
 		},
--- a/gateway/front/forwardmessage.go
+++ b/gateway/front/forwardmessage.go
@@ -45,13 +45,23 @@
 	Runs int
 	// Counted is set if the sender's retry budget counts it already.
 	Counted bool
+	// SinceFirst is how long before its arrival the caller's first attempt was, by the sender's estimate.
+	// Versions that do not know it leave it out.
+	SinceFirst time.Duration
 }
 
+// sinceFirstField is the field of forwardHeader with SinceFirst in ms, in caller retries only.
+const sinceFirstField = "sinceFirstMs"
+
 func (r *forwardedRequest) encode() string {
-	return url.Values{
+	values := url.Values{
 		"from": {r.From}, "uri": {r.URI}, "host": {r.Host}, "service": {r.Service}, "version": {strconv.FormatUint(r.Version, 10)},
 		"ageMs": {formatMs(r.Age)}, "leftMs": {formatMs(r.Left)}, "runs": {strconv.Itoa(r.Runs)}, "counted": {strconv.FormatBool(r.Counted)},
-	}.Encode()
+	}
+	if r.SinceFirst > 0 {
+		values.Set(sinceFirstField, formatMs(r.SinceFirst))
+	}
+	return values.Encode()
 }
 
 func parseForwardedRequest(text string) (*forwardedRequest, error) {
@@ -65,6 +75,9 @@
 		Age: p.ms("ageMs"), Left: p.ms("leftMs"), Runs: p.number("runs"),
 		Counted: p.bool("counted"),
 	}
+	if v.Has(sinceFirstField) {
+		r.SinceFirst = p.ms(sinceFirstField)
+	}
 	return r, p.err
 }
 
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -17,13 +17,14 @@
 	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/routing"
+	"basilcross.example/basilcross/timelimit"
 	"basilcross.example/basilcross/withdrawal"
 	"basilcross.example/gateway/broker"
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 )
 
-// Options configure a Front. All fields must be set.
+// Options configure a Front. All fields but TimeLimits must be set.
 type Options struct {
 	Headers routing.HeaderNames
 	// ParseLoad decodes the header in which targets report their load.
@@ -72,6 +73,9 @@
 	// FirstStart is set if the whole fleet starts for the first time, so that no earlier incarnation
 	// has sent retries.
 	FirstStart bool
+	// TimeLimits recognizes caller retries, whose objective counts from the caller's first attempt; nil if
+	// all requests are taken as new.
+	TimeLimits *timelimit.Learner
 	Metrics    *Metrics
 	Log        *slog.Logger
 }
@@ -80,7 +84,9 @@
 type Front struct {
 	Options
 
-	splitter          routing.Splitter
+	splitter routing.Splitter
+	// limitsOf is the table whose routes TimeLimits was told last.
+	limitsOf          atomic.Pointer[routing.Table]
 	started           time.Time
 	keepAliveDisabled atomic.Bool
 	abortContext      context.Context
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -9,15 +9,16 @@
 
 // Metrics are the metrics of callers' requests.
 type Metrics struct {
-	requests   *prometheus.CounterVec
-	durations  *prometheus.HistogramVec
-	queueTimes *prometheus.HistogramVec
-	retries    *prometheus.CounterVec
-	forwarded  *prometheus.CounterVec
-	carried    *prometheus.CounterVec
-	endedUnder *prometheus.CounterVec
-	rejections *prometheus.CounterVec
-	denied     *prometheus.CounterVec
+	requests      *prometheus.CounterVec
+	durations     *prometheus.HistogramVec
+	queueTimes    *prometheus.HistogramVec
+	retries       *prometheus.CounterVec
+	forwarded     *prometheus.CounterVec
+	carried       *prometheus.CounterVec
+	endedUnder    *prometheus.CounterVec
+	rejections    *prometheus.CounterVec
+	denied        *prometheus.CounterVec
+	callerRetries *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -53,7 +54,10 @@
 	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_retries_denied_total", Help: "Requests that were not retried, since the budget of retries was exhausted.",
 	}, []string{"service"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied)
+	m.callerRetries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_caller_retries_total", Help: "Requests that were recognized as sent again by their caller after a refusal.",
+	}, []string{"service"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.callerRetries)
 	return m
 }
 
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -103,6 +103,9 @@
 	// A failed write means that the caller has disconnected.
 	_, _ = io.WriteString(w, body)
 	f.Metrics.recordRefusal(c, r, status)
+	if f.TimeLimits != nil && c.route != nil && c.from == "" && status == http.StatusServiceUnavailable {
+		f.TimeLimits.Refused(c.route.Name)
+	}
 	f.logRefused(c, r, strconv.Itoa(status))
 }
 
@@ -116,10 +119,10 @@
 	if c.identity != nil {
 		fingerprint = c.identity.String()
 	}
-	event.RequestRefused.Log(f.Log, "request", c.id, "route", route, "service", c.service, "key", c.key, "outcome", outcome,
+	event.RequestRefused.Log(f.Log, c.withRetryAge("request", c.id, "route", route, "service", c.service, "key", c.key, "outcome", outcome,
 		"cause", r.cause, "fingerprint", fingerprint, "mayHaveRun", r.mayHaveRun, "sends", c.sends, "target", c.lastTarget, "queued", r.queueLength,
 		"from", c.from, "carrier", c.carrier, "asked", c.carriersAsked, "waitedMs", c.queueTime.Milliseconds(), "ageMs", time.Since(c.arrived).Milliseconds(), "leftMs", leftMs,
-		"retryAfterMs", r.retryAfter.Milliseconds(), "retryDenied", c.retryDenied)
+		"retryAfterMs", r.retryAfter.Milliseconds(), "retryDenied", c.retryDenied)...)
 }
 
 func (f *Front) writeResponse(w http.ResponseWriter, c *call, response *targetResponse) {
@@ -149,8 +152,17 @@
 		f.stream(w, c, response)
 	}
 	f.Metrics.recordResponse(c, response.head.StatusCode)
-	event.RequestAnswered.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "target", c.lastTarget,
-		"from", c.from, "carrier", c.carrier, "status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())
+	event.RequestAnswered.Log(f.Log, c.withRetryAge("request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "target", c.lastTarget,
+		"from", c.from, "carrier", c.carrier, "status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())...)
+}
+
+// withRetryAge returns the fields of a log line, and the age of the caller's first attempt if the call is taken
+// as a caller retry.
+func (c *call) withRetryAge(fields ...any) []any {
+	if c.sinceFirst > 0 {
+		fields = append(fields, "firstAttemptAgeMs", c.sinceFirst.Milliseconds())
+	}
+	return fields
 }
 
 // stream forwards a response that is not buffered completely. If it is truncated, the caller's
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -23,6 +23,7 @@
 	"basilcross.example/basilcross/placement"
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
+	"basilcross.example/basilcross/timelimit"
 	"basilcross.example/basilcross/withdrawal"
 	"basilcross.example/gateway/broker"
 	"basilcross.example/gateway/channel"
@@ -183,13 +184,21 @@
 		ParseRest: platform.ParseRest, ParseLeaving: platform.ParseLeaving, Withdrawn: &i.withdrawn, OnLeaving: i.leavers.record, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets,
 		ProbeTargets: i.probeTargets, Quarantine: &i.quarantiner.list, OnEnded: i.quarantiner.ended, OnCleared: i.quarantiner.cleared, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
-		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap,
+		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap, TimeLimits: newTimeLimits(i.features),
 	})
 	i.state.targetsChanged = i.front.TargetsChanged
 	i.registerMetrics(i.registry)
 	return i
 }
 
+// newTimeLimits returns what recognizes caller retries; nil without the feature.
+func newTimeLimits(features feature.Set) *timelimit.Learner {
+	if !features.Waitlist {
+		return nil
+	}
+	return &timelimit.Learner{}
+}
+
 // coordinatorTTL is how long after its last heartbeat a coordinator may still be there.
 const coordinatorTTL = time.Second
 
