Simulate fleets of 30, 91 and 300 instances in several zones

The experiments had one zone and one scheduler, so caller retries that reach another instance, which alone has to recognize them, were not simulated. A fleet has zones in regions, a scheduler of each zone and a learner in each instance. Instances ask the zones of their region as the broker does. Refused callers retry at any instance after Retry-After or a third of the time left.

--- a/standin/experiment.go
+++ b/standin/experiment.go
@@ -16,24 +16,32 @@
 table shows the results of each kind of request with the product's scheduler (schedule), with
 an oracle that sees all future requests and their work (bound), or only the mean and spread
 of the work of their kinds (kindsBound), and without a scheduler (arrivalOrder). --plot writes
-an SVG file for each load.
+an SVG file for each load. With --fleet, each file is the load of a fleet in several zones, which
+is simulated with (recognized) and without the recognition of caller retries by the instances.
 
 Examples:
   go run ./standin experiment standin/experiment/loads/mixed-divided.json
+  go run ./standin experiment --fleet standin/experiment/loads/fleets/30.json
   go run ./standin experiment --seed 7 --plot plots standin/experiment/loads/*.json`
 
 func experimentCommand() *cobra.Command {
 	var seed uint64
 	var plots string
+	var fleet bool
 	c := &cobra.Command{
 		Use: "experiment LOAD...", Short: "Simulate loads with the slot scheduler",
 		Long: usageExperiment, Args: cobra.MinimumNArgs(1),
 	}
 	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the random load")
 	c.Flags().StringVar(&plots, "plot", "", "folder for an SVG file of each load")
+	c.Flags().BoolVar(&fleet, "fleet", false, "the loads are of fleets in several zones")
 	c.RunE = func(c *cobra.Command, files []string) error {
 		for _, file := range files {
-			if err := runExperiment(c, file, seed, plots); err != nil {
+			run := runExperiment
+			if fleet {
+				run = runFleet
+			}
+			if err := run(c, file, seed, plots); err != nil {
 				return err
 			}
 		}
@@ -42,6 +50,22 @@
 	return c
 }
 
+func runFleet(c *cobra.Command, file string, seed uint64, _ string) error {
+	f, err := experiment.ReadFleet(file)
+	if err != nil {
+		return err
+	}
+	var reports []*experiment.Report
+	for _, level := range f.Levels {
+		for _, recognize := range []bool{false, true} {
+			reports = append(reports, &f.Simulate(level, seed, recognize).Report)
+		}
+	}
+	fmt.Fprintln(c.OutOrStdout(), f.Name)
+	experiment.WriteText(c.OutOrStdout(), reports)
+	return nil
+}
+
 func runExperiment(c *cobra.Command, file string, seed uint64, plots string) error {
 	l, err := experiment.Read(file)
 	if err != nil {
