--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -9,16 +9,17 @@
 
 // Metrics are the metrics of callers' requests.
 type Metrics struct {
-	requests   *prometheus.CounterVec
-	durations  *prometheus.HistogramVec
-	queueTimes *prometheus.HistogramVec
-	retries    *prometheus.CounterVec
-	forwarded  *prometheus.CounterVec
-	carried    *prometheus.CounterVec
-	endedUnder *prometheus.CounterVec
-	rejections *prometheus.CounterVec
-	denied     *prometheus.CounterVec
-	admission  *prometheus.CounterVec
+	requests      *prometheus.CounterVec
+	durations     *prometheus.HistogramVec
+	queueTimes    *prometheus.HistogramVec
+	retries       *prometheus.CounterVec
+	forwarded     *prometheus.CounterVec
+	carried       *prometheus.CounterVec
+	endedUnder    *prometheus.CounterVec
+	rejections    *prometheus.CounterVec
+	denied        *prometheus.CounterVec
+	callerRetries *prometheus.CounterVec
+	admission     *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -57,7 +58,10 @@
 	m.admission = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_admission_refusals_total", Help: "Requests that admission refused, by reason.",
 	}, []string{"service", "reason"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.admission)
+	m.callerRetries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_caller_retries_total", Help: "Requests that were recognized as sent again by their caller after a refusal.",
+	}, []string{"service"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.callerRetries, m.admission)
 	return m
 }
 
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -108,6 +108,9 @@
 	// A failed write means that the caller has disconnected.
 	_, _ = io.WriteString(w, body)
 	f.Metrics.recordRefusal(c, r, status)
+	if f.TimeLimits != nil && c.route != nil && c.from == "" && status == http.StatusServiceUnavailable {
+		f.TimeLimits.Refused(c.route.Name)
+	}
 	f.logRefused(c, r, strconv.Itoa(status))
 }
 
@@ -130,7 +133,7 @@
 	if r.reason != "" {
 		fields = append(fields, "reason", r.reason, "load", r.load, "boundMs", r.bound.Milliseconds())
 	}
-	event.RequestRefused.Log(f.Log, fields...)
+	event.RequestRefused.Log(f.Log, c.withRetryAge(fields...)...)
 }
 
 func (f *Front) writeResponse(w http.ResponseWriter, c *call, response *targetResponse) {
@@ -160,8 +163,17 @@
 		f.stream(w, c, response)
 	}
 	f.Metrics.recordResponse(c, response.head.StatusCode)
-	event.RequestAnswered.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "target", c.lastTarget,
-		"from", c.from, "carrier", c.carrier, "status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())
+	event.RequestAnswered.Log(f.Log, c.withRetryAge("request", c.id, "route", c.route.Name, "service", c.service, "key", c.key, "target", c.lastTarget,
+		"from", c.from, "carrier", c.carrier, "status", response.head.StatusCode, "sends", c.sends, "waitedMs", c.queueTime.Milliseconds(), "tookMs", time.Since(c.arrived).Milliseconds())...)
+}
+
+// withRetryAge returns the fields of a log line, and the age of the caller's first attempt if the call is taken
+// as a caller retry.
+func (c *call) withRetryAge(fields ...any) []any {
+	if c.sinceFirst > 0 {
+		fields = append(fields, "firstAttemptAgeMs", c.sinceFirst.Milliseconds())
+	}
+	return fields
 }
 
 // stream forwards a response that is not buffered completely. If it is truncated, the caller's
