Limit the bytes of bodies that an instance holds

60 uploads of 2 MB at once take a process from 5 to 480 MB of heap: every body is read at once and whole, in a buffer that doubles. With the feature bodyBudget, front reserves a body's bytes before it reads it, of callers and of carried requests, within a quarter of memory-mb. A body that does not fit is refused with 503 and a time after which there is room; the connection is closed after a bounded part of what the caller still sends is discarded, since a close with unread bytes resets it and loses the response. Callers with Expect: 100-continue are refused before they send. A body of a stated length is read into a buffer that grows by 8 up to that length, so that a caller that sends nothing takes 8 KiB. A body that delivers less than 1 KiB in 1.5 s while others are refused ends with 408. Once a short response has arrived, only its size stays reserved. Without the feature the old code reads the body.

A read that times out cancels the request's context in net/http, so a 408 for a body that is not sent in time was never written: the connection was closed instead. With the feature it is written; without, as before.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -101,6 +101,7 @@
 	TargetRests        = Event{420, "targetRests", slog.LevelInfo, "A target turned a request away, and wants no requests from this instance for the stated time. It is logged when its rest is prolonged by a tenth of a second or more.", "Find out what the target is short of."}
 	TargetLeaves       = Event{421, "targetLeaves", slog.LevelInfo, "A target states in its answers that it leaves. The line has the instance that reported it, if it was another one.", ""}
 	WithdrawalUnusable = Event{422, "withdrawalUnusable", slog.LevelWarn, "A target states a rest, or that it leaves, in a form that is not known. It is ignored, and logged once for the service.", "Check the target's version."}
+	BodyRefused        = Event{427, "bodyRefused", slog.LevelInfo, "A request's body did not fit into the bytes that this instance may hold, or lost its share since it arrived too slowly while others were refused. The request has not run. The line has the stated length (-1 for none), the bytes that the body wanted or that had arrived, what is held and the limit.", "If it lasts, see how long requests with bodies take, or give the instances more memory."}
 	LinesLeftOut       = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded           = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading            = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -117,7 +118,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable, BodyRefused,
 		ConfigInForce, ConfigAccepted, ConfigStale, ConfigOverdue, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken, TransferBroken,
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"basilcross.example/basilcross/bodybudget"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/quarantine"
 	"basilcross.example/basilcross/routing"
@@ -27,12 +28,14 @@
 
 // call is a caller's request and the state of its attempts.
 type call struct {
-	id      string
-	method  string
-	uri     string
-	host    string
-	header  http.Header
-	body    []byte
+	id     string
+	method string
+	uri    string
+	host   string
+	header http.Header
+	body   []byte
+	// share is what the body takes of the limit on held bytes; nil if there is no limit.
+	share   *bodybudget.Share
 	route   *routing.Route
 	service string
 	sharded bool
@@ -134,7 +137,7 @@
 	if refused := f.classify(c, table, r); refused != nil {
 		return c, refused
 	}
-	return c, c.readBody(w, r, table.Config.Limits)
+	return c, f.readBody(c, w, r, table.Config.Limits)
 }
 
 func cutQuery(uri string) (path, query string, found bool) { return strings.Cut(uri, "?") }
@@ -171,7 +174,7 @@
 }
 
 // readBody reads the body up to the limit, and until the call's deadline.
-func (c *call) readBody(w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
+func (f *Front) readBody(c *call, w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
 		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, cause: "headerTooLarge", final: true}
 	}
@@ -185,6 +188,9 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
+	if f.Bodies.Limited() {
+		return f.readBudgetedBody(c, w, r, limit)
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(c.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
@@ -192,6 +198,11 @@
 		c.body = body
 		return nil
 	}
+	return newBodyNotRead(err)
+}
+
+// newBodyNotRead returns the refusal for a body whose reading failed.
+func newBodyNotRead(err error) *refusal {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &refusal{status: http.StatusRequestEntityTooLarge, cause: "bodyTooLarge", final: true}
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -57,7 +57,12 @@
 		return
 	}
 	defer f.carried.end(size)
-	c, declined := f.readCarried(r)
+	c, declined := f.readCarried(w, r)
+	defer c.releaseBody()
+	if declined == causeCarrierFull {
+		f.refuseUnread(w, r, func() { f.writeDeclined(w, c, declined) })
+		return
+	}
 	if declined != "" {
 		f.writeDeclined(w, c, declined)
 		return
@@ -72,6 +77,7 @@
 	}
 	response, refused := f.sendWithRetries(ctx, c)
 	if response != nil {
+		c.shrinkBody(response)
 		f.writeResponse(w, c, response)
 		return
 	}
@@ -100,7 +106,7 @@
 }
 
 // readCarried reads a forwarded request. declined is the cause if this instance can't serve it.
-func (f *Front) readCarried(r *http.Request) (c *call, declined string) {
+func (f *Front) readCarried(w http.ResponseWriter, r *http.Request) (c *call, declined string) {
 	c = &call{id: r.Header.Get(f.Headers.RequestID), method: r.Method}
 	forwarded, err := parseForwardedRequest(r.Header.Get(forwardHeader))
 	if err != nil {
@@ -122,6 +128,9 @@
 	if !f.routeCarried(c, table) {
 		return c, causeCarrierNotReady
 	}
+	if f.Bodies.Limited() {
+		return c, f.readCarriedBody(c, w, r)
+	}
 	c.body, err = io.ReadAll(io.LimitReader(r.Body, maxForwardedBody+1))
 	if err != nil || len(c.body) > maxForwardedBody {
 		return c, causeCarrierNotReady
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/bodybudget"
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/quarantine"
@@ -23,7 +24,7 @@
 	"golang.org/x/sync/singleflight"
 )
 
-// Options configure a Front. All fields must be set.
+// Options configure a Front. All fields must be set, except Bodies.
 type Options struct {
 	Headers routing.HeaderNames
 	// ParseLoad decodes the header in which targets report their load.
@@ -72,8 +73,10 @@
 	// FirstStart is set if the whole fleet starts for the first time, so that no earlier incarnation
 	// has sent retries.
 	FirstStart bool
-	Metrics    *Metrics
-	Log        *slog.Logger
+	// Bodies limits the bytes of request bodies that are held at a time; nil is no limit.
+	Bodies  *bodybudget.Budget
+	Metrics *Metrics
+	Log     *slog.Logger
 }
 
 // Front is the HTTP handler of callers' requests. Create it with New.
@@ -119,6 +122,7 @@
 // ServeHTTP serves a caller's request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refused := f.readCall(w, r)
+	defer c.releaseBody()
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
@@ -127,10 +131,16 @@
 		var response *targetResponse
 		response, refused = f.sendWithRetries(ctx, c)
 		if response != nil {
+			c.shrinkBody(response)
 			f.writeResponse(w, c, response)
 			return
 		}
 	}
+	if refused.bodyUnread {
+		// A read that timed out has canceled the request's context, but the caller is still there.
+		f.refuseUnread(w, r, func() { f.writeRefusal(w, c, refused) })
+		return
+	}
 	if r.Context().Err() != nil {
 		f.Metrics.recordCallerGone(c)
 		f.logRefused(c, refused, "callerGone")
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -18,6 +18,7 @@
 	endedUnder *prometheus.CounterVec
 	rejections *prometheus.CounterVec
 	denied     *prometheus.CounterVec
+	bodies     *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -53,7 +54,10 @@
 	m.denied = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_retries_denied_total", Help: "Requests that were not retried, since the budget of retries was exhausted.",
 	}, []string{"service"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied)
+	m.bodies = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_body_refusals_total", Help: "Requests refused by the limit on held bytes of bodies, by reason.",
+	}, []string{"reason"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.bodies)
 	return m
 }
 
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -45,7 +45,9 @@
 	// final forbids a retry.
 	final           bool
 	closeConnection bool
-	retryAfter      time.Duration
+	// bodyUnread is set if the caller may still be sending the body, or waits for permission to.
+	bodyUnread bool
+	retryAfter time.Duration
 	// targetStatus and queueLength (of the scheduler that refused) are only logged.
 	targetStatus int
 	queueLength  int
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/bodybudget"
 	"basilcross.example/basilcross/dispatch"
 	"basilcross.example/basilcross/egress"
 	"basilcross.example/basilcross/event"
@@ -81,6 +82,9 @@
 	// maxHeaderBytes bounds the headers of requests, above the configuration's own limit, and of the
 	// responses of the store and of other instances.
 	maxHeaderBytes = 64 << 10
+	// bodyShare is the part of the instance's memory that request bodies may take. Garbage of bodies and
+	// everything else has the rest.
+	bodyShare = 0.25
 )
 
 // Instance is one gateway process. Create it with New, and start it with Run.
@@ -107,6 +111,7 @@
 	leavers     *leavers
 	loads       *front.Loads
 	front       *front.Front
+	bodies      *bodybudget.Budget
 	forwarder   *front.Forwarder
 	store       *platform.Store
 	transfers   *transfers
@@ -178,12 +183,16 @@
 	i.pools = &front.Pools{Dial: targetDialer.DialContext, Links: i.links}
 	peerDialer := &egress.Dialer{DialTimeout: targetDialTimeout, UserTimeout: targetUserTimeout, KeepAliveInterval: keepAliveInterval}
 	i.forwarder = &front.Forwarder{Self: i.peers.Self, Peers: i.peers, Dial: peerDialer.DialContext, Region: func(zone string) string { return i.state.policy().Regions[zone] }}
+	i.bodies = &bodybudget.Budget{}
+	if i.features.BodyBudget {
+		i.bodies.Bytes = int64(bodyShare * float64(s.MemoryBytes()))
+	}
 	i.front = front.New(front.Options{
 		Headers: platform.HeaderNames(), ParseLoad: platform.ParseLoad, ParseRateLimit: platform.ParseRateLimit,
 		ParseRest: platform.ParseRest, ParseLeaving: platform.ParseLeaving, Withdrawn: &i.withdrawn, OnLeaving: i.leavers.record, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets,
 		ProbeTargets: i.probeTargets, Quarantine: &i.quarantiner.list, OnEnded: i.quarantiner.ended, OnCleared: i.quarantiner.cleared, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
-		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap,
+		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap, Bodies: i.bodies,
 	})
 	i.state.targetsChanged = i.front.TargetsChanged
 	i.registerMetrics(i.registry)
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -98,6 +98,11 @@
 		}
 		return n
 	})
+	if i.bodies.Limited() {
+		gauge("basilcross_held_body_bytes", "Bytes that are reserved for bodies of requests.", func() float64 {
+			return float64(i.bodies.Held())
+		})
+	}
 	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_store_calls_total", Help: "Calls to the platform's store by kind, table and outcome.",
 	}, []string{"call", "table", "outcome"})
--- a/gateway/instance/settings.go
+++ b/gateway/instance/settings.go
@@ -149,6 +149,23 @@
 	return errors.Join(errs...)
 }
 
+// MemoryBytes returns the memory of the instance: the setting, or else the machine's total. It is 0 if
+// neither is available.
+func (s *Settings) MemoryBytes() int64 {
+	if s.MemoryMB > 0 {
+		return int64(s.MemoryMB) << 20
+	}
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	var kilobytes int64
+	if _, err := fmt.Sscanf(string(text), "MemTotal: %d kB", &kilobytes); err != nil {
+		return 0
+	}
+	return kilobytes << 10
+}
+
 // FeatureSet returns the features that the contracts in force call for and those that are named. The
 // error is a *feature.NameError for each unknown one, joined.
 func (s *Settings) FeatureSet() (feature.Set, error) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -86,26 +85,9 @@
 	return s, s.Validate()
 }
 
-// instanceMemory returns the memory of the instance in bytes: the setting, or else the
-// machine's total. It is 0 if neither is available.
-func instanceMemory(s instance.Settings) int64 {
-	if s.MemoryMB > 0 {
-		return int64(s.MemoryMB) << 20
-	}
-	text, err := os.ReadFile("/proc/meminfo")
-	if err != nil {
-		return 0
-	}
-	var kilobytes int64
-	if _, err := fmt.Sscanf(string(text), "MemTotal: %d kB", &kilobytes); err != nil {
-		return 0
-	}
-	return kilobytes << 10
-}
-
 func serve(s instance.Settings) error {
 	debug.SetGCPercent(gcPercent)
-	if memory := instanceMemory(s); memory > 0 {
+	if memory := s.MemoryBytes(); memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
