--- a/ctl/command/fleet.go
+++ b/ctl/command/fleet.go
@@ -36,7 +36,7 @@
 	c := &cobra.Command{Use: "fleet", Short: "Show a fleet on the users' platform", Long: usageFleet}
 	address, _ := lookup("BASILCROSS_STORE")
 	c.PersistentFlags().StringVar(&f.store.Address, "store", address, "address of the platform's store, host:port")
-	c.AddCommand(fleetStatusCommand(f), fleetOwnerCommand(f), fleetTargetsCommand(f), fleetPiecesCommand(f), fleetRoutesCommand(f), fleetQuarantinedCommand(f))
+	c.AddCommand(fleetStatusCommand(f), fleetOwnerCommand(f), fleetTargetsCommand(f), fleetPiecesCommand(f), fleetRoutesCommand(f), fleetQuarantinedCommand(f), fleetCheckConfigCommand(s))
 	return c
 }
 
