Decline a carried body that stalls at once, and a test of slow readers

The server read what was left of a stalled carried body, up to 256 KiB without a deadline, before it sent that the request is declined. It is now declined as callers are refused. An empty body reserves nothing, whatever small ones take. The new tests fail without the changes; the share of a body whose caller reads a short response slowly was not tested before.

--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -77,6 +77,9 @@
 
 // reserveAndRead reserves the body's bytes and reads it. If it fails, the call holds neither.
 func (f *Front) reserveAndRead(c *call, w http.ResponseWriter, body io.Reader, length, limit int64) error {
+	if length == 0 {
+		return nil
+	}
 	reserved := min(length, limit)
 	if length < 0 {
 		reserved = min(firstBuffer, limit+1)
--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"runtime"
 	"strconv"
 	"strings"
@@ -16,6 +18,7 @@
 	"time"
 
 	"basilcross.example/basilcross/bodybudget"
+	"basilcross.example/gateway/front"
 	"basilcross.example/platform"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -340,6 +343,65 @@
 	assert.Equal(t, text, fmt.Sprintf("%d bytes", 100<<10))
 }
 
+// blockedWriter is the connection of a caller that does not read until the channel is closed.
+type blockedWriter struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against the share of a large body that a caller keeps by reading a short response slowly.
+func TestSlowReaderKeepsOnlyWhatTheResponseTakes(t *testing.T) {
+	f, bodies := withBodyBudget(t, 4<<20)
+	f.startTarget("t", readingTarget(nil))
+	w := &blockedWriter{httptest.NewRecorder(), make(chan struct{})}
+	served := make(chan struct{})
+	go func() {
+		r := httptest.NewRequest(http.MethodPost, "/plan/x", bytes.NewReader(make([]byte, 1<<20)))
+		r.Host = "cakes.example"
+		f.front.ServeHTTP(w, r)
+		close(served)
+	}()
+	awaitHeld(t, bodies, int64(len("1048576 bytes")))
+	close(w.release)
+	<-served
+	assert.Equal(t, w.Body.String(), "1048576 bytes")
+	assert.Equal(t, bodies.Held(), int64(0))
+}
+
+// Guards against a carried request whose body arrives slowly and keeps the share of others, and against a
+// statement that it may have run.
+func TestSlowCarriedBodyIsDeclined(t *testing.T) {
+	t.Parallel()
+	carrier, address := startCarrier(t, readingTarget(nil))
+	bodies := &bodybudget.Budget{Bytes: 1 << 20}
+	carrier.front.Bodies = bodies
+	slow, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer slow.Close()
+	assert.NilError(t, slow.SetDeadline(time.Now().Add(10*time.Second)))
+	forwarded := url.Values{
+		"from": {"two"}, "uri": {"/plan/x"}, "host": {"cakes.example"}, "service": {"s"}, "version": {"1"},
+		"ageMs": {"1"}, "leftMs": {"10000"}, "runs": {"0"}, "counted": {"true"},
+	}.Encode()
+	_, err = fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: one\r\nContent-Length: 204800\r\nBasilcross-Forward: %s\r\n\r\n", front.ForwardPath, forwarded)
+	assert.NilError(t, err)
+	awaitHeld(t, bodies, 200<<10)
+	_, err = bodies.Reserve(time.Now(), 900<<10, 0)
+	assert.Assert(t, err != nil)
+	awaitHeld(t, bodies, 0)
+	res, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable)
+	result, err := url.ParseQuery(res.Header.Get("Basilcross-Forward"))
+	assert.NilError(t, err)
+	assert.Equal(t, result.Get("mayHaveRun"), "false")
+}
+
 // Guards against the memory of an instance that carries bodies for others, and against a carried
 // request that is refused although another instance could carry it.
 func TestCarriedBodiesCount(t *testing.T) {
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -59,7 +59,7 @@
 	defer f.carried.end(size)
 	c, declined := f.readCarried(w, r)
 	defer c.releaseBody()
-	if declined == causeCarrierFull {
+	if declined != "" && f.Bodies.Limited() && r.ContentLength != 0 {
 		f.refuseUnread(w, r, func() { f.writeDeclined(w, c, declined) })
 		return
 	}
