--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/bodybudget"
 	"basilcross.example/basilcross/links"
 	"basilcross.example/basilcross/ownership"
 	"basilcross.example/basilcross/quarantine"
@@ -24,7 +25,7 @@
 	"golang.org/x/sync/singleflight"
 )
 
-// Options configure a Front. All fields but TimeLimits must be set.
+// Options configure a Front. All fields must be set, except TimeLimits and Bodies.
 type Options struct {
 	Headers routing.HeaderNames
 	// ParseLoad decodes the header in which targets report their load.
@@ -76,8 +77,10 @@
 	// TimeLimits recognizes caller retries, whose objective counts from the caller's first attempt; nil if
 	// all requests are taken as new.
 	TimeLimits *timelimit.Learner
-	Metrics    *Metrics
-	Log        *slog.Logger
+	// Bodies limits the bytes of request bodies that are held at a time; nil is no limit.
+	Bodies  *bodybudget.Budget
+	Metrics *Metrics
+	Log     *slog.Logger
 }
 
 // Front is the HTTP handler of callers' requests. Create it with New.
@@ -125,6 +128,7 @@
 // ServeHTTP serves a caller's request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refused := f.readCall(w, r)
+	defer c.releaseBody()
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
@@ -133,10 +137,16 @@
 		var response *targetResponse
 		response, refused = f.sendWithRetries(ctx, c)
 		if response != nil {
+			c.shrinkBody(response)
 			f.writeResponse(w, c, response)
 			return
 		}
 	}
+	if refused.bodyUnread {
+		// A read that timed out has canceled the request's context, but the caller is still there.
+		f.refuseUnread(w, r, func() { f.writeRefusal(w, c, refused) })
+		return
+	}
 	if r.Context().Err() != nil {
 		f.Metrics.recordCallerGone(c)
 		f.logRefused(c, refused, "callerGone")
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -20,6 +20,7 @@
 	denied        *prometheus.CounterVec
 	callerRetries *prometheus.CounterVec
 	admission     *prometheus.CounterVec
+	bodies        *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -61,7 +62,10 @@
 	m.callerRetries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_caller_retries_total", Help: "Requests that were recognized as sent again by their caller after a refusal.",
 	}, []string{"service"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.callerRetries, m.admission)
+	m.bodies = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_body_refusals_total", Help: "Requests refused by the limit on held bytes of bodies, by reason.",
+	}, []string{"reason"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.callerRetries, m.admission, m.bodies)
 	return m
 }
 
