--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -270,7 +270,10 @@
 		if err != nil {
 			continue
 		}
+		text, err := io.ReadAll(res.Body)
+		assert.NilError(t, err)
 		assert.Equal(t, res.StatusCode, http.StatusRequestTimeout)
+		assert.Equal(t, string(text), `{"cause":"bodyStalled"}`)
 		assert.Assert(t, res.Close)
 		stalled++
 	}
