Assign keys by relative speed and certainty

Cause: a target's share of keys followed an average of few responses, in proportion to it. With few slots a slow target is overloaded then.

Change: Manager.SetSpeeds takes relative speeds with their certainty. An uncertain speed counts as average. Where targets have three slots or fewer the share is the speed to the power of 1.8. A speed that changes by less than a tenth keeps its former value, and load differences count as random up to 2.0 instead of 1.2 times the expected maximum, since slow targets with small shares exceed that by chance more often. Without speeds nothing changes.

--- a/basilcross/ownership/balance.go
+++ b/basilcross/ownership/balance.go
@@ -19,6 +19,9 @@
 	// above which the set of busy keys is taken to have changed. The measured load
 	// of new busy keys lags by some seconds, during which all differences count.
 	shiftThreshold = 1.2
+	// weightedShiftThreshold is the same where targets get shares by their speeds: a slow target with a
+	// small share exceeds it more often by chance.
+	weightedShiftThreshold = 2.0
 	// targetsPerMove and minMovesPerRound bound the pieces that a round of
 	// balancing begins to move: one per targetsPerMove targets, but at least
 	// minMovesPerRound. Each is a release and a grant. A busy range of neighbouring
@@ -152,7 +155,7 @@
 		from.stuck = true
 		return true
 	}
-	if excess > shiftThreshold {
+	if excess > m.shiftThreshold() {
 		m.loadShiftedAt = now
 	}
 	rest := *p
@@ -176,6 +179,13 @@
 	return true
 }
 
+func (m *Manager) shiftThreshold() float64 {
+	if len(m.speeds) > 0 {
+		return weightedShiftThreshold
+	}
+	return shiftThreshold
+}
+
 // excess is how far a target's load is above its share of the mean, divided by how
 // far the most loaded of that many targets would be by chance under equal load.
 func (m *Manager) excess(l *targetLoad, mean float64, targets int) float64 {
--- a/basilcross/ownership/manager.go
+++ b/basilcross/ownership/manager.go
@@ -67,6 +67,8 @@
 	loadShiftedAt time.Time
 	owners        map[roster.Incarnation]*ownerState
 	latencies     map[string]time.Duration
+	// speeds are the targets' relative speeds; latencies are used if there are none.
+	speeds map[roster.Incarnation]float64
 	// latencySum is the sum of latencies.
 	latencySum time.Duration
 	storeClock storeClockSample
--- a/basilcross/ownership/plan.go
+++ b/basilcross/ownership/plan.go
@@ -1,10 +1,12 @@
 package ownership
 
 import (
+	"math"
 	"sort"
 	"time"
 
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/speed"
 )
 
 const (
@@ -45,6 +47,60 @@
 	maxRelativeSpeed = 1.8
 )
 
+const (
+	// fewSlots is the number of slots up to which a target's share of the load is its speed to the
+	// power of fewSlotsExponent: a request of a key waits for the key's owner, and the few slots of a
+	// slow one are more often all taken under the same utilization.
+	fewSlots         = 3
+	fewSlotsExponent = 1.8
+)
+
+// minSpeedChange is the change of a target's relative speed, in natural logarithm, below which the former
+// one stays: each change of an estimate by chance would move keys.
+const minSpeedChange = 0.1
+
+// SetSpeeds sets the relative speeds of all targets. Once it was called with any, the latencies are not
+// used.
+func (m *Manager) SetSpeeds(speeds map[roster.Incarnation]speed.Relative) {
+	used := make(map[roster.Incarnation]float64, len(speeds))
+	for target, r := range speeds {
+		used[target] = r.Shrunk()
+		if former, ok := m.speeds[target]; ok && math.Abs(math.Log(former/used[target])) < minSpeedChange {
+			used[target] = former
+		}
+	}
+	m.speeds = used
+}
+
+// OwnerLoads returns the load of each owner of keys, in slots.
+func (m *Manager) OwnerLoads(now time.Time) map[string]float64 {
+	sums := m.Load.prefixSums(now)
+	loads := map[string]float64{}
+	for _, p := range m.pieces {
+		if p.Owner != "" {
+			loads[p.Owner] += sums[p.Last+1] - sums[p.First]
+		}
+	}
+	return loads
+}
+
+// weight returns the share of the load that a slot of the target should get, as a multiple of that of
+// an average target's.
+func (m *Manager) weight(t *roster.Target) float64 {
+	if len(m.speeds) == 0 {
+		return m.relativeSpeed(t.ID)
+	}
+	s, ok := m.speeds[t.Incarnation()]
+	if !ok {
+		return 1
+	}
+	s = min(max(s, minRelativeSpeed), maxRelativeSpeed)
+	if t.Slots <= fewSlots {
+		s = math.Pow(s, fewSlotsExponent)
+	}
+	return s
+}
+
 // SetLatency records a target's typical response time.
 func (m *Manager) SetLatency(target string, latency time.Duration) {
 	if m.latencies == nil {
@@ -87,7 +143,7 @@
 		if !m.mayReceiveKeys(now, t) {
 			continue
 		}
-		slots := float64(t.Slots) * m.relativeSpeed(t.ID)
+		slots := float64(t.Slots) * m.weight(t)
 		if t.IsCold(now) {
 			slots *= warmupShare
 		}
