Estimate targets' speeds at the scheduler of their slots

Cause: the estimates have to come from responses, which the scheduler sees.

Change: with Speeds set, a Scheduler records each response's time, divided by the kind's share of the average work and by the momentary slowness that the target reports. Cold targets are left out. SetKnownSlowness takes what other instances know of targets that have hardly answered here.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
+	"basilcross.example/basilcross/speed"
 )
 
 // recheckInterval is how often slots are assigned to waiting requests even if none was
@@ -27,6 +28,8 @@
 	// IsBound and HasAlternative are used as in schedule.Scheduler.
 	IsBound        func(kind uint32) bool
 	HasAlternative func(r *schedule.Request) bool
+	// Speeds is used as in schedule.Scheduler.
+	Speeds bool
 	// OnBackoff is used as in schedule.Scheduler. It must not call the Dispatcher.
 	OnBackoff func(schedule.Backoff)
 
@@ -53,6 +56,7 @@
 	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
 	d.scheduler.IsBound, d.scheduler.HasAlternative = d.IsBound, d.HasAlternative
 	d.scheduler.OnBackoff, d.scheduler.RateLimit = d.OnBackoff, d.RateLimit
+	d.scheduler.Speeds = d.Speeds
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
@@ -167,6 +171,22 @@
 	d.scheduler.Prune(time.Now())
 }
 
+// SpeedEstimates returns the estimates of targets' speeds, by service, as schedule.Scheduler does.
+func (d *Dispatcher) SpeedEstimates() map[string][]speed.Estimate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Roster = d.Roster
+	return d.scheduler.SpeedEstimates()
+}
+
+// SetKnownSlowness sets the slowness of targets that other instances know, as in schedule.Scheduler.
+func (d *Dispatcher) SetKnownSlowness(service string, known map[roster.Incarnation]float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Roster, d.scheduler.Speeds = d.Roster, d.Speeds
+	d.scheduler.SetKnownSlowness(service, known)
+}
+
 // TargetLatencies returns the estimated response times of targets.
 func (d *Dispatcher) TargetLatencies() []schedule.TargetLatency {
 	d.mu.Lock()
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -87,6 +87,9 @@
 		s.meanWork = k.work
 	}
 	s.meanWork += minWorkWeight * (k.work - s.meanWork)
+	if s.speeds != nil {
+		s.speeds.record(now, t, took, k.work, s.mixedWork())
+	}
 }
 
 func sampleWeight(least float64, answers int) float64 { return max(least, 1/float64(answers+1)) }
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -114,6 +114,9 @@
 	// OnBackoff, if set, is called when a target gets no requests for a while.
 	OnBackoff func(Backoff)
 
+	// Speeds is set if SpeedEstimates are kept.
+	Speeds bool
+
 	services map[string]*service
 }
 
@@ -137,6 +140,8 @@
 	// meanReported is the average of the momentary slowness that targets report; 0 if they
 	// report none.
 	meanReported float64
+	// speeds is nil unless Scheduler.Speeds is set.
+	speeds *speeds
 }
 
 // Ticket is a request's place in the schedule: it holds a slot of Target if that is set,
@@ -245,6 +250,9 @@
 		svc = &service{name: name, targets: map[roster.Incarnation]*targetState{}, queues: map[queueKey]*queue{}, kinds: map[uint32]*kindStats{}}
 		s.services[name] = svc
 	}
+	if s.Speeds && svc.speeds == nil {
+		svc.speeds = &speeds{}
+	}
 	return svc
 }
 
@@ -259,6 +267,7 @@
 			maps.DeleteFunc(st.unlinked, func(_ string, l *unlinked) bool { return now.Sub(l.backoffUntil) > kindTTL })
 			if len(st.inFlight) == 0 && (t == nil || t.Started != incarnation.Started) {
 				delete(svc.targets, incarnation)
+				svc.speeds.drop(incarnation)
 			}
 		}
 		for key, q := range svc.queues {
