Report targets' speeds to the coordinator and keep them in the store

Cause: a report holds 12 random latencies a second, and the coordinator forgets them when it ends.

Change: with the feature speeds, an instance reports the estimates that have changed most or were reported longest ago, 36 a second. They are an optional field of the report, which is encoded as before without it, and sent on their own, so that a version that does not know the field loses nothing else. The coordinator merges them, gives the managers relative speeds, and keeps them in a row of the table speed for each service. The row is written together with the lease, if something changed by a tenth and at most every 10 s, so it takes no further store call and the lease's condition excludes a former coordinator. It is read once a term. A scheduler that starts is told the speeds of its zone's targets by one or two datagrams.

Conclusion: one more store call a term and none otherwise.

--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -79,6 +79,8 @@
 	OrderDropped       = Event{311, "orderDropped", slog.LevelWarn, "An order to a target was not sent, since the authority to send it had ended.", ""}
 	TargetGone         = Event{312, "targetGone", slog.LevelInfo, "A target has ended for certain, since a younger target of another service has its address, and it does not answer orders or is no longer listed. Its keys are free, or become free once the last order that may have been misdirected has expired.", ""}
 	TargetsLoaded      = Event{316, "targetsLoaded", slog.LevelInfo, "An instance that had no targets yet loaded the full list of them; events 306 and 307 report the changes from then on.", ""}
+	SpeedsRestored     = Event{318, "speedsRestored", slog.LevelInfo, "A new coordinator read the speeds of a service's targets that its predecessors kept in the store. The line has how many there are, and how many of them are of listed incarnations; others are ignored.", ""}
+	SpeedsUnusable     = Event{319, "speedsUnusable", slog.LevelWarn, "The row of a service's target speeds in the store cannot be read, so the speeds are measured again. A row of an unknown version is not replaced.", "After a rollback of the version, delete the row of the table speed if speeds are to be kept again."}
 	TargetsChanged     = Event{317, "targetsChanged", slog.LevelInfo, "Many targets were added or are leaving at once. The line has their numbers in the last seconds; single lines are written at debug level only.", ""}
 	StoreInDoubt       = Event{313, "storeInDoubt", slog.LevelWarn, "The store does not answer the coordinator; keys are granted for longer.", "Check the platform's store."}
 	OrderChannel       = Event{314, "orderChannel", slog.LevelInfo, "A grant with a new epoch is sent on a connection to which this epoch is bound from now on.", ""}
@@ -116,7 +118,7 @@
 		SeatGained, SeatLost, SeatHandedOver, ZoneEvicted, AuthorityLapsed, AuthorityBack,
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
-		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
+		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited, SpeedsRestored, SpeedsUnusable,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable,
 		ConfigInForce, ConfigAccepted, ConfigStale, ConfigOverdue, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -104,6 +104,10 @@
 	OnOversizedUpdate func()
 	Holds             ownership.Holds
 	Log               *slog.Logger
+	// Speeds is set if the targets' speeds are estimated and kept in the store. OnSpeeds then gets those
+	// that this instance, as a scheduler, is told.
+	Speeds   bool
+	OnSpeeds func(known []peers.TargetSpeed)
 	// Joined reports whether this instance has tried to load the list of other instances.
 	Joined func() bool
 }
@@ -132,6 +136,7 @@
 	stopping bool
 	// members holds the instances that send messages.
 	members map[string]member
+	speeds  speedState
 }
 
 // member is an instance that sends messages.
@@ -270,11 +275,12 @@
 			c.receiveHeartbeat(now, m)
 		}
 		if m.Report != nil && c.leadership != nil {
-			c.applyReport(now, m.Report)
+			c.applyReport(now, m.From, m.Report)
 		}
 		if m.Hello != nil && c.leadership != nil {
 			// This saves the new instance a read of the lease, which is a store call.
 			c.Peers.Send(m.Hello.Name, c.heartbeat(c.leadership))
+			c.tellSpeeds(*m.Hello)
 		}
 	})
 }
@@ -316,12 +322,13 @@
 func (c *Coordinator) ApplyReport(r *peers.Report) {
 	c.tryEnqueue(func() {
 		if c.leadership != nil {
-			c.applyReport(time.Now(), r)
+			c.applyReport(time.Now(), c.Self.Name, r)
 		}
 	})
 }
 
-func (c *Coordinator) applyReport(now time.Time, r *peers.Report) {
+func (c *Coordinator) applyReport(now time.Time, from string, r *peers.Report) {
+	c.recordSpeeds(now, from, r.Speeds)
 	for _, load := range r.Loads {
 		if manager := c.leadership.managers[load.Service]; manager != nil {
 			manager.Load.Add(now, load.Key, float64(load.Ms)/1000)
@@ -463,6 +470,7 @@
 	event.LeadLost.Log(c.Log, "term", c.leadership.lease.Term, "reason", reason)
 	c.leadership.cancel()
 	c.leadership = nil
+	c.speeds.end(time.Now())
 	c.Channels.Close()
 	c.lastHeartbeat = time.Time{}
 }
--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -11,6 +11,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/ownership"
+	"basilcross.example/basilcross/speed"
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
 )
@@ -40,6 +41,7 @@
 	if l.resigning {
 		return
 	}
+	c.stepSpeeds(ctx, now)
 	if l.recorded == nil {
 		c.readAssignments(ctx)
 	} else {
@@ -284,25 +286,28 @@
 	for _, key := range removed {
 		tx.Remove = append(tx.Remove, platform.RowName{Table: AssignmentTable, Key: key})
 	}
+	speeds, kept := c.speedRows(now)
+	tx.Set = append(tx.Set, speeds...)
 	l.writing, l.writeStarted = true, now
 	sent := boottime()
 	expected := l.revision
 	c.group.Go(func() error {
 		result := c.writeLease(l.ctx, &next, expected, tx) //nolint:contextcheck // as above
-		c.enqueue(ctx, func() { c.onLeaseRenewed(l, next, sent, result, records, rows) })
+		c.enqueue(ctx, func() { c.onLeaseRenewed(l, next, sent, result, records, rows, kept) })
 		return nil
 	})
 }
 
 // onLeaseRenewed applies the result of a write. sent is the boot time at which the write
 // was started.
-func (c *Coordinator) onLeaseRenewed(l *leadership, next Lease, sent time.Duration, result writeResult, records map[string]*ownership.Record, rows ownership.Rows) {
+func (c *Coordinator) onLeaseRenewed(l *leadership, next Lease, sent time.Duration, result writeResult, records map[string]*ownership.Record, rows ownership.Rows, kept map[string][]speed.Estimate) {
 	if c.leadership != l {
 		return
 	}
 	l.writing = false
 	now := time.Now()
-	if result.invalid && len(records) > 0 {
+	c.onSpeedsWritten(now, kept, result)
+	if result.invalid && len(records)+len(kept) > 0 {
 		// The store never accepts this transaction. The records are reported as failed, so
 		// that the lease is renewed without them and not lost.
 		for name := range records {
--- a/gateway/coordinator/lease.go
+++ b/gateway/coordinator/lease.go
@@ -247,6 +247,7 @@
 	c.observe(result.revision, lease)
 	c.leadership = newLeadership(termCtx, cancel, lease, result.revision, c.Self.Cores)
 	c.leadership.authorityEnd.Store(int64(sent + leaseDuration - orderMargin))
+	c.speeds.begin(time.Now())
 	c.RestartFeeds()
 	event.LeadGained.Log(c.Log, "term", lease.Term, "revision", result.revision)
 	c.lead(ctx)
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -167,10 +167,11 @@
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
+		Speeds: i.features.Speeds, OnSpeeds: i.takeKnownSpeeds,
 		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Speeds: i.features.Speeds}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 		Owner: i.state.owner, Grant: i.grant, OnStatement: i.limiter.record, Stopping: i.shuttingDown.Load, Thin: i.replicator.thin.Load,
@@ -357,7 +358,7 @@
 	root.Add(&announcer{i})
 	root.Add(i.limiter)
 	root.Add(i.leavers)
-	root.Add(&reporter{i})
+	root.Add(&reporter{Instance: i})
 	root.Add(&catchUp{Instance: i})
 	root.Add(i.replicator)
 	root.Add(&housekeeper{i})
--- a/gateway/instance/tasks.go
+++ b/gateway/instance/tasks.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/pprof"
 	"time"
 
 	"basilcross.example/basilcross/event"
+	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/speed"
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
@@ -183,7 +186,12 @@
 
 // reporter sends the coordinator this instance's loads. The reports also count
 // the instance as a member.
-type reporter struct{ *Instance }
+type reporter struct {
+	*Instance
+	// selection chooses the speeds to report, and reportedTo is the coordinator that got the last ones.
+	selection  speed.Selection
+	reportedTo string
+}
 
 // Serve sends reports until the context ends. While the coordinator is unknown or
 // this instance coordinates, they go to the local coordinator.
@@ -205,6 +213,9 @@
 		}
 		if rounds++; rounds%latencyReportEvery == 0 {
 			reports[0].Latencies = r.targetLatencies()
+			if r.features.Speeds {
+				reports = append(reports, r.speedReport(time.Now(), members)...)
+			}
 		}
 		if list := r.quarantiner.unrepeated(time.Now()); len(list) > 0 {
 			reports = append(reports, &peers.Report{Quarantined: list})
@@ -258,6 +269,60 @@
 	return list[:min(len(list), maxReportedLatencies)]
 }
 
+// maxReportedSpeeds bounds the speeds in one datagram.
+const maxReportedSpeeds = 36
+
+// speedReport returns a report with the speeds of sharded services' targets that the coordinator should
+// get next, if there are any.
+func (r *reporter) speedReport(now time.Time, members int) []*peers.Report {
+	routes := r.state.routes.Load()
+	if routes == nil {
+		return nil
+	}
+	if name := r.coordinatorName.Load(); name != nil && *name != r.reportedTo {
+		r.reportedTo = *name
+		r.selection.Reset()
+	}
+	var estimates []speed.Estimate
+	for name, list := range r.dispatcher.SpeedEstimates() {
+		if service := routes.Service(name); service != nil && service.Sharded {
+			estimates = append(estimates, list...)
+		}
+	}
+	report := &peers.Report{Members: members}
+	for _, e := range r.selection.Take(now, estimates, maxReportedSpeeds) {
+		report.Speeds = append(report.Speeds, peers.TargetSpeed{
+			Target: e.Target.ID, Started: e.Target.Started, Us: int64(math.Round(e.Seconds * 1e6)), Answers: int64(e.Answers),
+		})
+	}
+	if len(report.Speeds) == 0 {
+		return nil
+	}
+	return []*peers.Report{report}
+}
+
+// takeKnownSpeeds takes what the coordinator tells this instance of targets that it schedules.
+func (i *Instance) takeKnownSpeeds(known []peers.TargetSpeed) {
+	if !i.features.Speeds {
+		return
+	}
+	view := i.state.roster.Load()
+	services := map[string]map[roster.Incarnation]float64{}
+	for _, k := range known {
+		t := view.Find(k.Target)
+		if t == nil || t.Started != k.Started || k.Answers != 0 {
+			continue
+		}
+		if services[t.Service] == nil {
+			services[t.Service] = map[roster.Incarnation]float64{}
+		}
+		services[t.Service][t.Incarnation()] = float64(k.Us) / 1e6
+	}
+	for service, slowness := range services {
+		i.dispatcher.SetKnownSlowness(service, slowness)
+	}
+}
+
 func (i *Instance) receive(m *peers.Message) {
 	if i.broker.Receive(m) || i.replicator.handleMessage(m) || i.quarantiner.handleMessage(m) || i.limiter.handleMessage(m) || i.leavers.handleMessage(m) {
 		return
@@ -286,6 +351,10 @@
 // thin instance's loads are passed on with those of this one.
 func (i *Instance) takeReport(m *peers.Message) bool {
 	i.quarantiner.merge(time.Now(), m.Report.Quarantined)
+	if speeds := m.Report.Speeds; len(speeds) > 0 && speeds[0].Answers == 0 {
+		i.takeKnownSpeeds(speeds)
+		return true
+	}
 	if !m.Report.Thin {
 		if i.peers.Find(m.From).Name == "" {
 			i.instances.Refresh()
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -259,6 +259,10 @@
 	Members int
 	// Quarantined are those of the sender that the coordinator's last heartbeat did not have.
 	Quarantined []Quarantined
+	// Speeds are the sender's estimates of targets' speeds, or what the coordinator tells a scheduler. It
+	// is encoded only if it is not empty; versions that do not know it drop such a report, so it is the
+	// only content of one.
+	Speeds []TargetSpeed
 }
 
 // TargetLatency is a target's normal response time, in milliseconds.
@@ -270,6 +274,19 @@
 	Ms      int
 }
 
+// TargetSpeed is an estimate of a target's speed.
+type TargetSpeed struct {
+	_ struct{} `cbor:",toarray"`
+
+	Target  string
+	Started int64
+	// Us is the typical time that the target needs for a request of average work, in microseconds.
+	Us int64
+	// Answers is the number of responses from which it was estimated; 0 in what the coordinator tells a
+	// scheduler, where Us is the time relative to the average target's, in millionths.
+	Answers int64
+}
+
 // KeyLoad is the work on one key since the last report.
 type KeyLoad struct {
 	_ struct{} `cbor:",toarray"`
