--- a/gateway/coordinator/speeds.go
+++ b/gateway/coordinator/speeds.go
@@ -297,6 +297,9 @@
 		return
 	}
 	s.read, s.nextUpdate = true, time.Time{}
+	for _, service := range s.services {
+		service.kept, service.foreign = nil, false
+	}
 	for _, row := range rows {
 		estimates, err := speed.Decode(row.Value)
 		if err != nil {
@@ -306,7 +309,7 @@
 			continue
 		}
 		service := s.of(row.Key)
-		service.kept, service.foreign = estimates, false
+		service.kept = estimates
 		for _, e := range estimates {
 			service.table.Restore(e)
 		}
