Detect lasting changes of a target's speed by their sum

Cause: the short average that detected a change moved together with the estimate.

Change: a CUSUM of the deviations from the estimate. The estimate starts again from the responses since the change began.

--- a/basilcross/speed/speed.go
+++ b/basilcross/speed/speed.go
@@ -26,11 +26,11 @@
 	// maxLogRatio bounds the deviation of one response from the estimate. It is above that of one in
 	// a hundred requests, which takes five times as long as others.
 	maxLogRatio = 2.0
-	// recentWeight is the weight of the newest response in the average by which a lasting change is
-	// detected, and changeThreshold the deviation of that average, in natural logarithm, above which
-	// the estimate starts again from it. Random deviations have a standard deviation of about 0.15.
-	recentWeight    = 1.0 / 16
-	changeThreshold = 0.7
+	// changeSlack and changeThreshold detect a lasting change, in natural logarithm: the estimate starts
+	// again once the responses since some moment deviate from it, each less changeSlack, by
+	// changeThreshold together (CUSUM). A change by a factor of 2.3 takes some 20 responses then.
+	changeSlack     = 0.4
+	changeThreshold = 8.0
 )
 
 // Estimate is how long a target needs for a request of average work.
@@ -54,8 +54,22 @@
 
 // average is a target's estimate, in natural logarithms of seconds.
 type average struct {
-	mean, recent float64
-	answers      float64
+	mean, answers float64
+	up, down      change
+}
+
+// change has the deviations in one direction since they were last small.
+type change struct{ excess, sum, count float64 }
+
+// add adds a deviation in the change's direction, and reports whether it is a lasting one.
+func (c *change) add(deviation float64) bool {
+	c.excess += deviation - changeSlack
+	c.sum += deviation
+	c.count++
+	if c.excess <= 0 {
+		*c = change{}
+	}
+	return c.excess > changeThreshold
 }
 
 // Record records that a response took ratio times as long as a request of average work does at a
@@ -77,18 +91,25 @@
 
 func (a *average) add(x float64) {
 	if a.answers == 0 {
-		a.mean, a.recent, a.answers = x, x, 1
+		a.mean, a.answers = x, 1
 		return
 	}
-	x = min(max(x, a.recent-maxLogRatio), a.recent+maxLogRatio)
-	a.answers = min(a.answers+1, maxAnswers)
-	a.mean += max(minWeight, 1/a.answers) * (x - a.mean)
-	a.recent += max(recentWeight, 1/a.answers) * (x - a.recent)
-	if math.Abs(a.recent-a.mean) > changeThreshold {
-		a.mean, a.answers = a.recent, 2/recentWeight-1
+	deviation := min(max(x-a.mean, -maxLogRatio), maxLogRatio)
+	switch {
+	case a.up.add(deviation):
+		a.startAgain(a.mean+a.up.sum/a.up.count, a.up.count)
+	case a.down.add(-deviation):
+		a.startAgain(a.mean-a.down.sum/a.down.count, a.down.count)
+	default:
+		a.answers = min(a.answers+1, maxAnswers)
+		a.mean += max(minWeight, 1/a.answers) * deviation
 	}
 }
 
+func (a *average) startAgain(mean, answers float64) {
+	*a = average{mean: mean, answers: min(answers, maxAnswers)}
+}
+
 // Find returns the estimate of a target, and whether there is one.
 func (e *Estimator) Find(target roster.Incarnation) (Estimate, bool) {
 	a := e.targets[target]
