--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -5,6 +5,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/routing"
+	"basilcross.example/gateway/coordinator"
 	"basilcross.example/platform"
 	"github.com/prometheus/client_golang/prometheus"
 )
@@ -89,6 +90,9 @@
 		}
 		return time.Since(*at).Seconds()
 	})
+	if i.features.Speeds {
+		i.registerSpeedMetrics(r)
+	}
 	gauge("basilcross_tables_failing", "Tables of the store that cannot be kept up from it.", func() float64 {
 		n := 0.0
 		for _, m := range i.mirrors {
@@ -110,3 +114,29 @@
 		Name: "basilcross_log_bytes_total", Help: "Bytes of log lines written.",
 	}, func() float64 { return float64(i.sink.BytesWritten.Load()) }))
 }
+
+// speedMetrics exports what this instance knows of targets' speeds while it coordinates.
+type speedMetrics struct {
+	*Instance
+	certainty, load *prometheus.Desc
+}
+
+func (i *Instance) registerSpeedMetrics(r prometheus.Registerer) {
+	r.MustRegister(&speedMetrics{
+		Instance:  i,
+		certainty: prometheus.NewDesc("basilcross_target_speed_certainty", "Mean certainty of the estimated speeds of sharded services' targets.", nil, nil),
+		load:      prometheus.NewDesc("basilcross_target_load_per_slot", "Load per slot of sharded services' targets, by class of their estimated speed.", []string{"speed"}, nil),
+	})
+}
+
+// Describe implements prometheus.Collector.
+func (m *speedMetrics) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(m, ch) }
+
+// Collect implements prometheus.Collector.
+func (m *speedMetrics) Collect(ch chan<- prometheus.Metric) {
+	status := m.coordinator.SpeedStatus()
+	ch <- prometheus.MustNewConstMetric(m.certainty, prometheus.GaugeValue, status.Certainty)
+	for class, load := range status.LoadPerSlot {
+		ch <- prometheus.MustNewConstMetric(m.load, prometheus.GaugeValue, load, coordinator.SpeedClass(class).String())
+	}
+}
