--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -177,11 +177,10 @@
 		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds}
 	if i.features.Admission {
 		i.dispatcher.Admission = &schedule.Admission{OnOverload: i.logOverload}
 	}
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Speeds: i.features.Speeds}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 		Owner: i.state.owner, Grant: i.grant, OnStatement: i.limiter.record, Stopping: i.shuttingDown.Load, Thin: i.replicator.thin.Load,
