Let a kind that is owed a slot wait beyond the bound, and test what is passed on

A less urgent kind was refused at once while more urgent requests filled the queue, so that it never waited for the slots that it is owed: with urgent requests of 1.5 times the capacity none of it was answered. It may wait now if it would be served next.

--- a/basilcross/dispatch/dispatch_test.go
+++ b/basilcross/dispatch/dispatch_test.go
@@ -193,3 +193,34 @@
 		assert.Equal(t, len(d.TargetLatencies()), 0)
 	})
 }
+
+// Guards against admission that is set and does not reach the scheduler.
+func TestAdmissionIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(&roster.Target{ID: "a", Slots: 2})
+		d.Admission, d.Waitlist = &schedule.Admission{}, true
+		var overloads []schedule.Overload
+		d.Admission.OnOverload = func(o schedule.Overload) { overloads = append(overloads, o) }
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		reasons := map[schedule.Reason]int{}
+		for range 400 {
+			group.Go(func() {
+				res, err := d.Acquire(context.Background(), request(0, 400*time.Millisecond))
+				var busy *schedule.BusyError
+				if errors.As(err, &busy) {
+					mu.Lock()
+					reasons[busy.Reason]++
+					mu.Unlock()
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				res.Release(schedule.Answered)
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		group.Wait()
+		assert.Assert(t, reasons[schedule.ReasonOverload] > 100 && reasons[""] == 0, "%v", reasons)
+		assert.Assert(t, len(overloads) == 1 && overloads[0].Load > 1.1, "%+v", overloads)
+	})
+}
--- a/basilcross/schedule/admission.go
+++ b/basilcross/schedule/admission.go
@@ -144,6 +144,21 @@
 	}
 }
 
+// isNext reports whether a new ticket would be served before more urgent ones.
+func (p *poolState) isNext(t *Ticket) bool {
+	a := p.arrivals[t.Request.Kind]
+	if a == nil || a.owed < 1 {
+		return false
+	}
+	waiting := 0
+	for _, o := range t.queue.waiting {
+		if o.Request.Kind == t.Request.Kind {
+			waiting++
+		}
+	}
+	return float64(waiting)+1 <= a.owed
+}
+
 // owed returns the waiting ticket that precedes a more urgent one, since its kind would not be served often
 // enough otherwise; nil if there is none.
 func (p *poolState) owed(now time.Time, q *queue, next *Ticket, slowness float64) *Ticket {
@@ -226,6 +241,9 @@
 // late without harm to others; otherwise it returns an error.
 func (t *Ticket) setWaitInPool(now time.Time, avail capacity) *BusyError {
 	wait := t.queue.waitInTime(t, avail)
+	if t.queue.pool.isNext(t) {
+		wait = avail.freeIn
+	}
 	t.WaitUntil = t.latestStart(avail)
 	t.bound = min(t.queue.pool.waitBound(now, t, avail), t.WaitUntil.Sub(now))
 	if wait <= t.bound {
