--- a/basilcross/schedule/admission_test.go
+++ b/basilcross/schedule/admission_test.go
@@ -171,10 +171,16 @@
 // over sees all requests of the pool at once, and does not know their work.
 func TestStartIsNoOverload(t *testing.T) {
 	p := newPool(t, 6)
-	for range 40 {
-		p.submit(urgent)
+	rate := map[uint32]float64{urgent: 0.5 * capacityOf(6, urgent)}
+	// The first burst comes before any work is known, the second when it is.
+	for _, count := range []int{100, 70} {
+		for range count {
+			p.submit(urgent)
+		}
+		p.run(100*time.Millisecond, rate)
 	}
-	p.run(2*time.Second, map[uint32]float64{urgent: 0.9 * capacityOf(6, urgent)})
+	assert.Assert(t, len(p.refused) > 0)
+	p.run(2*time.Second, rate)
 	for _, busy := range p.takeRefused() {
 		assert.Check(t, busy.Reason != schedule.ReasonOverload, "refused for a load of %.2f", busy.Load)
 	}
@@ -222,9 +228,16 @@
 func TestRefusedCallersGetPlaces(t *testing.T) {
 	p := newPool(t, 6)
 	p.timeLimit = 6 * time.Second
+	p.scheduler.Waitlist = false
 	p.run(20*time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	p.scheduler.Waitlist = true
+	// Requests that are sent on to another zone get no place.
+	for range 80 {
+		r := request(p.at, long, "")
+		r.Deadline, r.RejectLate = p.at.Add(p.timeLimit), true
+		p.submitRequest(r)
+	}
 	p.takeRefused()
-	p.at = p.at.Add(2 * time.Second)
 	different := map[time.Time]bool{}
 	for range 50 {
 		p.submit(long)
@@ -260,6 +273,14 @@
 		}
 	}
 	assert.Assert(t, served >= 4, "%d of 12 slots serve less urgent requests", served)
+	p.takeRefused()
+	for range 60 {
+		p.submit(urgent)
+	}
+	assert.Assert(t, len(p.refused) > 0)
+	for _, busy := range p.refused {
+		assert.Check(t, busy.Reason != schedule.ReasonOverload && busy.Load < 1, "%s at load %.2f", busy.Reason, busy.Load)
+	}
 }
 
 // Guards against a less urgent kind that gets no slot while more urgent requests exceed the capacity, and
@@ -315,3 +336,57 @@
 		assert.Equal(t, *busy, *without.refused[n])
 	}
 }
+
+// Guards against late requests that fill the queue of a burst, each of which takes a slot from one that can be
+// in time.
+func TestFewLateRequestsWait(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(10*time.Second, map[uint32]float64{long: 0.5 * capacityOf(6, long)})
+	for range 100 {
+		p.submit(long)
+	}
+	late := 0
+	for _, ticket := range p.waiting {
+		if ticket.WaitUntil.After(ticket.Request.Objective) {
+			late++
+		}
+	}
+	assert.Equal(t, late, 12)
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	for _, busy := range refused {
+		assert.Equal(t, busy.Reason, schedule.ReasonLateQueue)
+	}
+}
+
+// Guards against a load that counts a request again with each of its attempts: targets that shed would look
+// like an overload.
+func TestFurtherAttemptsAreNoLoad(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(10*time.Second, map[uint32]float64{long: 0.6 * capacityOf(6, long)})
+	for range 300 {
+		r := request(p.at, long, "")
+		r.Excluded = map[string]bool{"t0": true}
+		p.submitRequest(r)
+	}
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	for _, busy := range refused {
+		assert.Check(t, busy.Load < 0.9, "load %.2f", busy.Load)
+	}
+}
+
+// Guards against admission that overrides the rates that targets state.
+func TestStatedRatesTakePrecedence(t *testing.T) {
+	with, without := newPool(t, 2), newPool(t, 2)
+	without.scheduler.Admission, without.scheduler.Waitlist = nil, false
+	for _, p := range []*pool{with, without} {
+		p.scheduler.RateLimit = func(roster.Incarnation) (float64, bool) { return 10, true }
+		p.run(10*time.Second, map[uint32]float64{urgent: 40})
+	}
+	assert.Assert(t, len(with.refused) > 0)
+	assert.Equal(t, len(with.refused), len(without.refused))
+	for n, busy := range with.refused {
+		assert.Equal(t, *busy, *without.refused[n])
+	}
+}
