--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -19,6 +19,7 @@
 	rejections    *prometheus.CounterVec
 	denied        *prometheus.CounterVec
 	callerRetries *prometheus.CounterVec
+	admission     *prometheus.CounterVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -57,7 +58,10 @@
 	m.callerRetries = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_caller_retries_total", Help: "Requests that were recognized as sent again by their caller after a refusal.",
 	}, []string{"service"})
-	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.callerRetries)
+	m.admission = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilcross_admission_refusals_total", Help: "Requests that admission refused, by reason.",
+	}, []string{"service", "reason"})
+	r.MustRegister(m.requests, m.durations, m.queueTimes, m.retries, m.forwarded, m.carried, m.endedUnder, m.rejections, m.denied, m.admission, m.callerRetries)
 	return m
 }
 
@@ -72,6 +76,9 @@
 }
 
 func (m *Metrics) recordRefusal(c *call, r *refusal, status int) {
+	if r.reason != "" {
+		m.admission.WithLabelValues(c.service, r.reason).Inc()
+	}
 	if c.from != "" {
 		m.carried.WithLabelValues(c.service, strconv.Itoa(status), r.cause).Inc()
 		return
