Recognize caller retries in the experiments with the feature waitlist

Each instance of an experiment, and of a fleet, has a learner now if the load has the feature waitlist.

--- a/standin/experiment.go
+++ b/standin/experiment.go
@@ -17,7 +17,7 @@
 an oracle that sees all future requests and their work (bound), or only the mean and spread
 of the work of their kinds (kindsBound), and without a scheduler (arrivalOrder). --plot writes
 an SVG file for each load. With --fleet, each file is the load of a fleet in several zones, which
-is simulated with (recognized) and without the recognition of caller retries by the instances.
+is simulated with its features (features) and without them (fleet).
 
 Examples:
   go run ./standin experiment standin/experiment/loads/mixed-divided.json
@@ -57,9 +57,7 @@
 	}
 	var reports []*experiment.Report
 	for _, level := range f.Levels {
-		for _, recognize := range []bool{false, true} {
-			reports = append(reports, &f.Simulate(level, seed, recognize).Report)
-		}
+		reports = append(reports, &f.WithoutFeatures().Simulate(level, seed).Report, &f.Simulate(level, seed).Report)
 	}
 	fmt.Fprintln(c.OutOrStdout(), f.Name)
 	experiment.WriteText(c.OutOrStdout(), reports)
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -37,6 +37,16 @@
 	Instances int `json:"instances"`
 	// Regions has the region of each zone.
 	Regions []string `json:"regionOfZone"`
+
+	// retriesUnknown makes instances take all requests as new.
+	retriesUnknown bool
+}
+
+// WithoutFeatures returns the load of a deployment that has switched on no feature.
+func (f *Fleet) WithoutFeatures() *Fleet {
+	without := *f
+	without.Admission, without.Waitlist = false, false
+	return &without
 }
 
 // ReadFleet reads and validates a fleet's load from a file.
@@ -132,11 +142,11 @@
 	done func(error)
 }
 
-// Simulate runs the load at a level. If recognize is set, each instance recognizes caller retries.
-func (f *Fleet) Simulate(level float64, seed uint64, recognize bool) *FleetReport {
+// Simulate runs the load at a level. With the feature waitlist, each instance recognizes caller retries.
+func (f *Fleet) Simulate(level float64, seed uint64) *FleetReport {
 	strategy := "fleet"
-	if recognize {
-		strategy = "recognized"
+	if f.Admission || f.Waitlist {
+		strategy = "features"
 	}
 	run := &fleetRun{fleet: f, random: rand.New(rand.NewPCG(seed, 29)), report: &FleetReport{Report: *f.newReport(strategy, level)}}
 	for zone := range f.Regions {
@@ -152,12 +162,15 @@
 		run.zones[zone].targets[target.ID] = &poolTarget{simTarget: t}
 	}
 	for zone, p := range run.zones {
-		p.scheduler.Roster = &roster.Roster{}
+		p.scheduler.Roster, p.scheduler.Waitlist = &roster.Roster{}, f.Waitlist
+		if f.Admission {
+			p.scheduler.Admission = &schedule.Admission{}
+		}
 		p.scheduler.Roster.Replace(startTime.Add(-time.Hour), lists[zone], 1)
 	}
 	for n := range f.Instances {
 		i := &simInstance{zone: n % len(f.Regions), fullUntil: map[[2]int]time.Duration{}}
-		if recognize {
+		if f.Waitlist && !f.retriesUnknown {
 			i.limits = &timelimit.Learner{}
 		}
 		run.instances = append(run.instances, i)
--- a/standin/experiment/fleet_test.go
+++ b/standin/experiment/fleet_test.go
@@ -17,35 +17,56 @@
 	return f
 }
 
-func simulateFleet(t *testing.T, f *Fleet, level float64, recognize bool) *FleetReport {
+func simulateFleet(t *testing.T, f *Fleet, level float64) *FleetReport {
 	t.Helper()
-	r := f.Simulate(level, 1, recognize)
+	r := f.Simulate(level, 1)
 	o := r.Kinds[0]
 	all := float64(o.Arrived)
-	t.Logf("%d instances, load %.2f, %d retries, recognized: %v: in time %.3f, late %.3f, refused %.3f; %.2f of %d refusals at once; %d of %d retries recognized, %d first attempts mistaken",
-		f.Instances, level, f.Kinds[0].MaxRetries, recognize, float64(o.InTime)/all, float64(o.Late)/all, float64(o.Refused)/all,
+	t.Logf("%d instances, load %.2f, %d retries, admission %v, waitlist %v: in time %.3f, late %.3f, refused %.3f; %.2f of %d refusals at once; %d of %d retries recognized, %d first attempts mistaken",
+		f.Instances, level, f.Kinds[0].MaxRetries, f.Admission, f.Waitlist, float64(o.InTime)/all, float64(o.Late)/all, float64(o.Refused)/all,
 		float64(r.RefusedAtOnce)/float64(max(1, r.Refusals)), r.Refusals, r.Recognized, r.Retries, r.Mistaken)
 	return r
 }
 
-// Guards against caller retries that take the slots of requests that can be in time, and against first attempts
-// that are taken as retries.
+// Guards against a fleet that answers fewer requests in time than the plan requires, since its instances, zones and
+// regions do not see all of the load.
+func TestFleetKeepsRequestsInTimeInOverload(t *testing.T) {
+	for _, c := range []struct {
+		level    float64
+		retries  int
+		required float64
+	}{{1.03, 0, 0.90}, {1.30, 0, 0.71}, {1.20, 2, 0.74}} {
+		t.Run(fmt.Sprintf("load %.2f, %d retries", c.level, c.retries), func(t *testing.T) {
+			t.Parallel()
+			f := readFleet(t, 30, 8, c.retries)
+			r := simulateFleet(t, f, c.level)
+			simulateFleet(t, f.WithoutFeatures(), c.level)
+			assert.Check(t, r.InTimeShare() >= c.required, "in time %.3f, want %.2f", r.InTimeShare(), c.required)
+			assert.Check(t, 2*r.RefusedAtOnce >= r.Refusals)
+			assert.Check(t, r.Mistaken*1000 <= r.Kinds[0].Arrived)
+		})
+	}
+}
+
+// Guards against caller retries that take the slots of requests that can be in time.
 func TestRecognizedRetriesLeaveSlotsToOthers(t *testing.T) {
 	f := readFleet(t, 30, 6, 2)
-	without := simulateFleet(t, f, 1.2, false)
-	with := simulateFleet(t, f, 1.2, true)
+	with := simulateFleet(t, f, 1.2)
+	f.retriesUnknown = true
+	without := simulateFleet(t, f, 1.2)
 	assert.Assert(t, with.InTimeShare() > without.InTimeShare())
 	assert.Assert(t, with.Recognized*2 > with.Retries)
-	assert.Assert(t, with.Mistaken*1000 <= with.Kinds[0].Arrived)
 	assert.Equal(t, without.Recognized+without.Mistaken, 0)
 }
 
 // Guards against requests of a fleet that are lost or counted twice, also while zones refuse them.
 func TestEveryFleetRequestIsCountedOnce(t *testing.T) {
 	f := readFleet(t, 30, 2, 2)
-	o := f.Simulate(1.5, 2, true).Kinds[0]
-	assert.Assert(t, o.Arrived > 0)
-	assert.Equal(t, o.InTime+o.Late+o.Refused, o.Arrived)
+	for _, f := range []*Fleet{f, f.WithoutFeatures()} {
+		o := f.Simulate(1.5, 2).Kinds[0]
+		assert.Assert(t, o.Arrived > 0)
+		assert.Equal(t, o.InTime+o.Late+o.Refused, o.Arrived)
+	}
 }
 
 func TestInvalidFleetFieldsAreNamed(t *testing.T) {
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -9,6 +9,7 @@
 
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
+	"basilcross.example/basilcross/timelimit"
 	"basilcross.example/standin/eventloop"
 )
 
@@ -37,7 +38,9 @@
 	// ticketQueue has the waiting tickets, oldest first; some are no longer waiting.
 	ticketQueue  []*schedule.Ticket
 	admissionDue bool
-	report       *Report
+	// limits recognize caller retries, one for each instance; empty if all requests are taken as new.
+	limits []*timelimit.Learner
+	report *Report
 	// firstAttemptKnown is as in Load.
 	firstAttemptKnown bool
 }
@@ -56,6 +59,9 @@
 	excluded  map[string]bool
 	submitted time.Duration
 	ticket    *schedule.Ticket
+	// limits is of the instance that received it, and age its estimate of the first attempt's.
+	limits *timelimit.Learner
+	age    time.Duration
 }
 
 // startTime is the wall-clock time at which each simulation starts.
@@ -78,6 +84,11 @@
 	targets := &roster.Roster{}
 	targets.Replace(startTime.Add(-time.Hour), list, 1)
 	s.scheduler.Roster, s.scheduler.Waitlist = targets, l.Waitlist
+	if l.Waitlist && !l.FirstAttemptKnown {
+		for range l.OneWayDelays {
+			s.limits = append(s.limits, &timelimit.Learner{})
+		}
+	}
 	if l.Admission {
 		s.scheduler.Admission = &schedule.Admission{}
 	}
@@ -94,12 +105,18 @@
 func (s *schedulerRun) clock() time.Time { return startTime.Add(s.Now) }
 
 // startAttempt sends a caller's attempt to an instance, which submits it to the scheduler.
-func (s *schedulerRun) startAttempt(a *attempt) { s.After(a.req.oneWayDelay, func() { s.submit(a) }) }
+func (s *schedulerRun) startAttempt(a *attempt) {
+	if len(s.limits) > 0 {
+		a.limits = s.limits[s.random.IntN(len(s.limits))]
+		a.age = a.limits.Age(a.req.kind.Name, a.req.arrival+a.req.deadline-s.Now)
+	}
+	s.After(a.req.oneWayDelay, func() { s.submit(a) })
+}
 
 func (s *schedulerRun) submit(a *attempt) {
 	r := schedule.Request{
 		Service: "s", Kind: a.req.kindNumber, Zone: "z", Excluded: a.excluded, Priority: a.req.kind.Priority,
-		Objective:   startTime.Add(a.started + millis(a.req.kind.Objective)),
+		Objective:   startTime.Add(a.started + millis(a.req.kind.Objective) - a.age),
 		Deadline:    startTime.Add(a.req.arrival + a.req.deadline),
 		OneWayDelay: a.req.oneWayDelay,
 	}
@@ -219,7 +236,7 @@
 			s.handleRefusal(a, nil)
 			return
 		}
-		s.submit(&attempt{req: a.req, retries: a.retries, started: a.started, excluded: excluded})
+		s.submit(&attempt{req: a.req, retries: a.retries, started: a.started, excluded: excluded, limits: a.limits, age: a.age})
 	})
 }
 
@@ -230,6 +247,9 @@
 	if errors.As(err, &busy) {
 		wait = max(wait, busy.Wait)
 	}
+	if a.limits != nil {
+		a.limits.Refused(a.req.kind.Name)
+	}
 	responseAt := s.Now + a.req.oneWayDelay
 	left := a.req.arrival + a.req.deadline - responseAt
 	if a.req.retryImmediately {
