Remember the time limits of as many routes as are planned for

1,024 routes were remembered, but docs/CAPACITY.md plans for 5,600: instances that serve more than 1,024 in turn would have learnt nothing. 8,192 are kept now.

--- a/basilcross/timelimit/timelimit.go
+++ b/basilcross/timelimit/timelimit.go
@@ -17,8 +17,9 @@
 	window = 128
 	// fitInterval is how many requests the learnt range is used for.
 	fitInterval = 8
-	// maxRoutes bounds the routes that are remembered, those that were requested last.
-	maxRoutes = 1024
+	// maxRoutes bounds the routes that are remembered, those that were requested last: more than the 5,600
+	// that docs/CAPACITY.md plans for.
+	maxRoutes = 8192
 	// retriesPerRefusal and maxRetries bound the requests that are taken as caller retries: each follows
 	// a refusal, but mostly one by another instance, so the numbers at one instance vary.
 	retriesPerRefusal = 2
@@ -26,7 +27,7 @@
 )
 
 // Learner learns the range of callers' time limits of each route. The zero value is ready to use, and safe
-// for concurrent use. It keeps at most 1,024 routes and 128 limits of each.
+// for concurrent use. It keeps at most 8,192 routes and 128 limits of each.
 type Learner struct {
 	mu     sync.Mutex
 	routes map[string]*list.Element
