--- a/basilcross/schedule/admission_test.go
+++ b/basilcross/schedule/admission_test.go
@@ -19,9 +19,10 @@
 	// waiting has the tickets without a slot, ends when the others are answered.
 	waiting []*schedule.Ticket
 	ends    map[*schedule.Ticket]time.Time
-	// refused are the errors since the last call of takeRefused.
-	refused   []*schedule.BusyError
-	overloads []schedule.Overload
+	// refused are the errors since the last call of takeRefused, and refusedKinds counts them by kind.
+	refused      []*schedule.BusyError
+	refusedKinds map[uint32]int
+	overloads    []schedule.Overload
 	// timeLimit, if set, is that of all requests.
 	timeLimit time.Duration
 }
@@ -32,7 +33,7 @@
 	for n := range targets {
 		list = append(list, &roster.Target{ID: fmt.Sprint("t", n), Slots: 2})
 	}
-	p := &pool{t: t, scheduler: newScheduler(list...), at: now, ends: map[*schedule.Ticket]time.Time{}}
+	p := &pool{t: t, scheduler: newScheduler(list...), at: now, ends: map[*schedule.Ticket]time.Time{}, refusedKinds: map[uint32]int{}}
 	p.scheduler.Admission = &schedule.Admission{OnOverload: func(o schedule.Overload) { p.overloads = append(p.overloads, o) }}
 	p.scheduler.Waitlist = true
 	return p
@@ -62,7 +63,7 @@
 		}
 		if !ticket.WaitUntil.After(p.at) {
 			if err := p.scheduler.Expire(p.at, ticket); err != nil {
-				p.recordRefusal(err)
+				p.recordRefusal(ticket.Request.Kind, err)
 				continue
 			}
 		}
@@ -71,11 +72,12 @@
 	p.waiting = kept
 }
 
-func (p *pool) recordRefusal(err error) {
+func (p *pool) recordRefusal(kind uint32, err error) {
 	p.t.Helper()
 	var busy *schedule.BusyError
 	assert.Assert(p.t, errors.As(err, &busy), "%v", err)
 	p.refused = append(p.refused, busy)
+	p.refusedKinds[kind]++
 }
 
 func (p *pool) submit(kind uint32) {
@@ -92,7 +94,7 @@
 	ticket, err := p.scheduler.Submit(p.at, r)
 	switch {
 	case err != nil:
-		p.recordRefusal(err)
+		p.recordRefusal(r.Kind, err)
 	case ticket.Target != nil:
 		p.start(ticket)
 	default:
@@ -116,7 +118,7 @@
 
 func (p *pool) takeRefused() []*schedule.BusyError {
 	list := p.refused
-	p.refused = nil
+	p.refused, p.refusedKinds = nil, map[uint32]int{}
 	return list
 }
 
@@ -169,10 +171,16 @@
 // over sees all requests of the pool at once, and does not know their work.
 func TestStartIsNoOverload(t *testing.T) {
 	p := newPool(t, 6)
-	for range 40 {
-		p.submit(urgent)
+	rate := map[uint32]float64{urgent: 0.5 * capacityOf(6, urgent)}
+	// The first burst comes before any work is known, the second when it is.
+	for _, count := range []int{100, 70} {
+		for range count {
+			p.submit(urgent)
+		}
+		p.run(100*time.Millisecond, rate)
 	}
-	p.run(2*time.Second, map[uint32]float64{urgent: 0.9 * capacityOf(6, urgent)})
+	assert.Assert(t, len(p.refused) > 0)
+	p.run(2*time.Second, rate)
 	for _, busy := range p.takeRefused() {
 		assert.Check(t, busy.Reason != schedule.ReasonOverload, "refused for a load of %.2f", busy.Load)
 	}
@@ -220,9 +228,16 @@
 func TestRefusedCallersGetPlaces(t *testing.T) {
 	p := newPool(t, 6)
 	p.timeLimit = 6 * time.Second
+	p.scheduler.Waitlist = false
 	p.run(20*time.Second, map[uint32]float64{long: 1.5 * capacityOf(6, long)})
+	p.scheduler.Waitlist = true
+	// Requests that are sent on to another zone get no place.
+	for range 80 {
+		r := request(p.at, long, "")
+		r.Deadline, r.RejectLate = p.at.Add(p.timeLimit), true
+		p.submitRequest(r)
+	}
 	p.takeRefused()
-	p.at = p.at.Add(2 * time.Second)
 	different := map[time.Time]bool{}
 	for range 50 {
 		p.submit(long)
@@ -249,27 +264,36 @@
 	p.run(10*time.Second, rate)
 	p.takeRefused()
 	p.run(5*time.Second, rate)
-	refused := p.takeRefused()
-	assert.Assert(t, len(refused) > 0)
-	answered := 0
+	assert.Equal(t, p.refusedKinds[urgent], 0)
+	assert.Assert(t, p.refusedKinds[long] > 0)
+	served := 0
 	for ticket := range p.ends {
 		if ticket.Request.Kind == long {
-			answered++
+			served++
 		}
 	}
-	assert.Assert(t, answered >= 4, "%d slots serve less urgent requests", answered)
-	assert.Equal(t, len(refused), p.refusedOf(refused, 1.5))
+	assert.Assert(t, served >= 4, "%d of 12 slots serve less urgent requests", served)
+	p.takeRefused()
+	for range 60 {
+		p.submit(urgent)
+	}
+	assert.Assert(t, len(p.refused) > 0)
+	for _, busy := range p.refused {
+		assert.Check(t, busy.Reason != schedule.ReasonOverload && busy.Load < 1, "%s at load %.2f", busy.Reason, busy.Load)
+	}
 }
 
-// refusedOf returns how many of the refusals were for a load above the given one, as only less urgent
-// requests see it.
-func (p *pool) refusedOf(list []*schedule.BusyError, above float64) (count int) {
-	for _, busy := range list {
-		if busy.Load > above {
-			count++
-		}
-	}
-	return count
+// Guards against a less urgent kind that gets no slot while more urgent requests exceed the capacity, and
+// against one that is then served more often than they are.
+func TestLessUrgentKindDoesNotStarve(t *testing.T) {
+	p := newPool(t, 6)
+	rate := map[uint32]float64{urgent: 1.5 * capacityOf(6, urgent), long: 0.1 * capacityOf(6, long)}
+	p.run(10*time.Second, rate)
+	p.takeRefused()
+	p.run(20*time.Second, rate)
+	answered := func(kind uint32) float64 { return 1 - float64(p.refusedKinds[kind])/(20*rate[kind]) }
+	assert.Assert(t, answered(long) > answered(urgent)/4, "%.2f of the less urgent requests answered, %.2f of the others", answered(long), answered(urgent))
+	assert.Assert(t, answered(long) < answered(urgent), "%.2f of the less urgent requests answered, %.2f of the others", answered(long), answered(urgent))
 }
 
 // Guards against refusals, and a long queue, for longer than a burst of some seconds lasts.
@@ -312,3 +336,57 @@
 		assert.Equal(t, *busy, *without.refused[n])
 	}
 }
+
+// Guards against late requests that fill the queue of a burst, each of which takes a slot from one that can be
+// in time.
+func TestFewLateRequestsWait(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(10*time.Second, map[uint32]float64{long: 0.5 * capacityOf(6, long)})
+	for range 100 {
+		p.submit(long)
+	}
+	late := 0
+	for _, ticket := range p.waiting {
+		if ticket.WaitUntil.After(ticket.Request.Objective) {
+			late++
+		}
+	}
+	assert.Equal(t, late, 12)
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	for _, busy := range refused {
+		assert.Equal(t, busy.Reason, schedule.ReasonLateQueue)
+	}
+}
+
+// Guards against a load that counts a request again with each of its attempts: targets that shed would look
+// like an overload.
+func TestFurtherAttemptsAreNoLoad(t *testing.T) {
+	p := newPool(t, 6)
+	p.run(10*time.Second, map[uint32]float64{long: 0.6 * capacityOf(6, long)})
+	for range 300 {
+		r := request(p.at, long, "")
+		r.Excluded = map[string]bool{"t0": true}
+		p.submitRequest(r)
+	}
+	refused := p.takeRefused()
+	assert.Assert(t, len(refused) > 0)
+	for _, busy := range refused {
+		assert.Check(t, busy.Load < 0.9, "load %.2f", busy.Load)
+	}
+}
+
+// Guards against admission that overrides the rates that targets state.
+func TestStatedRatesTakePrecedence(t *testing.T) {
+	with, without := newPool(t, 2), newPool(t, 2)
+	without.scheduler.Admission, without.scheduler.Waitlist = nil, false
+	for _, p := range []*pool{with, without} {
+		p.scheduler.RateLimit = func(roster.Incarnation) (float64, bool) { return 10, true }
+		p.run(10*time.Second, map[uint32]float64{urgent: 40})
+	}
+	assert.Assert(t, len(with.refused) > 0)
+	assert.Equal(t, len(with.refused), len(without.refused))
+	for n, busy := range with.refused {
+		assert.Equal(t, *busy, *without.refused[n])
+	}
+}
