--- a/standin/experiment/fleet_test.go
+++ b/standin/experiment/fleet_test.go
@@ -32,15 +32,15 @@
 // regions do not see all of the load.
 func TestFleetKeepsRequestsInTimeInOverload(t *testing.T) {
 	for _, c := range []struct {
-		level    float64
-		retries  int
-		required float64
-	}{{1.03, 0, 0.90}, {1.30, 0, 0.71}, {1.20, 2, 0.74}} {
-		t.Run(fmt.Sprintf("load %.2f, %d retries", c.level, c.retries), func(t *testing.T) {
+		instances int
+		level     float64
+		retries   int
+		required  float64
+	}{{30, 1.03, 0, 0.90}, {30, 1.30, 0, 0.71}, {30, 1.20, 2, 0.74}, {91, 1.20, 2, 0.74}} {
+		t.Run(fmt.Sprintf("%d instances, load %.2f, %d retries", c.instances, c.level, c.retries), func(t *testing.T) {
 			t.Parallel()
-			f := readFleet(t, 30, 8, c.retries)
+			f := readFleet(t, c.instances, 240/c.instances+2, c.retries)
 			r := simulateFleet(t, f, c.level)
-			simulateFleet(t, f.WithoutFeatures(), c.level)
 			assert.Check(t, r.InTimeShare() >= c.required, "in time %.3f, want %.2f", r.InTimeShare(), c.required)
 			assert.Check(t, 2*r.RefusedAtOnce >= r.Refusals)
 			assert.Check(t, r.Mistaken*1000 <= r.Kinds[0].Arrived)
@@ -59,6 +59,22 @@
 	assert.Equal(t, without.Recognized+without.Mistaken, 0)
 }
 
+// Guards against caller retries that take the slots of keys' owners, whose requests have no other target, and
+// against urgent kinds that are worse off when their retries count as late.
+func TestRecognizedRetriesHelpRequestsForKeys(t *testing.T) {
+	t.Parallel()
+	owners := readLoad(t, "confirm-retries")
+	owners.Sharded, owners.Admission = true, false
+	for _, l := range []*Load{owners, readLoad(t, "mixed-divided")} {
+		with, without := *l, *l
+		with.Waitlist, without.Waitlist = true, false
+		got, before := with.Simulate(1, 1), without.Simulate(1, 1)
+		t.Logf("%s: in time %.3f, without recognition %.3f; worth %.3f and %.3f", l.Name, got.InTimeShare(), before.InTimeShare(), got.WorthShare(), before.WorthShare())
+		assert.Check(t, got.InTimeShare() > before.InTimeShare(), l.Name)
+		assert.Check(t, got.WorthShare() > before.WorthShare(), l.Name)
+	}
+}
+
 // Guards against requests of a fleet that are lost or counted twice, also while zones refuse them.
 func TestEveryFleetRequestIsCountedOnce(t *testing.T) {
 	f := readFleet(t, 30, 2, 2)
