Learn from times without refusals which limits are no caller retries

A smaller group of callers with shorter limits looked like retries during refusals.

A window of 128 requests that all arrive later after this instance's last refusal than the longest limit has no retries. Its limits belong to the usual range, until callers have another longest limit; if that makes the range wider than a third, nothing is assumed. Age and Refused are told the time for this.

--- a/basilcross/timelimit/range.go
+++ b/basilcross/timelimit/range.go
@@ -14,6 +14,9 @@
 	// minUsualShare is the share of requests that must be in the range. Up to a third of all may be
 	// retries; in a window of 128 their share varies by a tenth (2.5 standard deviations).
 	minUsualShare = 0.56
+	// shortOddShare is the share of the shortest limits that are left out where there are no retries. Up to
+	// as many requests may be retries after refusals by other instances.
+	shortOddShare = 1.0 / 16
 	// maxWidth is the largest width of the range, as a share of its upper end. Where limits vary more,
 	// nothing is assumed.
 	maxWidth = 1.0 / 3
@@ -39,6 +42,25 @@
 // Middle returns the middle of the range.
 func (r Range) Middle() time.Duration { return (r.Lower + r.Upper) / 2 }
 
+// extend returns the range with the limits that callers have while there are no retries; ok is false if they vary too
+// much. Limits of callers that have changed their longest one since then say nothing.
+func (r Range) extend(quiet Range) (extended Range, ok bool) {
+	if (r.Upper-quiet.Upper).Abs() > r.Upper/8 || quiet.Lower >= r.Lower {
+		return r, true
+	}
+	r.Lower = quiet.Lower
+	return r, float64(r.Upper-r.Lower) <= (maxWidth+resolution)*float64(r.Upper)
+}
+
+// span returns the range of all limits, in ms, except odd ones.
+func span(limits []uint32) Range {
+	sorted := slices.Clone(limits)
+	slices.Sort(sorted)
+	n := float64(len(sorted))
+	upper := float64(sorted[len(sorted)-1-int(n*oddShare)])
+	return Range{Lower: millis(float64(sorted[int(n*shortOddShare)]) - resolution*upper), Upper: millis(upper)}
+}
+
 // fit returns the usual range of limits, in ms; ok is false if they vary too much, or are not a mixture of
 // a usual range and few shorter ones. The lower end is where the density of the limits steps up: the
 // change point of greatest likelihood between two uniform densities.
--- a/basilcross/timelimit/timelimit.go
+++ b/basilcross/timelimit/timelimit.go
@@ -44,13 +44,20 @@
 	// unfitted counts the requests since the range was computed; usual is nil if nothing is assumed.
 	unfitted int
 	usual    *Range
+	// lastRefusal is when a request was refused last, longest the longest usual limit, after which its caller
+	// does not retry any more, and quiet how many requests were recorded since then. quietRange is the range of
+	// a window without retries; nil before there was one.
+	lastRefusal time.Time
+	longest     time.Duration
+	quiet       int
+	quietRange  *Range
 	// retries limits the requests that are taken as retries, by the refusals.
 	retries retry.Budget
 }
 
-// Age records a request of a route with the time that its caller has left, and returns how long ago the
-// caller's first attempt was, by estimate; 0 if the request is taken as new.
-func (l *Learner) Age(name string, left time.Duration) time.Duration {
+// Age records a request of a route that arrives now with the time that its caller has left, and returns how
+// long ago the caller's first attempt was, by estimate; 0 if the request is taken as new.
+func (l *Learner) Age(now time.Time, name string, left time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.use(name)
@@ -58,20 +65,21 @@
 	if known && r.unfitted >= fitInterval {
 		r.fit()
 	}
-	r.record(left)
+	r.record(now, left)
 	if !known || r.usual == nil || left >= r.usual.Lower || !r.retries.TryWithdraw() {
 		return 0
 	}
 	return r.usual.Middle() - left
 }
 
-// Refused records that a request of a route was refused, so that its caller may send it again. Where nothing
-// is refused, there are no caller retries: requests with little time left come from callers with short
-// limits.
-func (l *Learner) Refused(name string) {
+// Refused records that a request of a route is refused now, so that its caller may send it again. While nothing
+// is refused there are no caller retries: requests with little time left come from callers with short limits.
+func (l *Learner) Refused(now time.Time, name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.use(name).retries.Deposit()
+	r := l.use(name)
+	r.retries.Deposit()
+	r.lastRefusal, r.quiet = now, 0
 }
 
 // Usual returns the range of time limits that is learnt of a route; ok is false while nothing is assumed.
@@ -125,7 +133,11 @@
 	return r
 }
 
-func (r *route) record(left time.Duration) {
+func (r *route) record(now time.Time, left time.Duration) {
+	// A caller whose request was refused has given up when its time limit is over.
+	if r.lastRefusal.IsZero() || r.longest > 0 && now.Sub(r.lastRefusal) > r.longest {
+		r.quiet++
+	}
 	ms := uint32(min(max(0, left), maxLimit).Milliseconds())
 	r.unfitted++
 	if len(r.limits) < window {
@@ -139,7 +151,16 @@
 func (r *route) fit() {
 	r.unfitted = 0
 	r.usual = nil
-	if usual, ok := fit(r.limits); ok {
+	all := span(r.limits)
+	r.longest = all.Upper
+	if r.quiet >= window {
+		r.quietRange = &all
+	}
+	usual, ok := fit(r.limits)
+	if ok && r.quietRange != nil {
+		usual, ok = usual.extend(*r.quietRange)
+	}
+	if ok {
 		r.usual = &usual
 	}
 }
--- a/basilcross/timelimit/timelimit_test.go
+++ b/basilcross/timelimit/timelimit_test.go
@@ -14,13 +14,16 @@
 
 const longest = 8 * time.Second
 
+// now is when all requests of most tests arrive.
+var now = time.Unix(1_000_000, 0)
+
 func ExampleLearner() {
 	var l timelimit.Learner
 	for range 100 {
-		l.Age("confirm", 8*time.Second)
+		l.Age(now, "confirm", 8*time.Second)
 	}
-	l.Refused("confirm")
-	fmt.Println(l.Age("confirm", 5*time.Second), l.Age("confirm", 8*time.Second))
+	l.Refused(now, "confirm")
+	fmt.Println(l.Age(now, "confirm", 5*time.Second), l.Age(now, "confirm", 8*time.Second))
 	// Output: 2.92s 0s
 }
 
@@ -54,12 +57,12 @@
 func learn(l *timelimit.Learner, c callers, requests int, retries float64) {
 	for range requests {
 		if c.Float64() < retries {
-			l.Refused("r")
+			l.Refused(now, "r")
 			left, _ := c.retryLeft()
-			l.Age("r", left)
+			l.Age(now, "r", left)
 			continue
 		}
-		l.Age("r", c.limit())
+		l.Age(now, "r", c.limit())
 	}
 }
 
@@ -72,8 +75,8 @@
 		var l timelimit.Learner
 		c := newCallers(seed, 0.85)
 		for range requests {
-			l.Refused("r")
-			age := l.Age("r", c.limit())
+			l.Refused(now, "r")
+			age := l.Age(now, "r", c.limit())
 			if age == 0 {
 				continue
 			}
@@ -93,12 +96,12 @@
 		var l timelimit.Learner
 		c := newCallers(seed, 0.85)
 		for n := range 50 {
-			l.Refused("r")
+			l.Refused(now, "r")
 			left := c.limit()
 			if n%3 == 0 {
 				left, _ = c.retryLeft()
 			}
-			assert.Equal(t, l.Age("r", left), time.Duration(0), "request %d", n+1)
+			assert.Equal(t, l.Age(now, "r", left), time.Duration(0), "request %d", n+1)
 		}
 	}
 }
@@ -137,14 +140,14 @@
 		for range 300 {
 			if c.Float64() >= 1.0/3 {
 				firsts++
-				if l.Age("r", c.limit()) > 0 {
+				if l.Age(now, "r", c.limit()) > 0 {
 					wrong++
 				}
 				continue
 			}
-			l.Refused("r")
+			l.Refused(now, "r")
 			left, age := c.retryLeft()
-			estimate := l.Age("r", left)
+			estimate := l.Age(now, "r", left)
 			switch {
 			case estimate > 0:
 				found++
@@ -175,7 +178,7 @@
 			case 50:
 				left = time.Millisecond
 			}
-			l.Age("r", left)
+			l.Age(now, "r", left)
 		}
 		usual, ok := l.Usual("r")
 		if !ok || !near(usual.Lower, 0.85) || !near(usual.Upper, 1) {
@@ -193,8 +196,8 @@
 			var l timelimit.Learner
 			c := newCallers(seed, least)
 			for range 400 {
-				l.Refused("r")
-				if l.Age("r", c.limit()) > 0 {
+				l.Refused(now, "r")
+				if l.Age(now, "r", c.limit()) > 0 {
 					harmed++
 				}
 			}
@@ -220,9 +223,9 @@
 			}
 			if c.Float64() < refusals {
 				refused++
-				l.Refused("r")
+				l.Refused(now, "r")
 			}
-			if l.Age("r", left) > 0 {
+			if l.Age(now, "r", left) > 0 {
 				harmed++
 			}
 		}
@@ -230,6 +233,91 @@
 	})
 }
 
+// Guards against a smaller group of callers that are taken for retries during refusals, although they had the same
+// short limits before.
+func TestGroupWithShortLimitIsKnownFromQuietTimes(t *testing.T) {
+	for _, shorter := range []float64{0.3, 0.5, 0.7} {
+		harmed := 0
+		for seed := range uint64(50) {
+			var l timelimit.Learner
+			c := newCallers(seed, 0.85)
+			at := now
+			for n := range 700 {
+				at = at.Add(100 * time.Millisecond)
+				left := c.limit()
+				if n%5 == 0 {
+					left = time.Duration(shorter * float64(left))
+				}
+				// Refusals, a quiet time of 29 s, refusals.
+				if n < 100 || n >= 400 {
+					l.Refused(at, "r")
+				}
+				if l.Age(at, "r", left) > 0 && n >= 400 {
+					harmed++
+				}
+			}
+		}
+		t.Logf("limits of %.2f: %d of %d", shorter, harmed, 50*300)
+		assert.Assert(t, harmed <= 50*300/100, "limits of %.2f: %d", shorter, harmed)
+	}
+}
+
+// Guards against retries that are not recognized after a quiet time: it must not widen the range.
+func TestRetriesAreRecognizedAfterQuietTimes(t *testing.T) {
+	found, missed, wrong := 0, 0, 0
+	for seed := range uint64(50) {
+		var l timelimit.Learner
+		c := newCallers(seed, 0.85)
+		at := now
+		for range 300 {
+			at = at.Add(100 * time.Millisecond)
+			l.Age(at, "r", c.limit())
+		}
+		for range 300 {
+			at = at.Add(100 * time.Millisecond)
+			if c.Float64() >= 1.0/3 {
+				if l.Age(at, "r", c.limit()) > 0 {
+					wrong++
+				}
+				continue
+			}
+			l.Refused(at, "r")
+			left, _ := c.retryLeft()
+			switch {
+			case l.Age(at, "r", left) > 0:
+				found++
+			case left < longest*83/100:
+				missed++
+			}
+		}
+	}
+	t.Logf("%d found, %d missed, %d of 10000 first attempts wrong", found, missed, wrong)
+	assert.Assert(t, missed*20 <= found)
+	assert.Assert(t, wrong <= 50)
+}
+
+// Guards against limits from before a change that hide retries: 100 s without refusals, then other callers.
+func TestQuietTimesBeforeAChangeOfLimitsAreForgotten(t *testing.T) {
+	for _, factor := range []float64{0.4, 0.7, 1.5, 10} {
+		var l timelimit.Learner
+		c := newCallers(1, 0.85)
+		at := now
+		for range 1000 {
+			at = at.Add(100 * time.Millisecond)
+			l.Age(at, "r", c.limit())
+		}
+		c.longest = time.Duration(factor * float64(longest))
+		for range 160 {
+			at = at.Add(100 * time.Millisecond)
+			l.Refused(at, "r")
+			l.Age(at, "r", c.limit())
+		}
+		usual, ok := l.Usual("r")
+		lower := float64(usual.Lower) / float64(c.longest)
+		assert.Assert(t, ok && lower > 0.8 && lower < 0.9, "factor %v: %v", factor, usual)
+	}
+}
+
 // Guards against a guess between two groups of callers of similar size, whose limits are very different.
 func TestNothingIsAssumedOfTwoGroups(t *testing.T) {
 	for _, shorter := range []float64{0.1, 0.25, 0.5} {
@@ -238,12 +326,12 @@
 			var l timelimit.Learner
 			c := newCallers(seed, 0.85)
 			for n := range 400 {
-				l.Refused("r")
+				l.Refused(now, "r")
 				left := c.limit()
 				if n%2 == 0 {
 					left = time.Duration(shorter * float64(left))
 				}
-				if l.Age("r", left) > 0 {
+				if l.Age(now, "r", left) > 0 {
 					harmed++
 				}
 			}
@@ -277,9 +365,9 @@
 		base := rapid.Int64Range(1, 100_000).Draw(t, "baseMs")
 		limits := rapid.SliceOfN(rapid.OneOf(rapid.Int64Range(base, base+base/5), rapid.Int64Range(0, 2*base), rapid.Int64()), 0, 400).Draw(t, "limits")
 		for _, ms := range limits {
-			l.Refused("r")
+			l.Refused(now, "r")
 			left := time.Duration(ms%(1<<40)) * time.Millisecond
-			age := l.Age("r", left)
+			age := l.Age(now, "r", left)
 			usual, ok := l.Usual("r")
 			assert.Assert(t, age >= 0)
 			if ok {
@@ -321,11 +409,11 @@
 
 	learn(&l, newCallers(1, 0.85), 100, 0)
 	for n := range 8191 {
-		l.Age(fmt.Sprint("route", n), time.Second)
+		l.Age(now, fmt.Sprint("route", n), time.Second)
 	}
 	_, ok = l.Usual("r")
 	assert.Assert(t, ok, "8,192 routes are kept")
-	l.Age("one more", time.Second)
+	l.Age(now, "one more", time.Second)
 	_, ok = l.Usual("r")
 	assert.Assert(t, !ok, "the route that was requested longest ago is dropped")
 }
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -191,7 +191,7 @@
 		}
 		f.TimeLimits.Retain(func(name string) bool { return routes[name] })
 	}
-	if c.sinceFirst = f.TimeLimits.Age(c.route.Name, left); c.sinceFirst > 0 {
+	if c.sinceFirst = f.TimeLimits.Age(c.arrived, c.route.Name, left); c.sinceFirst > 0 {
 		f.Metrics.callerRetries.WithLabelValues(c.service).Inc()
 	}
 }
--- a/gateway/front/callerretry_test.go
+++ b/gateway/front/callerretry_test.go
@@ -154,9 +154,9 @@
 	lines, _ := f.recordLog()
 	f.front.TimeLimits = &timelimit.Learner{}
 	for range 60 {
-		f.front.TimeLimits.Age("safe", 8*time.Second)
+		f.front.TimeLimits.Age(time.Now(), "safe", 8*time.Second)
 	}
-	f.front.TimeLimits.Refused("safe")
+	f.front.TimeLimits.Refused(time.Now(), "safe")
 	assert.Equal(t, f.callWith("/safe/x", "5000").StatusCode, http.StatusOK)
 	sent, ok := lines.retryAge(t, "requestAnswered", f.lastID())
 	assert.Assert(t, ok)
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -109,7 +109,7 @@
 	_, _ = io.WriteString(w, body)
 	f.Metrics.recordRefusal(c, r, status)
 	if f.TimeLimits != nil && c.route != nil && c.from == "" && status == http.StatusServiceUnavailable {
-		f.TimeLimits.Refused(c.route.Name)
+		f.TimeLimits.Refused(time.Now(), c.route.Name)
 	}
 	f.logRefused(c, r, strconv.Itoa(status))
 }
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -207,7 +207,7 @@
 	a.received = f.Now
 	var age time.Duration
 	if a.at.limits != nil {
-		age = a.at.limits.Age(a.req.kind.Name, left)
+		age = a.at.limits.Age(startTime.Add(f.Now), a.req.kind.Name, left)
 	}
 	f.countRecognized(a, age)
 	a.request = schedule.Request{
@@ -264,7 +264,7 @@
 // refuse sends a refusal to the caller, which retries if it has retries and time left.
 func (f *fleetRun) refuse(a *fleetAttempt, err error) {
 	if a.at.limits != nil {
-		a.at.limits.Refused(a.req.kind.Name)
+		a.at.limits.Refused(startTime.Add(f.Now), a.req.kind.Name)
 	}
 	f.report.Refusals++
 	if f.Now-a.received <= atOnce {
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -108,7 +108,7 @@
 func (s *schedulerRun) startAttempt(a *attempt) {
 	if len(s.limits) > 0 {
 		a.limits = s.limits[s.random.IntN(len(s.limits))]
-		a.age = a.limits.Age(a.req.kind.Name, a.req.arrival+a.req.deadline-s.Now)
+		a.age = a.limits.Age(s.clock(), a.req.kind.Name, a.req.arrival+a.req.deadline-s.Now)
 	}
 	s.After(a.req.oneWayDelay, func() { s.submit(a) })
 }
@@ -248,7 +248,7 @@
 		wait = max(wait, busy.Wait)
 	}
 	if a.limits != nil {
-		a.limits.Refused(a.req.kind.Name)
+		a.limits.Refused(s.clock(), a.req.kind.Name)
 	}
 	responseAt := s.Now + a.req.oneWayDelay
 	left := a.req.arrival + a.req.deadline - responseAt
