Give waitlist places only to callers whose retries are recognized

Cause: a caller that waits for its place is late by then. If its retry is not recognized as one, it is taken for a new request and displaces those that can be in time: after a start, and on routes whose range of time limits is not learnt. Change: the scheduler returns the expected wait and the place; the instance that answers the caller uses the place only if it has learnt the route's range. The tests of places check the place where they checked the wait, and besides that others are told the wait.

--- a/basilcross/schedule/admission.go
+++ b/basilcross/schedule/admission.go
@@ -299,15 +299,15 @@
 	return s.Admission != nil && t.queue.pool != nil && !avail.allLimited()
 }
 
-// setRetry sets the error's Wait to the time after which the caller is to retry.
-func (p *poolState) setRetry(now time.Time, t *Ticket, avail capacity, err *BusyError) {
+// setPlace gives the caller a place on the waitlist while the pool is overloaded.
+func (p *poolState) setPlace(now time.Time, t *Ticket, avail capacity, err *BusyError) {
 	load := p.load(now, t.service, t.Request.Priority, avail)
 	if load <= waitlistThreshold || t.Request.RejectLate || avail.slots <= 0 || avail.allLimited() {
 		return
 	}
 	share := max(minWaitlistShare, 1-load)
 	c := waitlist.Caller{Priority: t.Request.Priority, Earliest: now.Add(err.Wait), Latest: now.Add(t.Request.Deadline.Sub(now) / retryWaitDivisor)}
-	err.Wait = p.waitlist.Place(c, seconds(avail.latency/(share*avail.slots))).Sub(now)
+	err.Place = p.waitlist.Place(c, seconds(avail.latency/(share*avail.slots))).Sub(now)
 }
 
 // refused completes the error of a refused request, and begins an overload if that is the reason.
@@ -317,7 +317,7 @@
 		return err
 	}
 	if s.Waitlist {
-		p.setRetry(now, t, avail, err)
+		p.setPlace(now, t, avail, err)
 	}
 	if err.Reason == "" || t.Request.RejectLate {
 		return err
--- a/basilcross/schedule/admission_test.go
+++ b/basilcross/schedule/admission_test.go
@@ -213,8 +213,8 @@
 	for _, p := range []*pool{first, successor} {
 		var shortest time.Duration
 		for n, busy := range p.refused {
-			if n == 0 || busy.Wait < shortest {
-				shortest = busy.Wait
+			if n == 0 || busy.RetryIn(true) < shortest {
+				shortest = busy.RetryIn(true)
 			}
 		}
 		// The first place is 400 ms, in which 0.05 of the capacity serves a request, after the expected wait
@@ -243,8 +243,9 @@
 		p.submit(long)
 	}
 	for _, busy := range p.takeRefused() {
-		different[p.at.Add(busy.Wait)] = true
-		assert.Check(t, busy.Wait < 3*time.Second, "Retry-After %v", busy.Wait)
+		different[p.at.Add(busy.RetryIn(true))] = true
+		assert.Check(t, busy.RetryIn(true) < 3*time.Second, "Retry-After %v", busy.RetryIn(true))
+		assert.Check(t, busy.RetryIn(false) < 500*time.Millisecond, "a retry that is not recognized is told %v", busy.RetryIn(false))
 	}
 	// A caller with 6 s left retries after 2 s at the latest. Places are 400 ms apart, the last one is told
 	// to all others.
@@ -252,7 +253,7 @@
 	p.scheduler.Waitlist = false
 	p.submit(long)
 	for _, busy := range p.takeRefused() {
-		assert.Check(t, busy.Wait < 500*time.Millisecond, "without a waitlist, Retry-After is the expected wait, not %v", busy.Wait)
+		assert.Check(t, busy.RetryIn(true) < 500*time.Millisecond, "without a waitlist, Retry-After is the expected wait, not %v", busy.RetryIn(true))
 	}
 }
 
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -85,6 +85,18 @@
 	Reason Reason
 	Load   float64
 	Bound  time.Duration
+	// Place is when the caller's place on the waitlist is; 0 if it has none.
+	Place time.Duration
+}
+
+// RetryIn returns the time after which the caller is to retry. recognized is set if its retry will be
+// recognized as one. Others that wait for their place would be late by then, but be taken for new requests and
+// displace those that can be in time.
+func (e *BusyError) RetryIn(recognized bool) time.Duration {
+	if recognized && e.Place > 0 {
+		return e.Place
+	}
+	return e.Wait
 }
 
 func (e *BusyError) Error() string {
--- a/basilcross/timelimit/timelimit.go
+++ b/basilcross/timelimit/timelimit.go
@@ -100,6 +100,19 @@
 	return *r.usual, true
 }
 
+// Recognizes reports whether caller retries of a route are recognized: its range is learnt. What one instance
+// has learnt, the others will soon have learnt, too.
+func (l *Learner) Recognizes(name string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.routes[name]
+	if e == nil {
+		return false
+	}
+	r, _ := e.Value.(*route)
+	return len(r.limits) >= minSamples && r.usual != nil
+}
+
 // Retain forgets the routes that do not exist any more.
 func (l *Learner) Retain(exists func(name string) bool) {
 	l.mu.Lock()
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -434,8 +434,8 @@
 		return b.delegatedReservation(scheduler, seq, req, r), nil
 	case r.Target == "":
 		busy := &schedule.BusyError{Service: req.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.QueueLength, RateLimited: r.RateLimited}
-		reason, load, bound := r.Admission()
-		busy.Reason, busy.Load, busy.Bound = schedule.Reason(reason), load, bound
+		a := r.Admission()
+		busy.Reason, busy.Load, busy.Bound, busy.Place = schedule.Reason(a.Reason), a.Load, a.Bound, a.Place
 		return nil, busy
 	}
 	t := b.Roster.Load().Find(r.Target)
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -373,10 +373,10 @@
 func TestReasonOfRefusalReachesRequester(t *testing.T) {
 	all := startInstances(t, "a", "b")
 	all["a"].peers.SetInstances(map[string]peers.Instance{"a": all["a"].peers.Self, "b": {Name: "b", Zone: "z", Datagram: all["b"].peers.Self.Datagram, Cores: 1}})
-	sent := schedule.BusyError{Service: "s", Wait: 700 * time.Millisecond, Queued: 3, Reason: schedule.ReasonOverload, Load: 1.25, Bound: 40 * time.Millisecond}
+	sent := schedule.BusyError{Service: "s", Wait: 700 * time.Millisecond, Queued: 3, Reason: schedule.ReasonOverload, Load: 1.25, Bound: 40 * time.Millisecond, Place: 1700 * time.Millisecond}
 	hook := func(m *peers.Message) {
 		reply := &peers.ReserveResponse{Seq: m.ReserveRequest.Seq, WaitMs: sent.Wait.Milliseconds(), QueueLength: sent.Queued}
-		reply.SetAdmission(string(sent.Reason), sent.Load, sent.Bound)
+		reply.SetAdmission(peers.Admission{Reason: string(sent.Reason), Load: sent.Load, Bound: sent.Bound, Place: sent.Place})
 		all["b"].peers.Send("a", &peers.Message{ReserveResponse: reply})
 	}
 	all["b"].receiveHook.Store(&hook)
--- a/gateway/broker/delegate.go
+++ b/gateway/broker/delegate.go
@@ -117,8 +117,8 @@
 	switch {
 	case errors.As(err, &busy):
 		reply.WaitMs, reply.QueueLength, reply.RateLimited = busy.Wait.Milliseconds(), busy.Queued, busy.RateLimited
-		if busy.Reason != "" {
-			reply.SetAdmission(string(busy.Reason), busy.Load, busy.Bound)
+		if busy.Reason != "" || busy.Place > 0 {
+			reply.SetAdmission(peers.Admission{Reason: string(busy.Reason), Load: busy.Load, Bound: busy.Bound, Place: busy.Place})
 		}
 	case errors.As(err, &noTarget):
 		reply.NoTarget = true
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -199,7 +199,7 @@
 	case errors.As(err, &denied):
 		return f.placementDenied(c, denied)
 	case errors.As(err, &busy):
-		r := newNotRun("busy", busy.Wait)
+		r := newNotRun("busy", busy.RetryIn(f.recognizesRetries(c)))
 		if busy.RateLimited {
 			r.cause = "rateLimited"
 		}
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -199,6 +199,11 @@
 	}
 }
 
+// recognizesRetries reports whether the instances will recognize a retry of the call's caller.
+func (f *Front) recognizesRetries(c *call) bool {
+	return f.TimeLimits != nil && c.from == "" && f.TimeLimits.Recognizes(c.route.Name)
+}
+
 // readBody reads the body up to the limit, and until the call's deadline.
 func (f *Front) readBody(c *call, w http.ResponseWriter, r *http.Request, limits routing.Limits) *refusal {
 	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -175,24 +175,41 @@
 	RateLimited bool
 }
 
+// Admission is why admission refused a request, the pool's load, how long the request might have waited,
+// and when its caller's place on the waitlist is.
+type Admission struct {
+	Reason string
+	Load   float64
+	Bound  time.Duration
+	Place  time.Duration
+}
+
 // admissionFields is the number of texts that SetAdmission sets.
-const admissionFields = 3
+const admissionFields = 4
 
-// SetAdmission sets why admission refused a request, the pool's load, and how long the request might have
-// waited.
-func (r *ReserveResponse) SetAdmission(reason string, load float64, bound time.Duration) {
-	r.EvacuatedOrAdmission = []string{reason, strconv.FormatFloat(load, 'f', 2, 64), strconv.FormatInt(bound.Milliseconds(), 10)}
+// SetAdmission sets the details of a refusal by admission.
+func (r *ReserveResponse) SetAdmission(a Admission) {
+	r.EvacuatedOrAdmission = []string{a.Reason, strconv.FormatFloat(a.Load, 'f', 2, 64), formatMs(a.Bound), formatMs(a.Place)}
 }
 
-// Admission returns what SetAdmission set; the reason is empty if it was not called.
-func (r *ReserveResponse) Admission() (reason string, load float64, bound time.Duration) {
-	if r.Denied || len(r.EvacuatedOrAdmission) < admissionFields {
-		return "", 0, 0
+func formatMs(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// Admission returns what SetAdmission set; it is zero if it was not called. A number that is not
+// understood is 0.
+func (r *ReserveResponse) Admission() (a Admission) {
+	texts := r.EvacuatedOrAdmission
+	if r.Denied || len(texts) < admissionFields {
+		return a
 	}
-	// A number that is not understood is 0: both are only shown.
-	load, _ = strconv.ParseFloat(r.EvacuatedOrAdmission[1], 64)
-	ms, _ := strconv.ParseInt(r.EvacuatedOrAdmission[2], 10, 64)
-	return r.EvacuatedOrAdmission[0], load, time.Duration(ms) * time.Millisecond
+	a.Reason = texts[0]
+	a.Load, _ = strconv.ParseFloat(texts[1], 64)
+	a.Bound, a.Place = parseMs(texts[2]), parseMs(texts[3])
+	return a
+}
+
+func parseMs(text string) time.Duration {
+	ms, _ := strconv.ParseInt(text, 10, 64)
+	return time.Duration(ms) * time.Millisecond
 }
 
 // Release returns a slot, or cancels a request for one.
--- a/standin/experiment/fleet.go
+++ b/standin/experiment/fleet.go
@@ -273,7 +273,7 @@
 	var busy *schedule.BusyError
 	wait := minRetryAfter
 	if errors.As(err, &busy) {
-		wait = max(wait, busy.Wait)
+		wait = max(wait, busy.RetryIn(a.at.limits != nil && a.at.limits.Recognizes(a.req.kind.Name)))
 	}
 	f.After(f.delay(a.at.zone, a.callerIn), func() {
 		left := a.req.arrival + a.req.deadline - f.Now
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -245,7 +245,7 @@
 	var busy *schedule.BusyError
 	wait := minRetryAfter
 	if errors.As(err, &busy) {
-		wait = max(wait, busy.Wait)
+		wait = max(wait, busy.RetryIn(s.firstAttemptKnown || a.limits != nil && a.limits.Recognizes(a.req.kind.Name)))
 	}
 	if a.limits != nil {
 		a.limits.Refused(s.clock(), a.req.kind.Name)
