Pace targets that have started or recovered

A scheduler knows nothing about the present speed of a target that has just started, rested or failed. It sends it as many requests as it has slots, and with the low weight of an answer in a target's slowness it goes on doing so while the target is slow.

Package pace has the controller of one incarnation of a target: one request in flight at first (half of the slots for the owner of keys), one more with each answer as usual, half after a late answer or a failure. The scheduler holds one for each target where schedule.Scheduler.Pace is set. A paced target's expected response time is that of its last answers. A request waits for a target at full pace if that answers sooner by more than twice the time in which the waiting requests are served; a paced target without requests gets one each 250 ms.

An answer to a request that was alone at the target says how fast it is at the moment, whatever is sent to it. So "late" is in relation to that as well: a target that is slow alone gets as many requests as its slots while it is slow, and one that becomes slow by them does not.

Roster views have Since, so that a scheduler that starts takes the targets that it finds to be at full pace.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -29,6 +29,9 @@
 	HasAlternative func(r *schedule.Request) bool
 	// OnBackoff is used as in schedule.Scheduler. It must not call the Dispatcher.
 	OnBackoff func(schedule.Backoff)
+	// Pace and OnPace are used as in schedule.Scheduler. OnPace must not call the Dispatcher.
+	Pace   bool
+	OnPace func(schedule.PaceChange)
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -53,6 +56,7 @@
 	d.scheduler.Roster, d.scheduler.ColdRate = d.Roster, d.ColdRate
 	d.scheduler.IsBound, d.scheduler.HasAlternative = d.IsBound, d.HasAlternative
 	d.scheduler.OnBackoff, d.scheduler.RateLimit = d.OnBackoff, d.RateLimit
+	d.scheduler.Pace, d.scheduler.OnPace = d.Pace, d.OnPace
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
@@ -174,3 +178,11 @@
 	d.scheduler.Roster = d.Roster
 	return d.scheduler.TargetLatencies()
 }
+
+// PacedTargets returns the number of targets that are paced here.
+func (d *Dispatcher) PacedTargets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Roster = d.Roster
+	return d.scheduler.PacedTargets()
+}
--- a/basilcross/roster/builder.go
+++ b/basilcross/roster/builder.go
@@ -48,6 +48,9 @@
 		t.LeavingSince = now
 		leaving = &t
 	}
+	if b.Len() == 0 {
+		b.Since = now
+	}
 	b.set(old, &t)
 	if isNew {
 		added = &t
--- a/basilcross/roster/view.go
+++ b/basilcross/roster/view.go
@@ -4,6 +4,7 @@
 	"iter"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/benbjohnson/immutable"
 )
@@ -16,6 +17,8 @@
 	Revision uint64
 	// Digest is equal for views that list the same targets in the same states.
 	Digest uint64
+	// Since is when the list was filled first; zero while it has always been empty.
+	Since time.Time
 
 	byID *immutable.Map[string, *Target]
 	// byAddress has the targets at each address, mostly one.
@@ -98,7 +101,7 @@
 
 // withIndexes returns a view that shares the indexes of v and can be changed by set.
 func (v *View) withIndexes(revision uint64) *View {
-	next := &View{Revision: revision, Digest: v.Digest, byID: v.byID, byAddress: v.byAddress, groups: maps.Clone(v.groups)}
+	next := &View{Revision: revision, Digest: v.Digest, Since: v.Since, byID: v.byID, byAddress: v.byAddress, groups: maps.Clone(v.groups)}
 	if next.byID == nil {
 		next.byID, next.byAddress = immutable.NewMap[string, *Target](nil), immutable.NewMap[string, []*Target](nil)
 	}
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"time"
 
 	"basilcross.example/basilcross/roster"
@@ -24,6 +25,11 @@
 	slots    float64
 	slowness float64
 	latency  float64
+	// rate is the requests per second of all targets, and fullRate of those at full pace; earliestSeconds is
+	// when the first of these is expected to answer, with the wait for its slot.
+	rate            float64
+	fullRate        float64
+	earliestSeconds float64
 	// freeSlots is the number of slots without a request.
 	freeSlots float64
 	// freeIn is the expected time until a slot is free.
@@ -50,48 +56,68 @@
 // bestTarget returns the target with capacity whose answer is expected first, or nil, and
 // the capacity of all usable targets.
 func (s *Scheduler) bestTarget(now time.Time, t *Ticket) (*roster.Target, capacity) {
-	var avail capacity
-	rate := 0.0
+	avail := capacity{earliestSeconds: math.Inf(1)}
 	for _, c := range s.usableTargets(now, t) {
-		st := t.service.stateOf(c)
-		latency := t.service.expectedLatency(now, c, st, &t.Request)
-		slots := min(float64(c.Slots), max(1, st.limit))
-		wait := st.timeToFreeSlot(now, c.Slots)
-		limited, tokenWait, denied := s.limitOf(now, c, st, &t.Request)
-		if denied {
-			avail.denied++
-			continue
-		}
-		if limited > 0 {
-			avail.limited++
-			avail.limitedRate += limited
-			slots = min(slots, limited*latency)
-			wait = max(wait, tokenWait)
-		}
-		avail.targets++
-		avail.slots += slots
-		avail.freeSlots += max(0, slots-float64(len(st.inFlight)))
-		rate += slots / latency
-		if avail.targets == 1 || wait < avail.freeIn {
-			avail.freeIn = wait
-		}
-		if float64(len(st.inFlight)) >= max(1, st.limit) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, c.Slots, latency) {
-			continue
-		}
-		expected := latency + wait.Seconds()
-		if avail.best == nil || expected < avail.bestSeconds || expected == avail.bestSeconds && c.ID < avail.best.ID {
-			avail.best, avail.state, avail.bestSeconds = c, st, expected
-		}
+		s.consider(now, t, c, &avail)
+	}
+	if avail.best != nil && avail.state.pace.Paced() && avail.bestSeconds > avail.earliestSeconds+queueRelief*float64(len(t.queue.waiting))/avail.fullRate {
+		avail.best, avail.state = nil, nil
 	}
 	work := t.service.workOf(t.Request.Kind)
 	avail.latency, avail.slowness = work, 1
-	if rate > 0 {
-		avail.latency = avail.slots / rate
+	if avail.rate > 0 {
+		avail.latency = avail.slots / avail.rate
 		avail.slowness = avail.latency / work
 	}
 	return avail.best, avail
 }
 
+// consider adds a usable target to the capacity, as the best one if its answer is expected first.
+func (s *Scheduler) consider(now time.Time, t *Ticket, c *roster.Target, avail *capacity) {
+	st := t.service.stateOf(c)
+	s.updatePace(now, c, st, &t.Request)
+	latency := t.service.expectedLatency(now, c, st, &t.Request)
+	slots := min(float64(st.pacedSlots(now, c.Slots)), max(1, st.limit))
+	wait := st.timeToFreeSlot(now, st.pacedSlots(now, c.Slots))
+	limited, tokenWait, denied := s.limitOf(now, c, st, &t.Request)
+	if denied {
+		avail.denied++
+		return
+	}
+	if limited > 0 {
+		avail.limited++
+		avail.limitedRate += limited
+		slots = min(slots, limited*latency)
+		wait = max(wait, tokenWait)
+	}
+	avail.targets++
+	avail.slots += slots
+	avail.freeSlots += max(0, slots-float64(len(st.inFlight)))
+	avail.rate += slots / latency
+	if avail.targets == 1 || wait < avail.freeIn {
+		avail.freeIn = wait
+	}
+	expected := latency + wait.Seconds()
+	if !st.pace.Paced() {
+		avail.fullRate += slots / latency
+		avail.earliestSeconds = min(avail.earliestSeconds, expected)
+	}
+	if st.isFull(now) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, c.Slots, latency) {
+		return
+	}
+	if st.mayProbe(now) {
+		expected = 0
+	}
+	if avail.best == nil || expected < avail.bestSeconds || expected == avail.bestSeconds && c.ID < avail.best.ID {
+		avail.best, avail.state, avail.bestSeconds = c, st, expected
+	}
+}
+
+// isFull reports whether the target has as many requests in flight as its limit and its pace allow.
+func (st *targetState) isFull(now time.Time) bool {
+	return st.exceedsPace(now) || float64(len(st.inFlight)) >= max(1, st.limit)
+}
+
 // usableTargets returns the targets that the request may go to. If all are in backoff,
 // failing ones are returned for a request without alternatives, since most targets that
 // fail now and then still answer more often than not.
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -56,6 +56,11 @@
 // slownessOf returns how long the target needs for work now, as a multiple of an average
 // target's time.
 func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState, r *Request) float64 {
+	if st.pace.Paced() {
+		if slowness := s.pacedSlowness(now, st); slowness > 0 {
+			return slowness
+		}
+	}
 	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st, r)
 }
 
@@ -71,6 +76,10 @@
 func (s *service) observe(now time.Time, t *Ticket, took time.Duration) {
 	st := t.state
 	took = max(took, minWork)
+	if st.pace.Paced() && s.kinds[t.Request.Kind] != nil {
+		s.observePaced(now, t, took)
+		return
+	}
 	slowness := s.slownessOf(now, t.Target, st, &t.Request)
 	k := s.kinds[t.Request.Kind]
 	if k == nil {
@@ -90,3 +99,12 @@
 }
 
 func sampleWeight(least float64, answers int) float64 { return max(least, 1/float64(answers+1)) }
+
+// observePaced updates the slowness of a paced target. The kind's work is not updated: the target may be
+// slower than usual.
+func (s *service) observePaced(now time.Time, t *Ticket, took time.Duration) {
+	k := s.kinds[t.Request.Kind]
+	k.lastAnswer = now
+	ratio := min(took.Seconds()/(k.work*s.usualSlowness(now, t.Target, t.state)), maxRatio)
+	t.state.slowness *= 1 + pacedSlownessWeight*(ratio-1)
+}
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -64,10 +64,12 @@
 	Unlinked
 	// Rejected: the target does not hold the request's key.
 	Rejected
+	// Rested: as Shed, and the target asked for a rest.
+	Rested
 )
 
 func (r Result) String() string {
-	return [...]string{"answered", "shed", "failed", "abandoned", "unreachable", "unlinked", "rejected"}[r]
+	return [...]string{"answered", "shed", "failed", "abandoned", "unreachable", "unlinked", "rejected", "rested"}[r]
 }
 
 // BusyError is returned for a request that cannot be answered in time.
@@ -111,6 +113,11 @@
 	IsBound        func(kind uint32) bool
 	HasAlternative func(r *Request) bool
 
+	// Pace limits the requests in flight at targets that have started or recovered, by how they answer.
+	// OnPace, if set, is called when that begins and ends for a target.
+	Pace   bool
+	OnPace func(PaceChange)
+
 	// OnBackoff, if set, is called when a target gets no requests for a while.
 	OnBackoff func(Backoff)
 
@@ -155,6 +162,8 @@
 	ReportedSlowness float64
 	// late is set if it waits although it cannot meet its objective.
 	late bool
+	// sentAlone is set if no other request was in flight at the target when it got the slot.
+	sentAlone bool
 	// arrivesAt is when the request reaches the target, startedAt when it got a slot
 	// there; zero before.
 	arrivesAt    time.Time
@@ -209,6 +218,7 @@
 // tickets that got a slot.
 func (s *Scheduler) Release(now time.Time, t *Ticket, r Result) []*Ticket {
 	t.state.recordResult(now, t, r)
+	s.recordPace(now, t, r)
 	if left := t.state.backoffUntil.Sub(now); s.OnBackoff != nil && (r == Failed || r == Unreachable) && left > 0 {
 		s.OnBackoff(Backoff{Target: t.Target, Duration: left, Failures: t.state.failures, Result: r, Requester: t.Request.Requester})
 	}
@@ -257,6 +267,7 @@
 			t := view.Find(incarnation.ID)
 			st.pruneRejections(now)
 			maps.DeleteFunc(st.unlinked, func(_ string, l *unlinked) bool { return now.Sub(l.backoffUntil) > kindTTL })
+			s.pruneReplacement(now, t, st)
 			if len(st.inFlight) == 0 && (t == nil || t.Started != incarnation.Started) {
 				delete(svc.targets, incarnation)
 			}
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"basilcross.example/basilcross/pace"
 	"basilcross.example/basilcross/roster"
 )
 
@@ -76,6 +77,12 @@
 	// cold limits the rate of requests while the target is cold, or may have restarted.
 	cold                  tokenBucket
 	restartSuspectedUntil time.Time
+	// pace limits the requests in flight while the target is paced, and sentAt is when it got the last one.
+	pace   pace.Controller
+	sentAt time.Time
+	// considered is set once a request could have been sent to the target; wasCold and wasLimited are
+	// what it reported at the last such time.
+	considered, wasCold, wasLimited bool
 }
 
 // unlinked is an instance's failure to connect to a target, which gets none of its requests for
@@ -97,7 +104,9 @@
 // add records that a request is sent to the target, where it waits if all slots are
 // taken.
 func (st *targetState) add(now time.Time, t *Ticket) {
+	t.sentAlone = len(st.inFlight) == 0
 	st.inFlight = append(st.inFlight, t)
+	st.sentAt = now
 	t.expectedWork = seconds(t.service.expectedLatency(now, t.Target, st, &t.Request))
 	t.arrivesAt = now.Add(2 * t.Request.OneWayDelay)
 	if len(st.inFlight) <= t.Target.Slots {
@@ -165,6 +174,9 @@
 	st.remove(now, t)
 	st.recordRejection(now, t, r)
 	t.service.recordSlowness(now, t)
+	if r == Rested {
+		r = Shed
+	}
 	if r == Shed && len(st.inFlight) < t.Target.Slots {
 		st.shedRatio += shedWeight * (1 - st.shedRatio)
 		return
@@ -201,7 +213,7 @@
 		st.recordFailure(now)
 	case Unlinked:
 		st.recordUnlinked(now, t.Request.Requester)
-	case Abandoned, Rejected:
+	case Abandoned, Rejected, Rested:
 	}
 }
 
