--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -101,6 +101,7 @@
 	TargetRests        = Event{420, "targetRests", slog.LevelInfo, "A target turned a request away, and wants no requests from this instance for the stated time. It is logged when its rest is prolonged by a tenth of a second or more.", "Find out what the target is short of."}
 	TargetLeaves       = Event{421, "targetLeaves", slog.LevelInfo, "A target states in its answers that it leaves. The line has the instance that reported it, if it was another one.", ""}
 	WithdrawalUnusable = Event{422, "withdrawalUnusable", slog.LevelWarn, "A target states a rest, or that it leaves, in a form that is not known. It is ignored, and logged once for the service.", "Check the target's version."}
+	TargetPaced        = Event{426, "targetPaced", slog.LevelInfo, "This instance, which schedules a target, limits the requests in flight at it, since the target has started or recovered, or does so no longer. The line has the cause, and at the end how long it lasted and how many answers were counted. An instance logs at most 40 of these lines in 20 s; leftOut is how many were left out before this one.", "If a target's pace does not end, or begins again and again, look at the target: it answers later than it used to, or fails."}
 	LinesLeftOut       = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded           = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading            = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -117,7 +118,7 @@
 		LeadGained, LeadLost, LeadResigned, EvictionBegan, LeadUnlinked,
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
-		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable,
+		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable, TargetPaced,
 		ConfigInForce, ConfigAccepted, ConfigStale, ConfigOverdue, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken, TransferBroken,
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -484,7 +484,7 @@
 		}
 		reservation.Release(result)
 	} else {
-		reservation.Release(schedule.Shed)
+		reservation.Release(f.shedResult(reservation.Target))
 		r.awaitOwner = c.sharded
 	}
 	f.exclude(c, reservation.Target.ID)
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -69,6 +69,8 @@
 	Loads   *Loads
 	// RetryLimits returns the limits of retries in force.
 	RetryLimits func() RetryLimits
+	// Pace is set if the schedulers pace targets that have rested.
+	Pace bool
 	// FirstStart is set if the whole fleet starts for the first time, so that no earlier incarnation
 	// has sent retries.
 	FirstStart bool
--- a/gateway/front/withdrawn.go
+++ b/gateway/front/withdrawn.go
@@ -7,6 +7,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/basilcross/roster"
+	"basilcross.example/basilcross/schedule"
 )
 
 // maxExcluded bounds the withdrawn targets in a request for a slot, so that it fits into a datagram. The
@@ -109,3 +110,12 @@
 		event.WithdrawalUnusable.Log(f.Log, "service", c.service, "target", t.ID, "text", text, "error", err)
 	}
 }
+
+// shedResult returns how a request ended that its target turned away. Versions that do not know Rested ignore
+// the result, so it is used only where the scheduler paces targets.
+func (f *Front) shedResult(t *roster.Target) schedule.Result {
+	if wait, ok := f.Withdrawn.Check(time.Now(), t.Incarnation(), true); f.Pace && !ok && wait > 0 {
+		return schedule.Rested
+	}
+	return schedule.Shed
+}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -130,6 +130,7 @@
 	configLag    configLag
 	patches      patches
 	withdrawn    withdrawal.List
+	paceLines    paceLines
 	shuttingDown atomic.Bool
 	wasReady     atomic.Bool
 }
@@ -170,7 +171,7 @@
 		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Pace: i.features.Pace, OnPace: i.logPace}
 	i.broker = broker.New(broker.Options{
 		Self: i.peers.Self, Placement: i.state.policy, Peers: i.peers, Dispatcher: i.dispatcher, Roster: i.state.roster, Log: log,
 		Owner: i.state.owner, Grant: i.grant, OnStatement: i.limiter.record, Stopping: i.shuttingDown.Load, Thin: i.replicator.thin.Load,
@@ -183,7 +184,7 @@
 		ParseRest: platform.ParseRest, ParseLeaving: platform.ParseLeaving, Withdrawn: &i.withdrawn, OnLeaving: i.leavers.record, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets,
 		ProbeTargets: i.probeTargets, Quarantine: &i.quarantiner.list, OnEnded: i.quarantiner.ended, OnCleared: i.quarantiner.cleared, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
-		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap,
+		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap, Pace: i.features.Pace,
 	})
 	i.state.targetsChanged = i.front.TargetsChanged
 	i.registerMetrics(i.registry)
--- a/gateway/instance/metrics.go
+++ b/gateway/instance/metrics.go
@@ -62,6 +62,9 @@
 	gauge("basilcross_rate_limited_targets", "Targets that state how many requests per second they accept.", func() float64 {
 		return float64(len(i.limiter.limits.All()))
 	})
+	gauge("basilcross_paced_targets", "Targets that have started or recovered, and get few requests at a time from this scheduler.", func() float64 {
+		return float64(i.dispatcher.PacedTargets())
+	})
 	gauge("basilcross_resting_targets", "Targets that want no requests from this instance for a while.", func() float64 {
 		resting, _ := i.withdrawn.Count(time.Now())
 		return float64(resting)
--- a/gateway/instance/metrics_test.go
+++ b/gateway/instance/metrics_test.go
@@ -29,7 +29,7 @@
 		found++
 		assert.Assert(t, strings.Contains(string(page), "`"+f.GetName()+"`"), f.GetName())
 	}
-	assert.Equal(t, found, 18)
+	assert.Equal(t, found, 19)
 }
 
 // Guards against profiles that are served without being enabled, and against a
