Judge a paced target's answers by those with few requests in flight

Answers are compared with those for which no more requests were in flight than at the beginning of the pace, over their whole time. The target's own speed is learned from answers that are not late by that. A target that has started or rested begins with half of its slots if as many requests wait as it has slots, as an owner of keys does. The last answers have a weight of 0.3 instead of 0.5, and a request may lose up to four times the time in which the waiting ones are served.

--- a/basilcross/pace/pace.go
+++ b/basilcross/pace/pace.go
@@ -16,9 +16,9 @@
 	increase = 1.0
 	// recentWeight is the weight of the newest response in the recent slowness. It is high, since a target
 	// that warms up or recovers changes within a few responses.
-	recentWeight = 0.5
-	// aloneWeight is the weight of the newest response to a request that was alone at the target.
-	aloneWeight = 0.3
+	recentWeight = 0.3
+	// baseWeight is the weight of the newest response in the slowness with few requests in flight.
+	baseWeight = 0.3
 	// firstHold is how many answers as usual a target must give before its allowance is raised again after
 	// requests failed under more than one. It doubles with each such failure, up to maxHold, so that a
 	// target that fails under two requests at once loses few.
@@ -66,9 +66,11 @@
 	hold, held int
 	// recent is the slowness in the last responses; 0 before the first.
 	recent float64
-	// alone is the slowness in responses to requests that were alone at the target: its own speed at the
-	// moment, which fewer requests would not improve; 0 before the first.
-	alone float64
+	// start is the allowance at the beginning, and base the slowness in responses to requests that were in
+	// flight with no more than that: the target's speed at the moment, which more requests may lower; 0
+	// before the first.
+	start int
+	base  float64
 }
 
 // Response is what a target's response says about its speed. Slownesses are multiples of the time that an
@@ -77,8 +79,8 @@
 	Slowness float64
 	// Usual is the target's own slowness at most times, as far as it is known.
 	Usual float64
-	// Alone is set if no other request was in flight when the request was sent.
-	Alone bool
+	// InFlight is how many requests were in flight at the same time at most, with this one.
+	InFlight int
 }
 
 // Run is one time for which a target was paced.
@@ -90,17 +92,17 @@
 }
 
 // Begin paces the target from now on, and reports whether it was at full pace before. The allowance starts at
-// one request in flight, or at half of the slots for a target whose requests have no alternative.
-func (c *Controller) Begin(now time.Time, cause Cause, slots int, noAlternative bool) (first bool) {
+// one request in flight, or at half of the slots if the target is needed, since requests have no alternative.
+func (c *Controller) Begin(now time.Time, cause Cause, slots int, needed bool) (first bool) {
 	start := 1.0
-	if noAlternative {
+	if needed {
 		start = max(1, math.Ceil(float64(slots)/2))
 	}
 	first = !c.Paced()
 	if first {
 		*c = Controller{full: float64(slots + extraInFlight), cause: cause, began: now}
 	}
-	c.allowance, c.lowered, c.alone = start, now, 0
+	c.allowance, c.lowered, c.start, c.base = start, now, int(start), 0
 	return first
 }
 
@@ -124,10 +126,9 @@
 	}
 	c.answers++
 	c.recent = average(c.recent, r.Slowness, recentWeight)
-	if r.Alone {
-		c.alone = average(c.alone, r.Slowness, aloneWeight)
-	}
-	if r.Slowness > lateRatio*max(r.Usual, c.alone) {
+	late := c.IsLate(r)
+	c.base = c.currentBase(r)
+	if late {
 		c.lower(now, sent)
 		return Run{}, false
 	}
@@ -145,6 +146,20 @@
 	return c.End(now), true
 }
 
+// IsLate reports whether a response is late by the requests in flight: it took longer than usual, and longer than with
+// fewer of them.
+func (c *Controller) IsLate(r Response) bool {
+	return r.Slowness > lateRatio*max(r.Usual, c.currentBase(r))
+}
+
+// currentBase returns the slowness with few requests in flight, as of a response.
+func (c *Controller) currentBase(r Response) float64 {
+	if r.InFlight <= c.start {
+		return average(c.base, r.Slowness, baseWeight)
+	}
+	return c.base
+}
+
 // End ends the pace whatever the target answered, and returns how long it was paced.
 func (c *Controller) End(now time.Time) Run {
 	ended := c.run(now)
--- a/basilcross/pace/pace_test.go
+++ b/basilcross/pace/pace_test.go
@@ -23,8 +23,8 @@
 }
 
 var (
-	usual = pace.Response{Slowness: 1, Usual: 1}
-	late  = pace.Response{Slowness: 3, Usual: 1}
+	usual = pace.Response{Slowness: 1, Usual: 1, InFlight: 1}
+	late  = pace.Response{Slowness: 3, Usual: 1, InFlight: 2}
 )
 
 // Guards against a controller that limits a target that nothing is held against.
@@ -72,7 +72,7 @@
 	var c pace.Controller
 	c.Begin(start, pace.Started, 3, false)
 	alone := late
-	alone.Alone = true
+	alone.InFlight = 1
 	at, ended := answer(&c, start, 4, alone)
 	assert.Assert(t, !ended)
 	assert.Equal(t, c.Allowance(), 4)
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -75,7 +75,7 @@
 // consider adds a usable target to the capacity, as the best one if its answer is expected first.
 func (s *Scheduler) consider(now time.Time, t *Ticket, c *roster.Target, avail *capacity) {
 	st := t.service.stateOf(c)
-	s.updatePace(now, c, st, &t.Request)
+	s.updatePace(now, t, c, st)
 	latency := t.service.expectedLatency(now, c, st, &t.Request)
 	slots := min(float64(st.pacedSlots(now, c.Slots)), max(1, st.limit))
 	wait := st.timeToFreeSlot(now, st.pacedSlots(now, c.Slots))
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basilcross.example/basilcross/pace"
 	"basilcross.example/basilcross/roster"
 )
 
@@ -76,12 +77,13 @@
 func (s *service) observe(now time.Time, t *Ticket, took time.Duration) {
 	st := t.state
 	took = max(took, minWork)
-	if st.pace.Paced() && s.kinds[t.Request.Kind] != nil {
-		s.observePaced(now, t, took)
-		return
-	}
 	slowness := s.slownessOf(now, t.Target, st, &t.Request)
 	k := s.kinds[t.Request.Kind]
+	if k != nil && st.pace.Paced() {
+		// recordPace updates what a paced target's answers show.
+		k.lastAnswer = now
+		return
+	}
 	if k == nil {
 		k = &kindStats{work: took.Seconds() / slowness}
 		s.kinds[t.Request.Kind] = k
@@ -100,11 +102,8 @@
 
 func sampleWeight(least float64, answers int) float64 { return max(least, 1/float64(answers+1)) }
 
-// observePaced updates the slowness of a paced target. The kind's work is not updated: the target may be
-// slower than usual.
-func (s *service) observePaced(now time.Time, t *Ticket, took time.Duration) {
-	k := s.kinds[t.Request.Kind]
-	k.lastAnswer = now
-	ratio := min(took.Seconds()/(k.work*s.usualSlowness(now, t.Target, t.state)), maxRatio)
-	t.state.slowness *= 1 + pacedSlownessWeight*(ratio-1)
+// observePaced updates the slowness of a paced target with an answer that was not late by the requests in flight. The
+// kind's work is not updated: the target may be slower than usual.
+func (s *service) observePaced(st *targetState, r pace.Response) {
+	st.slowness *= 1 + pacedSlownessWeight*(min(r.Slowness/r.Usual, maxRatio)-1)
 }
--- a/basilcross/schedule/pace.go
+++ b/basilcross/schedule/pace.go
@@ -22,7 +22,7 @@
 	probeInterval = 250 * time.Millisecond
 	// queueRelief bounds what a request may lose at a paced target that answers later than one at full pace
 	// would after a wait, as a multiple of the time in which those serve all waiting requests.
-	queueRelief = 2.0
+	queueRelief = 4.0
 	// lostFactor is the multiple of its expected time, and lostAfter the least time, after which a request
 	// does not count toward a paced target's allowance: the message that it has ended may be lost.
 	lostFactor = 4
@@ -39,21 +39,28 @@
 	pace.Run
 }
 
-// updatePace begins the target's pace, if what is known of it has changed since it was considered last.
-func (s *Scheduler) updatePace(now time.Time, t *roster.Target, st *targetState, r *Request) {
+// updatePace begins the pace of a target that a request may go to, if what is known of the target has changed since
+// it was considered last.
+func (s *Scheduler) updatePace(now time.Time, t *Ticket, c *roster.Target, st *targetState) {
 	if !s.Pace {
 		return
 	}
-	cold, limited := s.isCold(now, t, st), false
+	cold, limited := s.isCold(now, c, st), false
 	if s.RateLimit != nil {
-		_, limited = s.RateLimit(t.Incarnation())
+		_, limited = s.RateLimit(c.Incarnation())
 	}
-	if cause, begins := s.paceCause(now, t, st, r, cold, limited); begins {
-		s.beginPace(now, t, st, cause, r.Target != "")
+	if cause, begins := s.paceCause(now, c, st, &t.Request, cold, limited); begins {
+		s.beginPace(now, c, st, cause, t.needs(c) && (cause == pace.Started || t.Request.Target != ""))
 	}
 	st.considered, st.wasCold, st.wasLimited = true, cold, limited
 }
 
+// needs reports whether requests that the target may serve have no other one: it is the owner of their key, or as many
+// wait as it has slots.
+func (t *Ticket) needs(c *roster.Target) bool {
+	return t.Request.Target != "" || len(t.queue.waiting) >= c.Slots
+}
+
 // paceCause returns why the target's pace begins now, if it does.
 func (s *Scheduler) paceCause(now time.Time, t *roster.Target, st *targetState, r *Request, cold, limited bool) (cause pace.Cause, begins bool) {
 	switch {
@@ -84,8 +91,10 @@
 	return now.Sub(t.FirstSeen) < startWindow && t.FirstSeen.Sub(s.Roster.Load().Since) > listingTime
 }
 
-func (s *Scheduler) beginPace(now time.Time, t *roster.Target, st *targetState, cause pace.Cause, noAlternative bool) {
-	if st.pace.Begin(now, cause, t.Slots, noAlternative) && s.OnPace != nil {
+// beginPace begins the target's pace. It is needed if requests that it may serve have no other target, or wait for
+// one in vain: it may have half of its slots at once then.
+func (s *Scheduler) beginPace(now time.Time, t *roster.Target, st *targetState, cause pace.Cause, needed bool) {
+	if st.pace.Begin(now, cause, t.Slots, needed) && s.OnPace != nil {
 		s.OnPace(PaceChange{Target: t, Began: true, Run: pace.Run{Cause: cause}})
 	}
 }
@@ -107,14 +116,17 @@
 		if took := t.took(now); took > 0 && st.pace.Paced() {
 			response := pace.Response{
 				Slowness: took.Seconds() / t.service.workOf(t.Request.Kind),
-				Usual:    t.service.usualSlowness(now, t.Target, st), Alone: t.sentAlone,
+				Usual:    t.service.usualSlowness(now, t.Target, st), InFlight: t.together,
+			}
+			if !st.pace.IsLate(response) {
+				t.service.observePaced(st, response)
 			}
 			if ended, ok := st.pace.Answered(now, sent, response); ok {
 				s.endPace(t.Target, ended)
 			}
 		}
 	case Rested:
-		s.beginPace(now, t.Target, st, pace.Rested, t.Request.Target != "")
+		s.beginPace(now, t.Target, st, pace.Rested, t.needs(t.Target))
 	case Failed, Unreachable:
 		st.pace.Failed(now, sent)
 		if now.Before(st.backoffUntil) {
--- a/basilcross/schedule/pace_test.go
+++ b/basilcross/schedule/pace_test.go
@@ -145,6 +145,37 @@
 	assert.Assert(t, fullUse > 0 && fullUse < time.Second, "it is not slower with more requests")
 }
 
+// Guards against a target that gets as many requests as its slots while it becomes slow by them, and against one that
+// is not used fully within a few answers once it copes.
+func TestPaceFallsWhileAnswersAreLate(t *testing.T) {
+	f := newPacedFleet(t)
+	f.list(nil)
+	rounds, sent := 0, 0
+	for slowUntil := f.at.Add(3 * time.Second); f.at.Before(slowUntil); rounds++ {
+		tickets := f.sendTo(4, nil)
+		sent += len(tickets)
+		took := 40 * time.Millisecond
+		if len(tickets) > 1 {
+			took = 120 * time.Millisecond
+		}
+		f.end(tickets, took, schedule.Answered)
+	}
+	t.Logf("%d requests in %d rounds", sent, rounds)
+	assert.Equal(t, f.PacedTargets(), 1)
+	assert.Assert(t, sent <= 2*rounds)
+	answers := 0
+	for {
+		tickets := f.sendTo(4, nil)
+		if len(tickets) >= 3 {
+			break
+		}
+		answers += len(tickets)
+		assert.Assert(t, answers <= 6)
+		f.end(tickets, 40*time.Millisecond, schedule.Answered)
+	}
+	t.Logf("all slots after %d answers", answers)
+}
+
 // Guards against an instance that starts and sends one request at a time to every target.
 func TestSchedulerThatStartsKnowsNoPaces(t *testing.T) {
 	f := newPacedFleet(t)
@@ -276,6 +307,19 @@
 	assert.Equal(t, len(f.sendTo(5, func(r *schedule.Request) { r.Target = "c" })), 2)
 }
 
+// Guards against requests that wait for the other targets and become late, while a started one gets one at a time.
+func TestStartedTargetIsNeededWhereRequestsWait(t *testing.T) {
+	f := newPacedFleet(t)
+	var tickets []*schedule.Ticket
+	for range 8 {
+		tickets = append(tickets, submit(t, f.Scheduler, f.at, request(f.at, urgent, "")))
+	}
+	f.list(nil)
+	admitted := f.Admit(f.at, tickets[len(tickets)-1])
+	assert.Equal(t, len(admitted), 2)
+	assert.Equal(t, admitted[0].Target.ID, "c")
+}
+
 // Guards against a count of paced targets that grows with each scheduler that was replaced once.
 func TestPaceOfUnusedReplacementEnds(t *testing.T) {
 	f := newPacedFleet(t)
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -162,8 +162,8 @@
 	ReportedSlowness float64
 	// late is set if it waits although it cannot meet its objective.
 	late bool
-	// sentAlone is set if no other request was in flight at the target when it got the slot.
-	sentAlone bool
+	// together is how many requests have been in flight at the target at most since it got the slot.
+	together int
 	// arrivesAt is when the request reaches the target, startedAt when it got a slot
 	// there; zero before.
 	arrivesAt    time.Time
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -104,9 +104,11 @@
 // add records that a request is sent to the target, where it waits if all slots are
 // taken.
 func (st *targetState) add(now time.Time, t *Ticket) {
-	t.sentAlone = len(st.inFlight) == 0
 	st.inFlight = append(st.inFlight, t)
 	st.sentAt = now
+	for _, o := range st.inFlight {
+		o.together = max(o.together, len(st.inFlight))
+	}
 	t.expectedWork = seconds(t.service.expectedLatency(now, t.Target, st, &t.Request))
 	t.arrivesAt = now.Add(2 * t.Request.OneWayDelay)
 	if len(st.inFlight) <= t.Target.Slots {
