Take a paced target's expected time from its answers only

The time that a target's oldest request had taken so far counted as its slowness, also if that had just begun: before its first answer a paced target looked as if it answered at once, and got more requests than its expected time justified.

Only answers count now.

--- a/basilcross/pace/pace.go
+++ b/basilcross/pace/pace.go
@@ -14,8 +14,8 @@
 	decrease = 0.5
 	// increase is what a response that is as usual adds to the allowance.
 	increase = 1.0
-	// recentWeight is the weight of the newest response in the recent slowness. It is high, since a target
-	// that warms up or recovers changes within a few responses.
+	// recentWeight is the weight of the newest response in the recent slowness. A target that warms up or
+	// recovers changes within a few responses.
 	recentWeight = 0.3
 	// baseWeight is the weight of the newest response in the slowness with few requests in flight.
 	baseWeight = 0.3
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -57,10 +57,8 @@
 // slownessOf returns how long the target needs for work now, as a multiple of an average
 // target's time.
 func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState, r *Request) float64 {
-	if st.pace.Paced() {
-		if slowness := s.pacedSlowness(now, st); slowness > 0 {
-			return slowness
-		}
+	if slowness := st.pace.Slowness(); slowness > 0 {
+		return slowness
 	}
 	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st, r)
 }
--- a/basilcross/schedule/pace.go
+++ b/basilcross/schedule/pace.go
@@ -151,21 +151,15 @@
 	return st.slowness * warmupFactor(now, t)
 }
 
-// pacedSlowness returns the slowness of a paced target in its last responses, or by what its oldest request
-// has taken already; 0 if nothing is known of it.
-func (s *service) pacedSlowness(now time.Time, st *targetState) float64 {
-	slowness := st.pace.Slowness()
-	if len(st.inFlight) > 0 {
-		oldest := st.inFlight[0]
-		slowness = max(slowness, oldest.took(now).Seconds()/s.workOf(oldest.Request.Kind))
-	}
-	return slowness
+// seemsLost reports whether a request has taken so long that the message about its end may be lost.
+func (t *Ticket) seemsLost(now time.Time) bool {
+	return now.Sub(t.arrivesAt) >= max(lostAfter, lostFactor*t.expectedWork)
 }
 
 // countInFlight returns how many requests count toward a paced target's allowance.
 func (st *targetState) countInFlight(now time.Time) (n int) {
 	for _, t := range st.inFlight {
-		if now.Sub(t.arrivesAt) < max(lostAfter, lostFactor*t.expectedWork) {
+		if !t.seemsLost(now) {
 			n++
 		}
 	}
--- a/basilcross/schedule/pace_test.go
+++ b/basilcross/schedule/pace_test.go
@@ -127,6 +127,15 @@
 	assert.Equal(t, submit(t, f.Scheduler, f.at, request(f.at, urgent, "")).Target.ID, "c")
 }
 
+// Guards against requests that go to a paced target since its request has just begun, as if it had been answered at once.
+func TestRequestInFlightDoesNotMakeATargetLookFast(t *testing.T) {
+	f := newPacedFleet(t)
+	f.list(nil)
+	f.sendTo(1, func(r *schedule.Request) { r.Target = "c" })
+	f.at = f.at.Add(4 * time.Millisecond)
+	assert.Equal(t, submit(t, f.Scheduler, f.at, request(f.at, urgent, "")).Target.ID, "a", "equal ones in order of their IDs")
+}
+
 // Guards against a target that is slow for good and is paced for ever.
 func TestSlowTargetReachesFullPace(t *testing.T) {
 	f := newPacedFleet(t)
