Loads with targets that are added, lost, rest and flap, and what the pace changes

No load had targets that start or recover during a run. Targets have addedMs, lostMs and backMs, restFromMs and restForMs, flapFromMs and so on; reports count the share in time by second, and the time until targets get their usual share.

--- a/standin/experiment/arrivals.go
+++ b/standin/experiment/arrivals.go
@@ -16,6 +16,8 @@
 	// deadline is the caller's, from arrival on.
 	deadline    time.Duration
 	oneWayDelay time.Duration
+	// instance is the index of the instance that receives it.
+	instance int
 	// target is the index of the only target that can serve it; -1 if any can.
 	target           int
 	retryImmediately bool
@@ -35,6 +37,25 @@
 	return t.Slowness
 }
 
+// isUp reports whether the target accepts connections.
+func (t *simTarget) isUp(at time.Duration) bool {
+	switch {
+	case at < millis(t.Added), t.Lost > 0 && at >= millis(t.Lost) && at < millis(t.Back):
+		return false
+	case t.FlapEnd > 0 && at >= millis(t.FlapFrom) && at < millis(t.FlapEnd):
+		return (at-millis(t.FlapFrom))%millis(t.FlapPeriod) >= millis(t.FlapDown)
+	}
+	return true
+}
+
+// restLeft returns how long a rest the target asks for; 0 if none.
+func (t *simTarget) restLeft(at time.Duration) time.Duration {
+	if end := millis(t.RestFrom + t.RestDuration); t.RestDuration > 0 && at >= millis(t.RestFrom) {
+		return max(0, end-at)
+	}
+	return 0
+}
+
 // simTargets returns the targets of a load. Requests are distributed by capacity, except HotTargetShare.
 func (l *Load) simTargets() []*simTarget {
 	var list []*simTarget
@@ -74,7 +95,8 @@
 		if k.DeadlineSpread > 0 {
 			r.deadline = millis(k.Deadline * (1 - k.DeadlineSpread*random.Float64()))
 		}
-		r.oneWayDelay = millis(l.OneWayDelays[random.IntN(len(l.OneWayDelays))])
+		r.instance = random.IntN(len(l.OneWayDelays))
+		r.oneWayDelay = millis(l.OneWayDelays[r.instance])
 		if l.Sharded {
 			r.target = pickTarget(targets, random.Float64())
 		}
--- a/standin/experiment/bound.go
+++ b/standin/experiment/bound.go
@@ -143,6 +143,9 @@
 		if len(o.upcoming) == len(o.targets) && o.singleTarget(g) && n != g {
 			continue
 		}
+		if !o.targets[n].isUp(o.Now) {
+			continue
+		}
 		for i, end := range o.slotFreeAt[n] {
 			if end <= o.Now && (target < 0 || o.targets[n].slownessAt(o.Now) < o.targets[target].slownessAt(o.Now)) {
 				target, slot = n, i
--- a/standin/experiment/load.go
+++ b/standin/experiment/load.go
@@ -32,9 +32,10 @@
 	Bursts       []Burst   `json:"bursts"`
 	// ImmediateRetryShare is the share of callers that retry without the requested wait.
 	ImmediateRetryShare float64 `json:"atOnceShare"`
-	// Admission and Waitlist switch on the features of the same names.
+	// Admission, Waitlist and Pace switch on the features of the same names.
 	Admission bool `json:"admission"`
 	Waitlist  bool `json:"waitlist"`
+	Pace      bool `json:"pace"`
 }
 
 // Target is a group of identical targets.
@@ -49,6 +50,19 @@
 	SlowFrom     float64 `json:"slowFromMs"`
 	SlowDuration float64 `json:"slowForMs"`
 	SlowFactor   float64 `json:"slowTimes"`
+	// Added is when the targets are added; 0 if they are there from the beginning.
+	Added float64 `json:"addedMs"`
+	// The targets end at Lost, and start again at Back under the same IDs.
+	Lost float64 `json:"lostMs"`
+	Back float64 `json:"backMs"`
+	// From RestFrom on for RestDuration they turn requests away and ask for a rest until its end.
+	RestFrom     float64 `json:"restFromMs"`
+	RestDuration float64 `json:"restForMs"`
+	// From FlapFrom on until FlapEnd they accept no connections during the first FlapDown of each FlapPeriod.
+	FlapFrom   float64 `json:"flapFromMs"`
+	FlapEnd    float64 `json:"flapEndMs"`
+	FlapPeriod float64 `json:"flapEveryMs"`
+	FlapDown   float64 `json:"flapForMs"`
 }
 
 // Kind is a kind of request, with its share of the load and what a response is worth.
@@ -136,28 +150,11 @@
 	check(len(l.OneWayDelays) > 0, "transitsMs", "at least one")
 	check(len(l.Targets) > 0, "targets", "at least one")
 	for i, t := range l.Targets {
-		prefix := fmt.Sprintf("targets[%d].", i)
-		check(t.Count > 0, prefix+"count", "a number above 0")
-		check(t.Slots > 0, prefix+"slots", "a number above 0")
-		check(t.Slowness > 0, prefix+"slowness", "a number above 0")
-		check(0 <= t.ShedShare && t.ShedShare < 1, prefix+"shedShare", "a share below 1")
-		check(t.SlowDuration == 0 || t.SlowFactor > 0, prefix+"slowTimes", "a number above 0")
+		t.validate(check, fmt.Sprintf("targets[%d].", i))
 	}
 	check(len(l.Kinds) > 0, "kinds", "at least one")
 	for i, k := range l.Kinds {
-		prefix := fmt.Sprintf("kinds[%d].", i)
-		check(k.Name != "", prefix+"name", "a name")
-		check(k.Share > 0, prefix+"share", "a number above 0")
-		check(k.MeanWork > 0, prefix+"workMs", "a number above 0")
-		check(0 <= k.Spread && k.Spread < 1, prefix+"spread", "a share below 1")
-		check(k.Sigma >= 0 && (k.Sigma == 0 || k.Spread == 0), prefix+"sigma", "a number of 0 or more, without spread")
-		check(0 <= k.TailShare && k.TailShare < 1, prefix+"tail", "a share below 1")
-		check(k.TailShare == 0 || 0 < k.TailFactors[0] && k.TailFactors[0] <= k.TailFactors[1], prefix+"tailTimes", "two numbers above 0, the lower one first")
-		check(0 <= k.DeadlineSpread && k.Deadline*(1-k.DeadlineSpread) >= k.Objective, prefix+"deadlineSpread", "a share that leaves objectiveMs")
-		check(k.Worth > 0, prefix+"worth", "a number above 0")
-		check(0 <= k.LateWorth && k.LateWorth <= k.Worth, prefix+"lateWorth", "at most worth")
-		check(k.Objective > 0, prefix+"objectiveMs", "a number above 0")
-		check(k.Deadline >= k.Objective, prefix+"deadlineMs", "at least objectiveMs")
+		k.validate(check, fmt.Sprintf("kinds[%d].", i))
 	}
 	for i, b := range l.Bursts {
 		check(b.Factor > 0, fmt.Sprintf("bursts[%d].times", i), "a number above 0")
@@ -165,6 +162,33 @@
 	return errors.Join(errs...)
 }
 
+// validate checks the kind's fields, whose names begin with prefix.
+func (k *Kind) validate(check func(ok bool, field, want string), prefix string) {
+	check(k.Name != "", prefix+"name", "a name")
+	check(k.Share > 0, prefix+"share", "a number above 0")
+	check(k.MeanWork > 0, prefix+"workMs", "a number above 0")
+	check(0 <= k.Spread && k.Spread < 1, prefix+"spread", "a share below 1")
+	check(k.Sigma >= 0 && (k.Sigma == 0 || k.Spread == 0), prefix+"sigma", "a number of 0 or more, without spread")
+	check(0 <= k.TailShare && k.TailShare < 1, prefix+"tail", "a share below 1")
+	check(k.TailShare == 0 || 0 < k.TailFactors[0] && k.TailFactors[0] <= k.TailFactors[1], prefix+"tailTimes", "two numbers above 0, the lower one first")
+	check(0 <= k.DeadlineSpread && k.Deadline*(1-k.DeadlineSpread) >= k.Objective, prefix+"deadlineSpread", "a share that leaves objectiveMs")
+	check(k.Worth > 0, prefix+"worth", "a number above 0")
+	check(0 <= k.LateWorth && k.LateWorth <= k.Worth, prefix+"lateWorth", "at most worth")
+	check(k.Objective > 0, prefix+"objectiveMs", "a number above 0")
+	check(k.Deadline >= k.Objective, prefix+"deadlineMs", "at least objectiveMs")
+}
+
+// validate checks the fields of the targets, whose names begin with prefix.
+func (t *Target) validate(check func(ok bool, field, want string), prefix string) {
+	check(t.Count > 0, prefix+"count", "a number above 0")
+	check(t.Slots > 0, prefix+"slots", "a number above 0")
+	check(t.Slowness > 0, prefix+"slowness", "a number above 0")
+	check(0 <= t.ShedShare && t.ShedShare < 1, prefix+"shedShare", "a share below 1")
+	check(t.Lost == 0 || t.Back > t.Lost, prefix+"backMs", "a time after lostMs")
+	check(t.FlapEnd == 0 || t.FlapPeriod > 0, prefix+"flapEveryMs", "a number above 0")
+	check(t.SlowDuration == 0 || t.SlowFactor > 0, prefix+"slowTimes", "a number above 0")
+}
+
 // capacity returns the requests per second that the targets can serve if work is distributed evenly.
 func (l *Load) capacity() float64 {
 	work, shares := 0.0, 0.0
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -15,8 +15,14 @@
 	// Level is the load, as a share of the targets' capacity.
 	Level float64
 	Kinds []Outcome
+	// seconds counts the requests of all kinds by the second in which they arrived, and starts has the times
+	// at which each target began a request.
+	seconds []second
+	starts  map[int][]time.Duration
 }
 
+type second struct{ arrived, inTime int }
+
 // Outcome counts the outcomes of one kind's requests. Those answered after their
 // deadline count as refused.
 type Outcome struct {
@@ -42,7 +48,60 @@
 
 func (r *Report) outcomeOf(q *request) *Outcome { return &r.Kinds[q.kindNumber-1] }
 
-func (r *Report) recordArrival(q *request) { r.outcomeOf(q).Arrived++ }
+func (r *Report) recordArrival(q *request) {
+	r.outcomeOf(q).Arrived++
+	r.secondOf(q).arrived++
+}
+
+// secondOf returns the counts of the second in which a request arrived.
+func (r *Report) secondOf(q *request) *second {
+	n := int(q.arrival / time.Second)
+	for len(r.seconds) <= n {
+		r.seconds = append(r.seconds, second{})
+	}
+	return &r.seconds[n]
+}
+
+func (r *Report) recordStart(target int, at time.Duration) {
+	if r.starts == nil {
+		r.starts = map[int][]time.Duration{}
+	}
+	r.starts[target] = append(r.starts[target], at)
+}
+
+// InTimeBetween returns the share of the requests that arrived in the given seconds that were answered in time.
+func (r *Report) InTimeBetween(from, to int) float64 {
+	arrived, inTime := 0, 0
+	for _, s := range r.seconds[min(from, len(r.seconds)):min(to, len(r.seconds))] {
+		arrived += s.arrived
+		inTime += s.inTime
+	}
+	return float64(inTime) / float64(max(1, arrived))
+}
+
+// fullUseShare is the share of a target's usual number of requests that counts as full use.
+const fullUseShare = 0.9
+
+// UntilFullUse returns the time from the given moment until the targets begin, over the following second, as many
+// requests as on average in the seconds from steady to the end.
+func (r *Report) UntilFullUse(targets []int, from, steady, end time.Duration) time.Duration {
+	count := func(a, b time.Duration) (n float64) {
+		for _, t := range targets {
+			for _, at := range r.starts[t] {
+				if at >= a && at < b {
+					n++
+				}
+			}
+		}
+		return n
+	}
+	usual := count(steady, end) / (end - steady).Seconds()
+	at := from
+	for at < end-time.Second && count(at, at+time.Second) < fullUseShare*usual {
+		at += 10 * time.Millisecond
+	}
+	return at - from
+}
 func (r *Report) recordRefusal(q *request) { r.outcomeOf(q).Refused++ }
 
 func (r *Report) recordQueueTime(q *request, d time.Duration) {
@@ -55,6 +114,7 @@
 	switch {
 	case at <= q.arrival+millis(q.kind.Objective):
 		o.InTime++
+		r.secondOf(q).inTime++
 	case at <= q.arrival+q.deadline:
 		o.Late++
 	default:
--- a/standin/experiment/simulate.go
+++ b/standin/experiment/simulate.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"basilcross.example/basilcross/roster"
 	"basilcross.example/basilcross/schedule"
+	"basilcross.example/basilcross/withdrawal"
 	"basilcross.example/standin/eventloop"
 )
 
@@ -21,6 +23,8 @@
 	retryWaitDivisor = 3
 	// minRetryAfter is the shortest wait before a retry that a refusal requests.
 	minRetryAfter = 50 * time.Millisecond
+	// lossKnownAfter is the time in milliseconds until a lost target's row is removed.
+	lossKnownAfter = 800
 	// reconnectDelay is the wait of a caller that retries immediately.
 	reconnectDelay = 5 * time.Millisecond
 )
@@ -28,8 +32,11 @@
 // schedulerRun simulates a load against the product's scheduler.
 type schedulerRun struct {
 	eventloop.Loop
-	scheduler   schedule.Scheduler
-	random      *rand.Rand
+	scheduler schedule.Scheduler
+	random    *rand.Rand
+	roster    *roster.Roster
+	// withdrawn are the targets that rest, as each instance knows it.
+	withdrawn   []withdrawal.List
 	targets     []*simTarget
 	queues      []*targetQueue
 	targetIndex map[string]int
@@ -44,6 +51,12 @@
 type targetQueue struct {
 	busy    int
 	waiting []func()
+	// attempts are those that run or wait, in order of arrival.
+	attempts []*attempt
+}
+
+func (q *targetQueue) remove(a *attempt) {
+	q.attempts = slices.DeleteFunc(q.attempts, func(o *attempt) bool { return o == a })
 }
 
 // attempt is one attempt of a caller to get a request answered.
@@ -63,18 +76,34 @@
 func (l *Load) Simulate(level float64, seed uint64) *Report {
 	s := &schedulerRun{
 		random: rand.New(rand.NewPCG(seed, 23)), targets: l.simTargets(), targetIndex: map[string]int{},
-		waiting: map[*schedule.Ticket]*attempt{}, report: l.newReport("schedule", level),
+		waiting: map[*schedule.Ticket]*attempt{}, roster: &roster.Roster{}, report: l.newReport("schedule", level),
 	}
 	list := make([]*roster.Target, 0, len(s.targets))
+	s.withdrawn = make([]withdrawal.List, len(l.OneWayDelays))
+	s.scheduler.Pace = l.Pace
 	for n, target := range s.targets {
 		id := fmt.Sprintf("t%03d", n)
 		s.targetIndex[id] = n
-		list = append(list, &roster.Target{ID: id, Service: "s", Zone: "z", Slots: target.Slots, Started: 1})
+		row := &roster.Target{ID: id, Service: "s", Zone: "z", Slots: target.Slots, Started: 1}
+		if target.Added == 0 {
+			list = append(list, row)
+		} else {
+			s.changeRow(target.Added, id, row)
+		}
+		if target.Lost > 0 {
+			s.After(millis(target.Lost), func() { s.lose(n) })
+			s.changeRow(target.Lost+lossKnownAfter, id, nil)
+			again := *row
+			again.Started = 2
+			s.changeRow(target.Back, id, &again)
+		}
+		for at := target.FlapFrom; target.FlapPeriod > 0 && at < target.FlapEnd; at += target.FlapPeriod {
+			s.After(millis(at), func() { s.lose(n) })
+		}
 		s.queues = append(s.queues, &targetQueue{})
 	}
-	targets := &roster.Roster{}
-	targets.Replace(startTime.Add(-time.Hour), list, 1)
-	s.scheduler.Roster = targets
+	s.roster.Replace(startTime.Add(-time.Hour), list, 1)
+	s.scheduler.Roster = s.roster
 	for _, r := range l.requests(level, seed) {
 		s.After(r.arrival, func() {
 			s.report.recordArrival(r)
@@ -85,6 +114,26 @@
 	return s.report
 }
 
+// changeRow changes a target's row at a time in milliseconds.
+func (s *schedulerRun) changeRow(at float64, id string, t *roster.Target) {
+	s.After(millis(at), func() { s.roster.Apply(s.clock(), []roster.Change{{ID: id, Target: t}}, 2) })
+}
+
+// lose ends what target n runs and what waits there.
+func (s *schedulerRun) lose(n int) {
+	q := s.queues[n]
+	s.queues[n] = &targetQueue{}
+	for _, a := range q.attempts {
+		s.release(a, schedule.Failed)
+		s.report.recordRefusal(a.req)
+	}
+}
+
+// release reports how an attempt ended to the scheduler.
+func (s *schedulerRun) release(a *attempt, r schedule.Result) {
+	s.After(2*a.req.oneWayDelay, func() { s.sendAdmitted(s.scheduler.Release(s.clock(), a.ticket, r)) })
+}
+
 func (s *schedulerRun) clock() time.Time { return startTime.Add(s.Now) }
 
 // startAttempt sends a caller's attempt to an instance, which submits it to the scheduler.
@@ -100,6 +149,7 @@
 	if a.req.target >= 0 {
 		r.Target = fmt.Sprintf("t%03d", a.req.target)
 	}
+	r.Excluded = s.withoutWithdrawn(a)
 	t, err := s.scheduler.Submit(s.clock(), r)
 	if err != nil {
 		s.handleRefusal(a, err)
@@ -116,6 +166,23 @@
 	s.scheduleAdmission()
 }
 
+// withoutWithdrawn returns the targets that an attempt is not sent to, with those that want no requests from its
+// instance.
+func (s *schedulerRun) withoutWithdrawn(a *attempt) map[string]bool {
+	withdrawn, _ := s.withdrawn[a.req.instance].Withdrawn(s.clock(), "s")
+	if len(withdrawn) == 0 {
+		return a.excluded
+	}
+	excluded := maps.Clone(a.excluded)
+	if excluded == nil {
+		excluded = map[string]bool{}
+	}
+	for _, id := range withdrawn {
+		excluded[id] = true
+	}
+	return excluded
+}
+
 func (s *schedulerRun) scheduleExpiry(t *schedule.Ticket) {
 	s.After(t.WaitUntil.Sub(s.clock()), func() {
 		a := s.waiting[t]
@@ -167,10 +234,20 @@
 	n := s.targetIndex[t.Target.ID]
 	s.After(2*a.req.oneWayDelay, func() {
 		target, q := s.targets[n], s.queues[n]
+		if !target.isUp(s.Now) {
+			s.sendElsewhere(a, schedule.Unreachable)
+			return
+		}
+		if rest := target.restLeft(s.Now); rest > 0 {
+			s.withdrawn[a.req.instance].Rest(s.clock(), t.Target, rest)
+			s.sendElsewhere(a, schedule.Rested)
+			return
+		}
 		if s.random.Float64() < target.ShedShare {
-			s.handleShed(a, t)
+			s.sendElsewhere(a, schedule.Shed)
 			return
 		}
+		q.attempts = append(q.attempts, a)
 		if q.busy < target.Slots {
 			s.execute(a, n)
 			return
@@ -182,25 +259,29 @@
 func (s *schedulerRun) execute(a *attempt, n int) {
 	target, q := s.targets[n], s.queues[n]
 	q.busy++
+	s.report.recordStart(n, s.Now)
 	s.After(time.Duration(float64(a.req.work)*target.slownessAt(s.Now)), func() {
+		if s.queues[n] != q {
+			return
+		}
 		q.busy--
+		q.remove(a)
+		s.withdrawn[a.req.instance].Answered(s.clock(), a.ticket.Target.Incarnation())
 		if len(q.waiting) > 0 {
 			next := q.waiting[0]
 			q.waiting = q.waiting[1:]
 			next()
 		}
 		s.report.recordResponse(a.req, s.Now+a.req.oneWayDelay)
-		s.After(2*a.req.oneWayDelay, func() {
-			s.sendAdmitted(s.scheduler.Release(s.clock(), a.ticket, schedule.Answered))
-		})
+		s.release(a, schedule.Answered)
 	})
 }
 
-// handleShed resubmits a request that a target shed, excluding that target.
-func (s *schedulerRun) handleShed(a *attempt, t *schedule.Ticket) {
+// sendElsewhere resubmits a request that a target did not run, excluding that target.
+func (s *schedulerRun) sendElsewhere(a *attempt, r schedule.Result) {
 	s.After(2*a.req.oneWayDelay, func() {
-		s.sendAdmitted(s.scheduler.Release(s.clock(), t, schedule.Shed))
-		excluded := map[string]bool{t.Target.ID: true}
+		s.sendAdmitted(s.scheduler.Release(s.clock(), a.ticket, r))
+		excluded := map[string]bool{a.ticket.Target.ID: true}
 		for id := range a.excluded {
 			excluded[id] = true
 		}
