--- a/basilcross/dispatch/dispatch_test.go
+++ b/basilcross/dispatch/dispatch_test.go
@@ -193,3 +193,21 @@
 		assert.Equal(t, len(d.TargetLatencies()), 0)
 	})
 }
+
+// Guards against a dispatcher that does not pass the feature on to its scheduler.
+func TestPacedTargetGetsOneRequestAtFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDispatcher(&roster.Target{ID: "a", Slots: 3})
+		began := 0
+		d.Pace, d.OnPace = true, func(schedule.PaceChange) { began++ }
+		time.Sleep(time.Minute)
+		d.Roster.Apply(time.Now(), []roster.Change{{ID: "b", Target: &roster.Target{ID: "b", Slots: 3, Service: "s", Zone: "z", Started: 1}}}, 2)
+		seen := map[string]int{}
+		for range 4 {
+			seen[acquire(t, d, request(0, time.Second)).Target.ID]++
+		}
+		assert.DeepEqual(t, seen, map[string]int{"a": 3, "b": 1})
+		assert.Equal(t, began, 1)
+		assert.Equal(t, d.PacedTargets(), 1)
+	})
+}
