--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -36,6 +36,9 @@
 	// Dispatcher.
 	Admission *schedule.Admission
 	Waitlist  bool
+	// Pace and OnPace are used as in schedule.Scheduler. OnPace must not call the Dispatcher.
+	Pace   bool
+	OnPace func(schedule.PaceChange)
 
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
@@ -62,6 +65,7 @@
 	d.scheduler.OnBackoff, d.scheduler.RateLimit = d.OnBackoff, d.RateLimit
 	d.scheduler.Admission, d.scheduler.Waitlist = d.Admission, d.Waitlist
 	d.scheduler.Speeds = d.Speeds
+	d.scheduler.Pace, d.scheduler.OnPace = d.Pace, d.OnPace
 	t, err := d.scheduler.Submit(time.Now(), r)
 	if err != nil || t.Target != nil {
 		d.mu.Unlock()
@@ -199,3 +203,11 @@
 	d.scheduler.Roster = d.Roster
 	return d.scheduler.TargetLatencies()
 }
+
+// PacedTargets returns the number of targets that are paced here.
+func (d *Dispatcher) PacedTargets() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Roster = d.Roster
+	return d.scheduler.PacedTargets()
+}
--- a/basilcross/event/event.go
+++ b/basilcross/event/event.go
@@ -106,6 +106,7 @@
 	PoolOverloaded     = Event{423, "poolOverloaded", slog.LevelWarn, "More requests arrive for the targets of a service in a zone than they can serve. Those that cannot be answered in time are refused at once, until event 424. The load is the work that arrives, as a multiple of what the slots can do.", "Add targets to the service, or find out why the demand has risen."}
 	PoolRecovered      = Event{424, "poolRecovered", slog.LevelInfo, "The overload of event 423 is over. The line has its duration and the number of requests that were refused.", ""}
 	BodyRefused        = Event{427, "bodyRefused", slog.LevelInfo, "A request's body did not fit into the bytes that this instance may hold, or lost its share since it arrived too slowly while others were refused. The request has not run. The line has the stated length (-1 for none), the bytes that the body wanted or that had arrived, what is held and the limit.", "If it lasts, see how long requests with bodies take, or give the instances more memory."}
+	TargetPaced        = Event{426, "targetPaced", slog.LevelInfo, "This instance, which schedules a target, limits the requests in flight at it, since the target has started or recovered, or does so no longer. The line has the cause, and at the end how long it lasted and how many answers were counted. An instance logs at most 40 of these lines in 20 s; leftOut is how many were left out before this one.", "If a target's pace does not end, or begins again and again, look at the target: it answers later than it used to, or fails."}
 	LinesLeftOut       = Event{106, "linesLeftOut", slog.LevelWarn, "Log lines were dropped, since more were logged than may be written. The line says how many, and of which event if a single event exceeded its limit.", ""}
 	Reloaded           = Event{105, "reloaded", slog.LevelInfo, "The settings were reloaded, or the previous ones stay in force because of an error.", ""}
 	Reading            = Event{108, "reading", slog.LevelInfo, "This instance starts to poll the store's feeds itself, or to rely on the updates that other instances of its zone forward.", ""}
@@ -123,7 +124,7 @@
 		TargetFailing, TargetAnswers, AssignmentWritten, AssignmentRefused, AssignmentLoaded, SnapshotDamaged,
 		TargetsLoaded, TargetCame, TargetLeft, TargetsChanged, GrantFailed, KeysReleased, KeysRecorded, OrderDropped, TargetGone, StoreInDoubt, OrderChannel, KeysInherited,
 		TargetSilent, AnswerCut, TargetEjected, RequestAnswered, RequestRefused, AttemptFailed, SchedulerSilent, PlacementDenied, LoadUnusable, LinksDown, LinksBack, TargetAvoided, RequestForwarded, ForwardUnusable, TargetEndedUnder, RequestQuarantined, RequestCleared, RetryShareChanged, RateLimitChanged, RateLimitUnusable, TargetRests, TargetLeaves, WithdrawalUnusable, PoolOverloaded, PoolRecovered, BodyRefused, KeysInherited, SpeedsRestored, SpeedsUnusable,
-		TargetSilent,
+		TargetSilent, TargetPaced,
 		ConfigInForce, ConfigAccepted, ConfigStale, ConfigOverdue, ZoneEvacuated, ZoneReturned, RegionUnknown, RouteTypeUnknown,
 		PlatformDown, PlatformBack, RelayInUse,
 		HistoryLost, TableLost, TableBack, DatagramFailed, StoreCallFailed, StoreCalled, RowUnusable, PeerStateTaken, TransferBroken,
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"basilcross.example/basilcross/pace"
 	"basilcross.example/basilcross/roster"
 )
 
@@ -56,6 +57,9 @@
 // slownessOf returns how long the target needs for work now, as a multiple of an average
 // target's time.
 func (s *service) slownessOf(now time.Time, t *roster.Target, st *targetState, r *Request) float64 {
+	if slowness := st.pace.Slowness(); slowness > 0 {
+		return slowness
+	}
 	return st.slowness * warmupFactor(now, t) * s.momentarySlowness(now, st, r)
 }
 
@@ -73,6 +77,11 @@
 	took = max(took, minWork)
 	slowness := s.slownessOf(now, t.Target, st, &t.Request)
 	k := s.kinds[t.Request.Kind]
+	if k != nil && st.pace.Paced() {
+		// recordPace updates what a paced target's answers show.
+		k.lastAnswer = now
+		return
+	}
 	if k == nil {
 		k = &kindStats{work: took.Seconds() / slowness}
 		s.kinds[t.Request.Kind] = k
@@ -93,3 +102,9 @@
 }
 
 func sampleWeight(least float64, answers int) float64 { return max(least, 1/float64(answers+1)) }
+
+// observePaced updates the slowness of a paced target with an answer that was not late by the requests in flight. The
+// kind's work is not updated: the target may be slower than usual.
+func (s *service) observePaced(st *targetState, r pace.Response) {
+	st.slowness *= 1 + pacedSlownessWeight*(min(r.Slowness/r.Usual, maxRatio)-1)
+}
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -136,6 +136,7 @@
 	configLag    configLag
 	patches      patches
 	withdrawn    withdrawal.List
+	paceLines    paceLines
 	shuttingDown atomic.Bool
 	wasReady     atomic.Bool
 }
@@ -177,7 +178,7 @@
 		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds, Pace: i.features.Pace, OnPace: i.logPace}
 	if i.features.Admission {
 		i.dispatcher.Admission = &schedule.Admission{OnOverload: i.logOverload}
 	}
@@ -197,7 +198,7 @@
 		ParseRest: platform.ParseRest, ParseLeaving: platform.ParseLeaving, Withdrawn: &i.withdrawn, OnLeaving: i.leavers.record, Broker: i.broker, Roster: i.state.roster, Pools: i.pools, Links: i.links, ReachesTargets: i.reachesTargets,
 		ProbeTargets: i.probeTargets, Quarantine: &i.quarantiner.list, OnEnded: i.quarantiner.ended, OnCleared: i.quarantiner.cleared, Forwarder: i.forwarder, Table: i.state.routes.Load,
 		CurrentAssignment: i.state.currentAssignment, OwnerChangedSince: i.state.ownerChangedSince, Thin: i.replicator.thin.Load, Started: i.canServe, Loads: i.loads, Metrics: front.NewMetrics(i.registry), Log: log,
-		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap, TimeLimits: newTimeLimits(i.features), Bodies: i.bodies,
+		RetryLimits: i.retryLimits, FirstStart: s.Bootstrap, TimeLimits: newTimeLimits(i.features), Bodies: i.bodies, Pace: i.features.Pace,
 	})
 	i.state.targetsChanged = i.front.TargetsChanged
 	i.registerMetrics(i.registry)
--- a/gateway/instance/metrics_test.go
+++ b/gateway/instance/metrics_test.go
@@ -29,7 +29,7 @@
 		found++
 		assert.Assert(t, strings.Contains(string(page), "`"+f.GetName()+"`"), f.GetName())
 	}
-	assert.Equal(t, found, 18)
+	assert.Equal(t, found, 19)
 }
 
 // Guards against a limit on held bytes that is in force without its feature, or not the stated share of
--- a/standin/experiment/load.go
+++ b/standin/experiment/load.go
@@ -32,12 +32,13 @@
 	Bursts       []Burst   `json:"bursts"`
 	// ImmediateRetryShare is the share of callers that retry without the requested wait.
 	ImmediateRetryShare float64 `json:"atOnceShare"`
-	// Admission and Waitlist switch on the features of the same names.
+	// Admission, Waitlist and Pace switch on the features of the same names.
 	Admission bool `json:"admission"`
 	Waitlist  bool `json:"waitlist"`
 	// FirstAttemptKnown counts the objective of a caller retry from the first attempt, as a perfect
 	// estimate of that attempt's time would.
 	FirstAttemptKnown bool `json:"firstAttemptKnown"`
+	Pace              bool `json:"pace"`
 
 	// observe, if set, is called with each request's outcome.
 	observe func(r *request, inTime bool)
@@ -55,6 +56,19 @@
 	SlowFrom     float64 `json:"slowFromMs"`
 	SlowDuration float64 `json:"slowForMs"`
 	SlowFactor   float64 `json:"slowTimes"`
+	// Added is when the targets are added; 0 if they are there from the beginning.
+	Added float64 `json:"addedMs"`
+	// The targets end at Lost, and start again at Back under the same IDs.
+	Lost float64 `json:"lostMs"`
+	Back float64 `json:"backMs"`
+	// From RestFrom on for RestDuration they turn requests away and ask for a rest until its end.
+	RestFrom     float64 `json:"restFromMs"`
+	RestDuration float64 `json:"restForMs"`
+	// From FlapFrom on until FlapEnd they accept no connections during the first FlapDown of each FlapPeriod.
+	FlapFrom   float64 `json:"flapFromMs"`
+	FlapEnd    float64 `json:"flapEndMs"`
+	FlapPeriod float64 `json:"flapEveryMs"`
+	FlapDown   float64 `json:"flapForMs"`
 }
 
 // Kind is a kind of request, with its share of the load and what a response is worth.
@@ -142,12 +156,7 @@
 	check(len(l.OneWayDelays) > 0, "transitsMs", "at least one")
 	check(len(l.Targets) > 0, "targets", "at least one")
 	for i, t := range l.Targets {
-		prefix := fmt.Sprintf("targets[%d].", i)
-		check(t.Count > 0, prefix+"count", "a number above 0")
-		check(t.Slots > 0, prefix+"slots", "a number above 0")
-		check(t.Slowness > 0, prefix+"slowness", "a number above 0")
-		check(0 <= t.ShedShare && t.ShedShare < 1, prefix+"shedShare", "a share below 1")
-		check(t.SlowDuration == 0 || t.SlowFactor > 0, prefix+"slowTimes", "a number above 0")
+		t.validate(check, fmt.Sprintf("targets[%d].", i))
 	}
 	check(len(l.Kinds) > 0, "kinds", "at least one")
 	for i, k := range l.Kinds {
@@ -175,6 +184,17 @@
 	check(k.Deadline >= k.Objective, prefix+"deadlineMs", "at least objectiveMs")
 }
 
+// validate checks the fields of the targets, whose names begin with prefix.
+func (t *Target) validate(check func(ok bool, field, want string), prefix string) {
+	check(t.Count > 0, prefix+"count", "a number above 0")
+	check(t.Slots > 0, prefix+"slots", "a number above 0")
+	check(t.Slowness > 0, prefix+"slowness", "a number above 0")
+	check(0 <= t.ShedShare && t.ShedShare < 1, prefix+"shedShare", "a share below 1")
+	check(t.Lost == 0 || t.Back > t.Lost, prefix+"backMs", "a time after lostMs")
+	check(t.FlapEnd == 0 || t.FlapPeriod > 0, prefix+"flapEveryMs", "a number above 0")
+	check(t.SlowDuration == 0 || t.SlowFactor > 0, prefix+"slowTimes", "a number above 0")
+}
+
 // capacity returns the requests per second that the targets can serve if work is distributed evenly.
 func (l *Load) capacity() float64 {
 	work, shares := 0.0, 0.0
