Keep what a scheduler knows when it is told of other targets

Cause: a coordinator that begins its term tells hubs of all targets of their zone, most of which other hubs schedule. The work of the kinds was adapted to the told targets, also if these had not answered here, which changed what a scheduler that has run for long expects of its own targets. Besides, a target that always reports the same momentary slowness was taken to be faster than it is, and each answer went over all kinds of a service.

Change: the work is adapted by the answers so far. Momentary slowness is relative to the target's own reports. The average work of the kinds is calculated again after as many answers as there are kinds.

Measured: a told target without answers changes no latency (TestToldSlownessChangesNoKnownTarget); a target three times slower that always reports 3 is estimated within 2.8 and 3.2.

--- a/basilcross/schedule/speeds.go
+++ b/basilcross/schedule/speeds.go
@@ -16,9 +16,17 @@
 // they do not depend on which targets the scheduler has.
 type speeds struct {
 	estimator speed.Estimator
-	// logReported is the average logarithm of the momentary slowness that targets report.
-	logReported float64
-	reports     int
+	reported  map[roster.Incarnation]*reportedAverage
+	// mixedWork is the result of service.mixedWork, which is calculated again after recountIn answers.
+	mixedWork float64
+	recountIn int
+}
+
+// reportedAverage is the average logarithm of the momentary slowness that a target reports. Only the
+// deviation from it is momentary: a target that always reports the same is as slow as it answers.
+type reportedAverage struct {
+	mean    float64
+	reports int
 }
 
 // record records the time that a request of a kind with the given work took, of average work in seconds.
@@ -29,30 +37,49 @@
 	}
 	ratio := took.Seconds() * averageWork / work
 	if t.ReportedSlowness > 0 {
-		x := math.Log(t.ReportedSlowness)
-		e.reports++
-		e.logReported += max(reportWeight, 1/float64(e.reports)) * (x - e.logReported)
-		ratio *= math.Exp(e.logReported - x)
+		ratio *= math.Exp(-e.deviation(t.Target.Incarnation(), math.Log(t.ReportedSlowness)))
 	}
 	e.estimator.Record(t.Target.Incarnation(), ratio)
 }
 
+// deviation adds a reported logarithm, and returns its deviation from the target's average.
+func (e *speeds) deviation(target roster.Incarnation, x float64) float64 {
+	if e.reported == nil {
+		e.reported = map[roster.Incarnation]*reportedAverage{}
+	}
+	a := e.reported[target]
+	if a == nil {
+		a = &reportedAverage{}
+		e.reported[target] = a
+	}
+	a.reports++
+	a.mean += max(reportWeight, 1/float64(a.reports)) * (x - a.mean)
+	return x - a.mean
+}
+
 // drop drops the estimate of a target that has ended.
 func (e *speeds) drop(target roster.Incarnation) {
 	if e != nil {
 		e.estimator.Drop(target)
+		delete(e.reported, target)
 	}
 }
 
 // mixedWork returns the average work of the requests answered so far, in seconds. Unlike averageWork it
-// is the kind's own if there is only one kind.
+// is the kind's own if there is only one kind. With many kinds it is not calculated at each answer.
 func (s *service) mixedWork() float64 {
+	if s.speeds.recountIn > 0 {
+		s.speeds.recountIn--
+		return s.speeds.mixedWork
+	}
+	s.speeds.recountIn = len(s.kinds) - 1
 	work, answers := 0.0, 0
 	for _, k := range s.kinds {
 		work += k.work * float64(k.answers)
 		answers += k.answers
 	}
-	return work / float64(answers)
+	s.speeds.mixedWork = work / float64(answers)
+	return s.speeds.mixedWork
 }
 
 // SpeedEstimates returns the estimates of all targets' speeds, except ended incarnations, by service. It
@@ -75,11 +102,11 @@
 
 // SetKnownSlowness sets the slowness of targets of a service, relative to its average target, that have
 // hardly answered this scheduler, to what other instances know. The work of the service's kinds is
-// adapted, so that the times expected of all these targets together stay the same.
+// adapted, so that the times expected of the targets that have answered stay the same on average.
 func (s *Scheduler) SetKnownSlowness(name string, known map[roster.Incarnation]float64) {
 	view := s.Roster.Load()
 	svc := s.serviceFor(name)
-	before, after := 0.0, 0.0
+	before := svc.answeredSlowness()
 	for incarnation, slowness := range known {
 		t := view.Find(incarnation.ID)
 		if t == nil || t.Started != incarnation.Started || t.Service != name || !(slowness > 0) {
@@ -89,10 +116,9 @@
 		if st.answers >= knownAnswers {
 			continue
 		}
-		before += st.slowness
-		after += slowness
 		st.slowness, st.told = slowness, knownAnswers
 	}
+	after := svc.answeredSlowness()
 	if after == 0 {
 		return
 	}
@@ -100,4 +126,16 @@
 		k.work *= before / after
 	}
 	svc.meanWork *= before / after
+	if svc.speeds != nil {
+		svc.speeds.recountIn = 0
+	}
+}
+
+// answeredSlowness returns the sum of the slowness that was expected of each answer so far, as it is
+// estimated now.
+func (s *service) answeredSlowness() (sum float64) {
+	for _, st := range s.targets {
+		sum += float64(st.answers) * st.slowness
+	}
+	return sum
 }
