Test that a started scheduler is told speeds once

Cause: the datagrams to a scheduler that starts were covered only for the coordinator's own instance.

Change: a test with a socket in place of the scheduler: it is told once, and again after another start. The other tests' coordinators list no instance that reaches the targets, so that they do not resign.

--- a/gateway/coordinator/speeds_test.go
+++ b/gateway/coordinator/speeds_test.go
@@ -25,6 +25,7 @@
 	"basilcross.example/gateway/peers"
 	"basilcross.example/platform"
 	"basilcross.example/platform/standin"
+	"github.com/fxamacker/cbor/v2"
 	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
@@ -38,6 +39,8 @@
 	// refuseReads makes the store refuse to read speeds, and refuseWrites transactions that write some.
 	refuseReads, refuseWrites atomic.Bool
 	speedWrites, writes       atomic.Int64
+	// others are the other instances that coordinators list.
+	others []peers.Instance
 }
 
 func newSpeedFleet(t *testing.T) *speedFleet {
@@ -91,15 +94,21 @@
 	table := routing.New(&routing.Config{Version: 1, Services: []routing.Service{{Name: "lists", Sharded: true, HealthPath: standin.HealthPath}}})
 	log := slog.New(slog.DiscardHandler)
 	s := &speedCoordinator{f: f}
+	listed := &peers.Peers{Log: log, Self: peers.Instance{Name: name, Zone: "z", Datagram: "127.0.0.1:0"}}
+	assert.NilError(f.t, listed.Listen())
+	for _, other := range f.others {
+		listed.Add(other)
+	}
 	s.Coordinator = New(Options{
 		Quarantine: &quarantine.List{}, OnQuarantined: func(time.Time, []peers.Quarantined) {},
 		Self:          peers.Instance{Name: name, Incarnation: name, Cores: 1, Zone: "z"},
 		Store:         &platform.Store{Address: strings.TrimPrefix(f.server.URL, "http://"), HTTP: f.server.Client()},
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
 		ReleaseClient: &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{}}},
-		Links:         &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return true },
+		// No target answers. The coordinator would resign if another instance reached them.
+		Links: &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return false },
 		ReachesTargets: func(context.Context, string) bool { return true },
-		Peers:          &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
+		Peers:          listed, Roster: f.roster, Table: func() *routing.Table { return table },
 		Placement: func() *placement.Policy { return &placement.Policy{} },
 		Revisions: func() map[string]uint64 { return nil }, OnLeading: func(int, bool) {}, RestartFeeds: func() {},
 		OnUpdate: func(*peers.AssignmentUpdate) {}, OnOversizedUpdate: func() {}, Log: log, Joined: func() bool { return true },
@@ -204,6 +213,51 @@
 	assert.Equal(t, f.store.RangeCount(SpeedTable), 2)
 }
 
+// receiveSpeeds returns the speeds in the next datagram with some, or nil after a second.
+func receiveSpeeds(t *testing.T, conn *net.UDPConn) []peers.TargetSpeed {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return nil
+		}
+		m := peers.Message{}
+		assert.NilError(t, cbor.Unmarshal(buffer[:n], &m))
+		if m.Report != nil {
+			return m.Report.Speeds
+		}
+	}
+}
+
+// An instance that has started takes all targets to be average, and gives slow ones too many requests
+// until they have answered. It must be told once, and again only after another start.
+func TestStartedSchedulerIsToldSpeeds(t *testing.T) {
+	t.Parallel()
+	f := newSpeedFleet(t)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	started := peers.Instance{Name: "started", Incarnation: "first", Zone: "z", Datagram: conn.LocalAddr().String()}
+	f.others = []peers.Instance{started}
+	c := f.run("one", true)
+	c.report(200_000)
+	c.waitFor("knows speeds", func() bool { return len(c.speeds.of("lists").relative) == 6 })
+	for _, incarnation := range []string{"first", "second"} {
+		started.Incarnation = incarnation
+		c.Receive(&peers.Message{From: started.Name, Hello: &started})
+		told := receiveSpeeds(t, conn)
+		assert.Equal(t, len(told), 6)
+		for _, s := range told {
+			assert.Equal(t, s.Us > 1_000_000, s.Target == "t0" || s.Target == "t3")
+			assert.Equal(t, s.Answers, int64(0))
+		}
+		c.Receive(&peers.Message{From: started.Name, Hello: &started})
+		assert.Equal(t, len(receiveSpeeds(t, conn)), 0)
+	}
+}
+
 // Deviations by chance must not be written.
 func TestSpeedsAreWrittenOnlyIfChanged(t *testing.T) {
 	t.Parallel()
