--- a/basilcross/bodybudget/bodybudget.go
+++ b/basilcross/bodybudget/bodybudget.go
@@ -75,8 +75,10 @@
 	epoch     time.Time
 	ageSum    float64
 	refusedAt time.Time
-	// holdTime is the mean time for which bodies were held, weighted by their sizes; 0 if none was released.
-	holdTime time.Duration
+	// holdTime is the mean time for which bodies were held, weighted by their sizes, and releasedBytes the
+	// bytes from which it was taken, up to holdTimeParts times the class's capacity; 0 if none were released.
+	holdTime      time.Duration
+	releasedBytes int64
 	// promised is the number of bytes of refused bodies that are expected to return for the room
 	// that is released next; promisedAt is when that was so.
 	promised   float64
@@ -112,7 +114,7 @@
 // wait returns the time after which the missing bytes are expected to be released, and those that were
 // promised to others before. The class may take capacity bytes, and releases as many in the time for
 // which a body is held. If the caller waits that long, the bytes are promised to it.
-func (h *held) wait(now time.Time, missing, size, capacity int64, patience time.Duration) time.Duration {
+func (h *held) wait(now time.Time, missing, size, capacity int64, maxWait time.Duration) time.Duration {
 	hold := h.expectedHoldTime(now)
 	released := float64(capacity) * now.Sub(h.promisedAt).Seconds() / hold.Seconds()
 	h.promised, h.promisedAt = max(0, h.promised-released), now
@@ -121,7 +123,7 @@
 		part += float64(min(max(missing, 0), h.bytes)) / float64(h.bytes)
 	}
 	wait := time.Duration(part * float64(hold))
-	if wait <= patience {
+	if wait <= maxWait {
 		h.promised += float64(min(size, capacity))
 	}
 	return wait
@@ -130,11 +132,8 @@
 // recordRelease updates the mean time for which bodies are held.
 func (h *held) recordRelease(took time.Duration, released, capacity int64) {
 	took = max(took, time.Millisecond)
-	if h.holdTime == 0 {
-		h.holdTime = took
-		return
-	}
-	weight := min(1, float64(released)/float64(holdTimeParts*capacity))
+	h.releasedBytes = min(h.releasedBytes+released, holdTimeParts*capacity)
+	weight := min(1, float64(released)/float64(max(1, h.releasedBytes)))
 	h.holdTime += time.Duration(weight * float64(took-h.holdTime))
 }
 
@@ -160,14 +159,14 @@
 }
 
 // Reserve takes the bytes for a body; a body of unknown length begins with what it needs first. If they
-// do not fit, the error is a *FullError. The caller that sends the body waits for at most patience
+// do not fit, the error is a *FullError. The caller that sends the body waits for at most maxWait
 // before it returns, so a later time is promised to others.
-func (b *Budget) Reserve(now time.Time, size int64, patience time.Duration) (*Share, error) {
+func (b *Budget) Reserve(now time.Time, size int64, maxWait time.Duration) (*Share, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := &Share{budget: b, began: now, checkedAt: now}
 	if reason := b.refuses(s, size); reason != "" {
-		return nil, b.refuse(now, reason, size, size, patience)
+		return nil, b.refuse(now, reason, size, size, maxWait)
 	}
 	s.size = size
 	b.class(size).add(s, 1)
@@ -176,7 +175,7 @@
 
 // Grow makes the share as large as size. If the bytes do not fit, the error is a *FullError, and the
 // share stays as it is.
-func (s *Share) Grow(now time.Time, size int64, patience time.Duration) error {
+func (s *Share) Grow(now time.Time, size int64, maxWait time.Duration) error {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -184,7 +183,7 @@
 		return nil
 	}
 	if reason := b.refuses(s, size); reason != "" {
-		return b.refuse(now, reason, size, size-s.size, patience)
+		return b.refuse(now, reason, size, size-s.size, maxWait)
 	}
 	s.resize(size)
 	return nil
@@ -277,7 +276,7 @@
 }
 
 // refuse records a refusal and returns it. Of size, more bytes are missing. b.mu must be held.
-func (b *Budget) refuse(now time.Time, reason Reason, size, more int64, patience time.Duration) error {
+func (b *Budget) refuse(now time.Time, reason Reason, size, more int64, maxWait time.Duration) error {
 	h := b.class(size)
 	h.refusedAt = now
 	missing := h.bytes + more - b.capacity(h)
@@ -286,7 +285,7 @@
 	}
 	return &FullError{
 		Reason: reason, Size: size, Held: b.small.bytes + b.large.bytes, Limit: b.Bytes,
-		RetryAfter: h.wait(now, missing, more, b.capacity(h), patience),
+		RetryAfter: h.wait(now, missing, more, b.capacity(h), maxWait),
 	}
 }
 
--- a/basilcross/bodybudget/bodybudget_test.go
+++ b/basilcross/bodybudget/bodybudget_test.go
@@ -15,14 +15,14 @@
 	largest = budget / 4
 	// forLarge is what large bodies may take together.
 	forLarge = budget - budget/8
-	patience = time.Minute
+	maxWait  = time.Minute
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func reserve(t *testing.T, b *bodybudget.Budget, size int64) *bodybudget.Share {
 	t.Helper()
-	s, err := b.Reserve(start, size, patience)
+	s, err := b.Reserve(start, size, maxWait)
 	assert.NilError(t, err)
 	return s
 }
@@ -39,7 +39,7 @@
 	b := &bodybudget.Budget{}
 	assert.Assert(t, !b.Limited())
 	s := reserve(t, b, 1<<40)
-	assert.NilError(t, s.Grow(start, 1<<41, patience))
+	assert.NilError(t, s.Grow(start, 1<<41, maxWait))
 	assert.Equal(t, b.Held(), int64(1<<41))
 	s.Release(start)
 	assert.Equal(t, b.Held(), int64(0))
@@ -52,7 +52,7 @@
 		reserve(t, b, largest)
 	}
 	reserve(t, b, forLarge%largest)
-	_, err := b.Reserve(start, bodybudget.SmallBody+1, patience)
+	_, err := b.Reserve(start, bodybudget.SmallBody+1, maxWait)
 	refusal(t, err, bodybudget.Full)
 	var last *bodybudget.Share
 	for range budget / 8 / bodybudget.SmallBody {
@@ -61,7 +61,7 @@
 	assert.Equal(t, b.Held(), int64(budget))
 	later := start.Add(bodybudget.StallTime)
 	assert.Assert(t, !last.Stalled(later, 0), "no small body was refused")
-	_, err = b.Reserve(later, 1, patience)
+	_, err = b.Reserve(later, 1, maxWait)
 	refusal(t, err, bodybudget.SmallFull)
 	assert.Assert(t, last.Stalled(later.Add(bodybudget.StallTime), 0))
 }
@@ -70,25 +70,25 @@
 func TestNoBodyTakesMoreThanAQuarterBesideOthers(t *testing.T) {
 	b := &bodybudget.Budget{Bytes: budget}
 	first := reserve(t, b, largest*2)
-	_, err := b.Reserve(start, largest+1, patience)
+	_, err := b.Reserve(start, largest+1, maxWait)
 	refusal(t, err, bodybudget.Quarter)
 	grown := reserve(t, b, largest)
-	refusal(t, grown.Grow(start, largest+1, patience), bodybudget.Quarter)
+	refusal(t, grown.Grow(start, largest+1, maxWait), bodybudget.Quarter)
 	first.Release(start)
-	assert.NilError(t, grown.Grow(start, largest+1, patience))
+	assert.NilError(t, grown.Grow(start, largest+1, maxWait))
 }
 
 // Guards against a body that is larger than the budget, and never served, or served beside others.
 func TestBodyAboveTheBudgetIsHeldAlone(t *testing.T) {
 	b := &bodybudget.Budget{Bytes: budget}
 	other := reserve(t, b, 1<<20)
-	_, err := b.Reserve(start, 3*budget, patience)
+	_, err := b.Reserve(start, 3*budget, maxWait)
 	refusal(t, err, bodybudget.Quarter)
 	other.Release(start)
 	alone := reserve(t, b, 3*budget)
-	_, err = b.Reserve(start, 3*budget, patience)
+	_, err = b.Reserve(start, 3*budget, maxWait)
 	refusal(t, err, bodybudget.Quarter)
-	_, err = b.Reserve(start, 1<<20, patience)
+	_, err = b.Reserve(start, 1<<20, maxWait)
 	refusal(t, err, bodybudget.Full)
 	reserve(t, b, 100)
 	alone.Release(start)
@@ -102,7 +102,7 @@
 	slow, steady := reserve(t, b, 1<<20), reserve(t, b, 1<<20)
 	at := start.Add(bodybudget.StallTime)
 	assert.Assert(t, !slow.Stalled(at, 0), "none was refused")
-	_, err := b.Reserve(at.Add(time.Millisecond), largest*3, patience)
+	_, err := b.Reserve(at.Add(time.Millisecond), largest*3, maxWait)
 	refusal(t, err, bodybudget.Quarter)
 	at = at.Add(bodybudget.StallTime)
 	assert.Assert(t, slow.Stalled(at, bodybudget.StallBytes-1))
@@ -121,7 +121,7 @@
 	now := start.Add(100 * time.Millisecond)
 	var last time.Duration
 	for range 5 {
-		_, err := b.Reserve(now, 2<<20, patience)
+		_, err := b.Reserve(now, 2<<20, maxWait)
 		full := refusal(t, err, bodybudget.Full)
 		assert.Assert(t, full.RetryAfter > last+150*time.Millisecond, "%v after %v", full.RetryAfter, last)
 		last = full.RetryAfter
@@ -131,7 +131,7 @@
 		full := refusal(t, err, bodybudget.Full)
 		assert.Assert(t, full.RetryAfter < last+time.Second, "%v", full.RetryAfter)
 	}
-	_, err := b.Reserve(now.Add(last), 2<<20, patience)
+	_, err := b.Reserve(now.Add(last), 2<<20, maxWait)
 	assert.Assert(t, refusal(t, err, bodybudget.Full).RetryAfter < last, "the places have passed")
 }
 
@@ -143,7 +143,7 @@
 		for range 3 {
 			reserve(t, b, 2<<20)
 		}
-		_, err := b.Reserve(start, 2<<20, patience)
+		_, err := b.Reserve(start, 2<<20, maxWait)
 		return refusal(t, err, bodybudget.Full).RetryAfter
 	}
 	assert.Assert(t, wait(100*time.Millisecond) < 100*time.Millisecond)
@@ -175,7 +175,7 @@
 		if b.Held() != 0 {
 			t.Fatalf("%d bytes held after all were released", b.Held())
 		}
-		if _, err := b.Reserve(now, limit, patience); err != nil {
+		if _, err := b.Reserve(now, limit, maxWait); err != nil {
 			t.Fatalf("an empty budget refuses %d of %d: %v", limit, limit, err)
 		}
 	})
@@ -189,11 +189,11 @@
 	switch {
 	case step == "reserve" || n == len(bodies):
 		var s *bodybudget.Share
-		if s, err = b.Reserve(now, size, patience); err == nil {
+		if s, err = b.Reserve(now, size, maxWait); err == nil {
 			bodies = append(bodies, body{s, size})
 		}
 	case step == "grow":
-		if err = bodies[n].share.Grow(now, size, patience); err == nil {
+		if err = bodies[n].share.Grow(now, size, maxWait); err == nil {
 			bodies[n].size = max(bodies[n].size, size)
 		}
 	case step == "shrink":
@@ -227,3 +227,31 @@
 		t.Fatalf("%d bytes held of %d, of which one body takes %d", sum, b.Bytes, largest)
 	}
 }
+
+// Guards against a Retry-After that follows the first body released for a long time, however small it was: one whose
+// response was read slowly.
+func TestOneSlowReaderHardlyChangesRetryAfter(t *testing.T) {
+	retryIn := func(firstHeld time.Duration) time.Duration {
+		b := &bodybudget.Budget{Bytes: 46 << 20}
+		reserve := func(at time.Time, size int64) *bodybudget.Share {
+			s, err := b.Reserve(at, size, time.Minute)
+			assert.NilError(t, err)
+			return s
+		}
+		reserve(start, 13).Release(start.Add(firstHeld))
+		now := start.Add(firstHeld)
+		for range 1000 {
+			s := reserve(now, 1<<10)
+			now = now.Add(20 * time.Millisecond)
+			s.Release(now)
+		}
+		for {
+			if _, err := b.Reserve(now, bodybudget.SmallBody, time.Minute); err != nil {
+				var full *bodybudget.FullError
+				assert.Assert(t, errors.As(err, &full))
+				return full.RetryAfter
+			}
+		}
+	}
+	assert.Assert(t, retryIn(20*time.Second) < 2*retryIn(20*time.Millisecond))
+}
--- a/basilcross/configcheck/configcheck.go
+++ b/basilcross/configcheck/configcheck.go
@@ -92,7 +92,7 @@
 			k.fail(path(k.Names.Name), "", "it is empty")
 		}
 		if first, ok := names[r.Name]; ok {
-			k.fail(path(k.Names.Name), r.Name, "%s has the same name: their requests are taken for one kind", at(k.Names.Routes, first, ""))
+			k.fail(path(k.Names.Name), r.Name, "%s has the same name: their response times and the time limits of their callers are learnt together", at(k.Names.Routes, first, ""))
 		} else {
 			names[r.Name] = i
 		}
@@ -113,6 +113,9 @@
 	if r.Host == "" {
 		k.fail(path(k.Names.Host), r.Name, "it is empty, so no request matches")
 	}
+	if strings.ContainsAny(r.Host, " \t/*?#") {
+		k.fail(path(k.Names.Host), r.Name, "%q is not a host name, so no request matches", r.Host)
+	}
 	if !strings.HasPrefix(r.Prefix, "/") {
 		k.fail(path(k.Names.Prefix), r.Name, "%q does not begin with a slash, so no request matches", r.Prefix)
 	}
@@ -136,10 +139,10 @@
 		k.fail(path(k.Names.Priority), r.Name, "%d is below 0", r.Priority)
 	}
 	if r.Timeout == 0 {
-		k.remark(path(k.Names.Timeout), r.Name, "it is not set, so the caller's time alone limits a request")
+		k.remark(path(k.Names.Timeout), r.Name, "it is not set, so only the time that the caller states limits a request, or 30 s if it states none")
 	}
 	if r.Objective == 0 {
-		k.remark(path(k.Names.Objective), r.Name, "it is not set, so requests do not wait for the next owner of a key")
+		k.remark(path(k.Names.Objective), r.Name, "it is not set, so requests count as late from the start: they are served after others of their priority, and refused first in overload")
 	}
 	if r.Timeout > 0 && r.Objective > r.Timeout {
 		k.fail(path(k.Names.Objective), r.Name, "%v is above %s, %v", r.Objective, k.Names.Timeout, r.Timeout)
@@ -255,6 +258,6 @@
 		}
 	}
 	if k.HeldBytes > 0 && l.BodyBytes > k.HeldBytes/4 {
-		k.remark(path(k.Names.BodyBytes), "", "%d is above %d, a quarter of the bytes of bodies that an instance holds: larger bodies are accepted only while no other one is held", l.BodyBytes, k.HeldBytes/4)
+		k.remark(path(k.Names.BodyBytes), "", "%d is above %d, a quarter of the bytes of bodies that an instance holds: larger bodies are accepted only while no other body above 8 KiB is held", l.BodyBytes, k.HeldBytes/4)
 	}
 }
--- a/gateway/front/body.go
+++ b/gateway/front/body.go
@@ -18,10 +18,10 @@
 	// causeBodyStalled of those that lost their share, since they arrived too slowly.
 	causeBodyBudget  = "bodyBudget"
 	causeBodyStalled = "bodyStalled"
-	// firstBuffer is the size of a body's first buffer. The next ones are larger by sizedGrowth if the
-	// body's length is stated: of the whole length, a seventh is copied, and a caller that sends nothing
-	// takes little. Otherwise they double up to doubledBuffer, and then grow by half, since the whole
-	// buffer is reserved.
+	// firstBuffer is the size of a body's first buffer. If the body's length is stated, the next ones are the
+	// length divided by powers of sizedGrowth: up to a quarter of the length is copied, and a caller that
+	// sends nothing takes little. Otherwise they double up to doubledBuffer, and then grow by half, since the
+	// whole buffer is reserved; while it is copied, the one before is held besides.
 	firstBuffer   = 8 << 10
 	sizedGrowth   = 8
 	doubledBuffer = 64 << 10
@@ -29,9 +29,9 @@
 	// sends. A connection that is closed with unread bytes is reset, and the caller may lose the response.
 	drainBytes = 16 << 20
 	drainTime  = 2 * time.Second
-	// patienceShare is the part of the time that it has left for which a refused caller waits before it
-	// sends the request again.
-	patienceShare = 3
+	// retryWaitDivisor limits a refused caller's wait before it sends the request again to a third of its time
+	// left, as callers do.
+	retryWaitDivisor = 3
 )
 
 // readBudgetedBody reads the body as readBody does, within the limit on held bytes.
@@ -84,7 +84,7 @@
 	if length < 0 {
 		reserved = min(firstBuffer, limit+1)
 	}
-	share, err := f.Bodies.Reserve(time.Now(), reserved, c.patience())
+	share, err := f.Bodies.Reserve(time.Now(), reserved, c.maxRetryWait())
 	if err == nil {
 		c.share = share
 		reading := &bodyReading{share: share, control: http.NewResponseController(w)}
@@ -99,8 +99,8 @@
 	return err
 }
 
-// patience returns how long the caller waits before it sends the call again if it is refused now.
-func (c *call) patience() time.Duration { return max(0, time.Until(c.deadline)) / patienceShare }
+// maxRetryWait returns how long the caller waits at most before it sends the call again if it is refused now.
+func (c *call) maxRetryWait() time.Duration { return max(0, time.Until(c.deadline)) / retryWaitDivisor }
 
 // readGrowing reads a body into a buffer that grows with what arrives. A body of unknown length, which is
 // negative, reserves the buffer before it grows.
@@ -113,9 +113,9 @@
 	buffer := make([]byte, 0, min(largest, firstBuffer))
 	for int64(len(buffer)) != length {
 		if len(buffer) == cap(buffer) {
-			size := nextSize(int64(cap(buffer)), length, largest)
+			size := min(nextSize(int64(cap(buffer)), length), largest)
 			if length < 0 {
-				if err := c.share.Grow(time.Now(), size, c.patience()); err != nil {
+				if err := c.share.Grow(time.Now(), size, c.maxRetryWait()); err != nil {
 					return nil, err
 				}
 			}
@@ -134,16 +134,18 @@
 }
 
 // nextSize returns the size of the buffer that follows a full one.
-func nextSize(size, length, largest int64) int64 {
+func nextSize(size, length int64) int64 {
 	switch {
 	case length >= 0:
-		size *= sizedGrowth
+		next := length
+		for next/sizedGrowth > size {
+			next /= sizedGrowth
+		}
+		return next
 	case size < doubledBuffer:
-		size *= 2
-	default:
-		size += size / 2
+		return 2 * size
 	}
-	return min(size, largest)
+	return size + size/2
 }
 
 // bodyReading interrupts the reading of a body that loses its share.
@@ -185,7 +187,9 @@
 	b.ended = true
 	b.timer.Stop()
 	_ = b.control.SetReadDeadline(time.Time{})
-	if err != nil && b.stalled {
+	// The deadline of check may end net/http's own read of a body that has just arrived, which cancels the
+	// request's context.
+	if b.stalled {
 		return &stalledError{received: b.received.Load()}
 	}
 	return err
--- a/gateway/front/body_test.go
+++ b/gateway/front/body_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -235,14 +237,14 @@
 	var refusals atomic.Int64
 	assert.NilError(t, f.upload(nil, &refusals))
 	before := heapInUse()
-	silent := f.dial(60 << 20)
+	idle := f.dial(60 << 20)
 	awaitHeld(t, bodies, 60<<20)
 	assert.Assert(t, heapInUse()-before < 1<<20)
 	f.dial(100 << 10).refused(t)
 	for _, size := range []int{0, 1, 4 << 10, bodybudget.SmallBody} {
 		assert.NilError(t, f.upload(make([]byte, size), &refusals))
 	}
-	assert.NilError(t, silent.Close())
+	assert.NilError(t, idle.Close())
 	awaitHeld(t, bodies, 0)
 	assert.NilError(t, f.upload(make([]byte, 1<<20), &refusals))
 	assert.Equal(t, refusals.Load(), int64(0))
@@ -254,11 +256,11 @@
 	t.Parallel()
 	f, bodies := withBodyBudget(t, 4<<20)
 	f.startTarget("t", readingTarget(nil))
-	patient := f.dial(1 << 20)
+	first := f.dial(1 << 20)
 	awaitHeld(t, bodies, 1<<20)
 	time.Sleep(bodybudget.StallTime + 200*time.Millisecond)
 	assert.Equal(t, bodies.Held(), int64(1<<20))
-	slow := []*caller{patient, f.dial(1 << 20), f.dial(1 << 20)}
+	slow := []*caller{first, f.dial(1 << 20), f.dial(1 << 20)}
 	awaitHeld(t, bodies, 3<<20)
 	var refusals atomic.Int64
 	assert.NilError(t, f.upload(make([]byte, 1<<20), &refusals))
@@ -311,7 +313,7 @@
 		assert.Equal(t, text, fmt.Sprintf("%d bytes", size))
 	}
 	awaitHeld(t, bodies, 0)
-	// One byte more than a quarter does not fit beside another body.
+	// A body above a quarter does not fit beside another one.
 	f.dial(100 << 10)
 	awaitHeld(t, bodies, 100<<10)
 	c := f.dial(-1)
@@ -322,6 +324,34 @@
 	awaitHeld(t, bodies, 100<<10)
 }
 
+// Guards against bodies whose bytes are changed or left out while the buffer grows.
+func TestBodiesArriveUnchanged(t *testing.T) {
+	f, bodies := withBodyBudget(t, 40<<20)
+	f.startTarget("t", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hash := sha256.New()
+		_, _ = io.Copy(hash, r.Body)
+		w.Header().Set(platform.Signature, "s")
+		fmt.Fprintf(w, "%x", hash.Sum(nil))
+	}))
+	random := rand.NewChaCha8([32]byte{1})
+	for _, size := range []int{1, 8191, 8192, 8193, 65536, 65537, 70_000, 600_000, 1 << 20, 4<<20 + 5} {
+		body := make([]byte, size)
+		_, _ = random.Read(body)
+		want := fmt.Sprintf("%x", sha256.Sum256(body))
+		stated := f.dial(size)
+		_, err := stated.Write(body)
+		assert.NilError(t, err)
+		_, text := stated.response(t)
+		assert.Equal(t, text, want, "%d bytes stated", size)
+		chunked := f.dial(-1)
+		_, err = fmt.Fprintf(chunked, "%x\r\n%s\r\n0\r\n\r\n", size, body)
+		assert.NilError(t, err)
+		_, text = chunked.response(t)
+		assert.Equal(t, text, want, "%d bytes in chunks", size)
+	}
+	awaitHeld(t, bodies, 0)
+}
+
 // Guards against refusals that are lost to callers that send their whole body before they read, since
 // the connection is reset, and against callers that are made to send a body that is refused.
 func TestRefusalReachesCallersThatStillSend(t *testing.T) {
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -172,5 +172,7 @@
 	}
 	result := forwardedResult{Cause: cause, Runs: c.runs, Suggested: f.suggestions(c)}
 	h.Set(forwardHeader, result.encode())
+	// Without it the sender waits for the end of a chunked body while the rest of its request is drained.
+	h.Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
