--- a/basilcross/pace/pace.go
+++ b/basilcross/pace/pace.go
@@ -101,6 +101,9 @@
 	first = !c.Paced()
 	if first {
 		*c = Controller{full: float64(slots + extraInFlight), cause: cause, began: now}
+	} else {
+		// A second cause does not raise the allowance of a target that fails under two requests.
+		start = min(start, c.allowance)
 	}
 	c.allowance, c.lowered, c.start, c.base = start, now, int(start), 0
 	return first
@@ -179,12 +182,16 @@
 	return before + weight*(value-before)
 }
 
-// Failed records that a request that was sent at the given time failed or was shed.
-func (c *Controller) Failed(now, sent time.Time) {
+// Failed records that a request that was sent at the given time failed or was shed. inFlight is how many requests were
+// in flight at the same time at most, with this one.
+func (c *Controller) Failed(now, sent time.Time, inFlight int) {
 	if !c.Paced() {
 		return
 	}
-	if c.allowance > 1 && !sent.Before(c.lowered) {
+	if inFlight <= 1 {
+		// It says nothing about more requests: some targets fail or shed at random.
+		c.hold = max(min(c.hold, firstHold), c.hold/2)
+	} else if c.allowance > 1 && !sent.Before(c.lowered) {
 		c.hold, c.held = min(max(firstHold, 2*c.hold), maxHold), 0
 	}
 	c.lower(now, sent)
--- a/basilcross/pace/pace_test.go
+++ b/basilcross/pace/pace_test.go
@@ -32,7 +32,7 @@
 	var c pace.Controller
 	assert.Assert(t, !c.Paced())
 	_, ended := c.Answered(start, start, late)
-	c.Failed(start, start)
+	c.Failed(start, start, 2)
 	assert.Assert(t, !ended && !c.Paced())
 }
 
@@ -88,9 +88,9 @@
 	c.Begin(start, pace.Failed, 3, false)
 	at, _ := answer(&c, start, 1, usual)
 	assert.Equal(t, c.Allowance(), 2)
-	c.Failed(at, at)
+	c.Failed(at, at, 2)
 	assert.Equal(t, c.Allowance(), 1)
-	c.Failed(at, at)
+	c.Failed(at, at, 2)
 	assert.Equal(t, c.Allowance(), 1)
 }
 
--- a/basilcross/roster/builder.go
+++ b/basilcross/roster/builder.go
@@ -48,7 +48,7 @@
 		t.LeavingSince = now
 		leaving = &t
 	}
-	if b.Len() == 0 {
+	if b.Since.IsZero() {
 		b.Since = now
 	}
 	b.set(old, &t)
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -30,6 +30,8 @@
 	rate            float64
 	fullRate        float64
 	earliestSeconds float64
+	// fullFreeIn is the expected time until a slot of a target at full pace is free.
+	fullFreeIn time.Duration
 	// freeSlots is the number of slots without a request.
 	freeSlots float64
 	// freeIn is the expected time until a slot is free.
@@ -44,6 +46,7 @@
 	}
 	t.Target, t.state = best, avail.state
 	t.poolLatency = avail.latency
+	s.paceReplacement(now, t)
 	if now.Before(t.state.backoffUntil) {
 		t.state.triedAt = now
 	}
@@ -62,7 +65,8 @@
 		s.consider(now, t, c, &avail)
 	}
 	if avail.best != nil && avail.state.pace.Paced() && avail.bestSeconds > avail.earliestSeconds+queueRelief*float64(len(t.queue.waiting))/avail.fullRate {
-		avail.best, avail.state = nil, nil
+		// The request waits for a target at full pace, whatever slots paced ones have.
+		avail.best, avail.state, avail.freeIn = nil, nil, avail.fullFreeIn
 	}
 	work := t.service.workOf(t.Request.Kind)
 	avail.latency, avail.slowness = work, 1
@@ -100,10 +104,13 @@
 	}
 	expected := latency + wait.Seconds()
 	if !st.pace.Paced() {
+		if avail.fullRate == 0 || wait < avail.fullFreeIn {
+			avail.fullFreeIn = wait
+		}
 		avail.fullRate += slots / latency
 		avail.earliestSeconds = min(avail.earliestSeconds, expected)
 	}
-	if st.isFull(now) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, c.Slots, latency) {
+	if st.isFull(now) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, st.pacedSlots(now, c.Slots), latency) {
 		return
 	}
 	if st.mayProbe(now) {
--- a/basilcross/schedule/pace.go
+++ b/basilcross/schedule/pace.go
@@ -45,11 +45,11 @@
 	if !s.Pace {
 		return
 	}
-	cold, limited := s.isCold(now, c, st), false
+	cold, limited := s.isCold(now, c), false
 	if s.RateLimit != nil {
 		_, limited = s.RateLimit(c.Incarnation())
 	}
-	if cause, begins := s.paceCause(now, c, st, &t.Request, cold, limited); begins {
+	if cause, begins := s.paceCause(now, c, st, cold, limited); begins {
 		s.beginPace(now, c, st, cause, t.needs(c) && (cause == pace.Started || t.Request.Target != ""))
 	}
 	st.considered, st.wasCold, st.wasLimited = true, cold, limited
@@ -62,7 +62,7 @@
 }
 
 // paceCause returns why the target's pace begins now, if it does.
-func (s *Scheduler) paceCause(now time.Time, t *roster.Target, st *targetState, r *Request, cold, limited bool) (cause pace.Cause, begins bool) {
+func (s *Scheduler) paceCause(now time.Time, t *roster.Target, st *targetState, cold, limited bool) (cause pace.Cause, begins bool) {
 	switch {
 	case cold != st.wasCold && (cold || !st.pace.Paced()):
 		return pace.Cold, true
@@ -70,19 +70,26 @@
 		return pace.Started, true
 	case st.wasLimited && !limited:
 		return pace.LimitLifted, true
-	case r.Counting != CountsAll && len(st.inFlight) == 0 && now.Sub(st.sentAt) > replacementTTL:
-		return pace.Replacement, true
 	}
 	return 0, false
 }
 
-// isCold reports whether the target is cold, or its rate is limited as if it were.
-func (s *Scheduler) isCold(now time.Time, t *roster.Target, st *targetState) bool {
+// paceReplacement begins the pace of a target to which this instance sends a request in place of its scheduler.
+func (s *Scheduler) paceReplacement(now time.Time, t *Ticket) {
+	st := t.state
+	if s.Pace && t.Request.Counting != CountsAll && len(st.inFlight) == 0 && now.Sub(st.sentAt) > replacementTTL {
+		s.beginPace(now, t.Target, st, pace.Replacement, t.Request.Target != "")
+	}
+}
+
+// isCold reports whether the target is cold, or its rate is limited as if it were. That it may have restarted, since an
+// instance could not connect, does not count: the link of that instance may be down.
+func (s *Scheduler) isCold(now time.Time, t *roster.Target) bool {
 	if t.IsCold(now) || s.ColdRate == nil {
 		return t.IsCold(now)
 	}
 	rate, cold := s.ColdRate(now, t)
-	return rate > 0 && (cold || now.Before(st.restartSuspectedUntil))
+	return rate > 0 && cold
 }
 
 // hasStarted reports whether the target has started a short time ago. Those that this instance found when it
@@ -91,8 +98,8 @@
 	return now.Sub(t.FirstSeen) < startWindow && t.FirstSeen.Sub(s.Roster.Load().Since) > listingTime
 }
 
-// beginPace begins the target's pace. It is needed if requests that it may serve have no other target, or wait for
-// one in vain: it may have half of its slots at once then.
+// beginPace begins the target's pace. It is needed if requests that it may serve have no other target, or as
+// many requests wait as it has slots: it may have half of its slots at once then.
 func (s *Scheduler) beginPace(now time.Time, t *roster.Target, st *targetState, cause pace.Cause, needed bool) {
 	if st.pace.Begin(now, cause, t.Slots, needed) && s.OnPace != nil {
 		s.OnPace(PaceChange{Target: t, Began: true, Run: pace.Run{Cause: cause}})
@@ -128,12 +135,12 @@
 	case Rested:
 		s.beginPace(now, t.Target, st, pace.Rested, t.needs(t.Target))
 	case Failed, Unreachable:
-		st.pace.Failed(now, sent)
+		st.pace.Failed(now, sent, t.together)
 		if now.Before(st.backoffUntil) {
 			s.beginPace(now, t.Target, st, pace.Failed, t.Request.Target != "")
 		}
 	case Shed:
-		st.pace.Failed(now, sent)
+		st.pace.Failed(now, sent, t.together)
 	case Abandoned, Unlinked, Rejected:
 	}
 }
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -195,8 +195,8 @@
 	arrivesAt    time.Time
 	startedAt    time.Time
 	expectedWork time.Duration
-	// poolLatency is the expected response time of the pool when it was sent, in seconds, and bound how
-	// long it might wait to be answered in time; 0 if admission is off.
+	// poolLatency is the expected response time of the pool when it was sent, in seconds. bound is how long
+	// it might wait to be answered in time; 0 if admission is off.
 	poolLatency float64
 	bound       time.Duration
 }
