Admission: faults found in review, and less for the third scheduler

In the broker the third instance in order counts 0.1 of a stated rate: with nothing, the loss of two instances at once left limited targets idle until the list of instances changed. The three stay within the 1.5 that the users allow.

--- a/basilcross/schedule/admission.go
+++ b/basilcross/schedule/admission.go
@@ -37,6 +37,9 @@
 	loadHalfLife = 3 * time.Second
 	// overloadCheckInterval is the time between the checks whether an overload is over.
 	overloadCheckInterval = time.Second
+	// loadPause is the time without arrivals after which the load is measured from the next one on: what came
+	// before has decayed to a thousandth.
+	loadPause = 10 * loadHalfLife
 	// minLoadTime is the shortest time over which the load is averaged: after a start, the few requests of
 	// the first moment would look like a very high one.
 	minLoadTime = time.Second
@@ -78,8 +81,13 @@
 
 // poolState is what admission and the waitlist know of a pool.
 type poolState struct {
-	// since is when its first request arrived.
-	since     time.Time
+	// since is when the first request arrived, or the first one after a long pause, and lastArrival when the
+	// last one did.
+	since, lastArrival time.Time
+	// slots and slowness are those of the pool for a request that may go to any of its targets; zero before
+	// the first such request.
+	slots, slowness float64
+
 	arrivals  map[uint32]*poolArrivals
 	responses map[uint32]*responsetime.Distribution
 	waitlist  waitlist.List
@@ -122,6 +130,10 @@
 	if p == nil || len(r.Excluded) > 0 {
 		return
 	}
+	if now.Sub(p.lastArrival) > loadPause {
+		p.since = now
+	}
+	p.lastArrival = now
 	a := p.arrivals[r.Kind]
 	if a == nil {
 		a = &poolArrivals{updated: now}
@@ -134,6 +146,13 @@
 	}
 }
 
+// recordCapacity records the pool's capacity as a request sees it that may go to any of its targets.
+func (p *poolState) recordCapacity(r *Request, avail capacity) {
+	if p != nil && len(r.Excluded) == 0 {
+		p.slots, p.slowness = avail.slots, avail.slowness
+	}
+}
+
 // recordServed records that the ticket got a slot.
 func (p *poolState) recordServed(t *Ticket) {
 	if p == nil {
@@ -159,12 +178,12 @@
 	return float64(waiting)+1 <= a.owed
 }
 
-// owed returns the waiting ticket that precedes a more urgent one, since its kind would not be served often
+// owed returns the waiting ticket that precedes one of the same or a higher priority, since its kind would not be served often
 // enough otherwise; nil if there is none.
 func (p *poolState) owed(now time.Time, q *queue, next *Ticket, slowness float64) *Ticket {
 	var best *Ticket
 	for _, t := range q.waiting {
-		if a := p.arrivals[t.Request.Kind]; a == nil || a.owed < 1 || t.Request.Priority <= next.Request.Priority {
+		if a := p.arrivals[t.Request.Kind]; a == nil || a.owed < 1 || t.Request.Priority < next.Request.Priority {
 			continue
 		}
 		if best == nil || t.precedes(best, now, slowness) {
@@ -179,7 +198,11 @@
 // load returns the work of the requests of a priority or a higher one that arrive per second, as a multiple
 // of what the pool's slots can do in it. It is 0 while too few responses are known.
 func (p *poolState) load(now time.Time, s *service, priority int, avail capacity) float64 {
-	if !s.knowsWork() || avail.slots <= 0 {
+	slots, slowness := p.slots, p.slowness
+	if slots <= 0 {
+		slots, slowness = avail.slots, avail.slowness
+	}
+	if !s.knowsWork() || slots <= 0 {
 		return 0
 	}
 	work := 0.0
@@ -191,7 +214,7 @@
 	// The counts are those of the time since the first arrival, the oldest with the lowest weight.
 	averaged := max(now.Sub(p.since), minLoadTime)
 	weight := loadHalfLife.Seconds() / math.Ln2 * (1 - loadDecay(averaged))
-	return work / weight * avail.slowness / avail.slots
+	return work / weight * slowness / slots
 }
 
 // knowsWork reports whether any kind's work is estimated from enough responses.
@@ -245,6 +268,13 @@
 		wait = avail.freeIn
 	}
 	t.WaitUntil = t.latestStart(avail)
+	// A request whose objective is near the response time may wait as long as keeps the slots busy:
+	// otherwise it would be refused in favor of less urgent ones, which may wait.
+	least := now.Add(seconds(variationFactor * avail.latency / math.Sqrt(max(1, avail.slots))))
+	budget := t.Request.Objective.Sub(now) - answerMessages*t.Request.OneWayDelay
+	if t.WaitUntil.Before(least) && budget >= seconds(avail.latency) {
+		t.WaitUntil = least
+	}
 	t.bound = min(t.queue.pool.waitBound(now, t, avail), t.WaitUntil.Sub(now))
 	if wait <= t.bound {
 		return nil
@@ -261,7 +291,7 @@
 	case t.Request.RejectLate:
 	case load > overloadThreshold:
 		reason = ReasonOverload
-	case float64(t.queue.lateCount(t)) >= avail.slots:
+	case avail.targets > 0 && float64(t.queue.lateCount(t)) >= avail.slots:
 		reason = ReasonLateQueue
 	case t.waitPastObjective(now, avail) == nil:
 		return nil
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -103,13 +103,7 @@
 		avail.freeIn = wait
 	}
 	expected := latency + wait.Seconds()
-	if !st.pace.Paced() {
-		if avail.fullRate == 0 || wait < avail.fullFreeIn {
-			avail.fullFreeIn = wait
-		}
-		avail.fullRate += slots / latency
-		avail.earliestSeconds = min(avail.earliestSeconds, expected)
-	}
+	avail.addFullPace(st, wait, slots/latency, expected)
 	if st.isFull(now) || wait > sendAheadTime(&t.Request) || tokenWait > 0 || st.reservesLastSlot(now, t, st.pacedSlots(now, c.Slots), latency) {
 		return
 	}
@@ -121,6 +115,18 @@
 	}
 }
 
+// addFullPace adds a target to what is known of those at full pace, if it is one.
+func (c *capacity) addFullPace(st *targetState, wait time.Duration, rate, expected float64) {
+	if st.pace.Paced() {
+		return
+	}
+	if c.fullRate == 0 || wait < c.fullFreeIn {
+		c.fullFreeIn = wait
+	}
+	c.fullRate += rate
+	c.earliestSeconds = min(c.earliestSeconds, expected)
+}
+
 // isFull reports whether the target has as many requests in flight as its limit and its pace allow.
 func (st *targetState) isFull(now time.Time) bool {
 	return st.exceedsPace(now) || float64(len(st.inFlight)) >= max(1, st.limit)
--- a/basilcross/schedule/ratelimit.go
+++ b/basilcross/schedule/ratelimit.go
@@ -15,6 +15,8 @@
 	CountsAll Counting = iota
 	// CountsPart: it replaces the target's scheduler, which does not respond to it but may to others.
 	CountsPart
+	// CountsLess: it replaces the target's scheduler and the instance that would replace that one.
+	CountsLess
 	// CountsNone: others assign the target's slots, too.
 	CountsNone
 )
@@ -23,6 +25,8 @@
 	// partialShare is the share of a target's limit that a replacement of its scheduler uses: both
 	// together stay within the half that the users allow beyond the limit.
 	partialShare = 0.4
+	// lessShare is that of the next one after the replacement: the three stay within the same half.
+	lessShare = 0.1
 	// limitBurst is how many requests a limited target may get at once.
 	limitBurst = 1.0
 	// minLimitedRate is the rate in requests per second of a target that states a lower limit, or 0: only
@@ -75,6 +79,8 @@
 		return 0, 0, true
 	case CountsPart:
 		rate *= partialShare
+	case CountsLess:
+		rate *= lessShare
 	case CountsAll:
 	}
 	return rate, st.stated.refill(now, rate, limitBurst), false
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -212,6 +212,7 @@
 	}
 	pool := s.poolFor(now, t)
 	_, avail := s.bestTarget(now, t)
+	pool.recordCapacity(&t.Request, avail)
 	if s.mustYield(now, t, avail) {
 		return nil, t.busyError(avail.freeIn, avail)
 	}
--- a/basilcross/waitlist/waitlist_test.go
+++ b/basilcross/waitlist/waitlist_test.go
@@ -14,8 +14,8 @@
 
 const spacing = 50 * time.Millisecond
 
-func caller(priority int, room, patience time.Duration) waitlist.Caller {
-	return waitlist.Caller{Priority: priority, Earliest: now.Add(room), Latest: now.Add(patience)}
+func caller(priority int, room, timeToRetry time.Duration) waitlist.Caller {
+	return waitlist.Caller{Priority: priority, Earliest: now.Add(room), Latest: now.Add(timeToRetry)}
 }
 
 func ExampleList_Place() {
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -288,47 +288,60 @@
 func (b *Broker) Scheduler(req *schedule.Request) string { return b.chooseScheduler(req, true) }
 
 // counting returns which part of the requests to a target with a limited rate this instance counts: all
-// if it is the scheduler of a request while all listed instances respond, and a part if it is the next one
-// and replaces one that does not respond. No others count a part: while none receives the messages of the
-// others, each takes all others to be unresponsive.
+// if it is the scheduler of a request while all listed instances respond, and less if it is the next one or the
+// one after that, which replace instances that do not respond. No others count any: while none receives the
+// messages of the others, each takes all others to be unresponsive.
 func (b *Broker) counting(req *schedule.Request) schedule.Counting {
-	first := b.chooseScheduler(req, false)
-	switch b.Self.Name {
-	case first:
-		return schedule.CountsAll
-	case b.chooseSchedulerExcept(req, false, first):
-		return schedule.CountsPart
+	hubs := b.Peers.Hubs(req.Zone)
+	self := slices.IndexFunc(hubs, func(i peers.Instance) bool { return i.Name == b.Self.Name })
+	if self < 0 || b.Stopping != nil && b.Stopping() {
+		return schedule.CountsNone
 	}
-	return schedule.CountsNone
+	own, rank := newCandidate(req, hubs[self]), 0
+	for _, i := range hubs {
+		if newCandidate(req, i).precedes(own) {
+			rank++
+		}
+	}
+	if rank >= int(schedule.CountsNone) {
+		return schedule.CountsNone
+	}
+	return [...]schedule.Counting{schedule.CountsAll, schedule.CountsPart, schedule.CountsLess}[rank]
 }
 
-func (b *Broker) chooseScheduler(req *schedule.Request, responsive bool) string {
-	return b.chooseSchedulerExcept(req, responsive, "")
+// candidate is an instance that may schedule a request. Of a zone's targets of a service, those with the most
+// cores precede others.
+type candidate struct {
+	name  string
+	cores float64
+	hash  uint64
 }
 
-func (b *Broker) chooseSchedulerExcept(req *schedule.Request, responsive bool, except string) string {
-	key := req.Target
-	if key == "" {
-		key = req.Service
+func newCandidate(req *schedule.Request, i peers.Instance) candidate {
+	if req.Target != "" {
+		return candidate{name: i.Name, hash: xxhash.Sum64String(i.Name + "\x00" + req.Target)}
 	}
+	return candidate{name: i.Name, cores: i.Cores, hash: xxhash.Sum64String(i.Name + "\x00" + req.Service)}
+}
+
+func (c candidate) precedes(o candidate) bool {
+	return o.name == "" || c.cores > o.cores || c.cores == o.cores && c.hash > o.hash
+}
+
+func (b *Broker) chooseScheduler(req *schedule.Request, responsive bool) string {
 	now, stopping := time.Now(), b.Stopping != nil && b.Stopping()
-	best, bestHash, bestCores := "", uint64(0), 0.0
+	var best candidate
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, i := range b.Peers.Hubs(req.Zone) {
-		if i.Name == except || responsive && len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) || stopping && i.Name == b.Self.Name {
+		if responsive && len(b.unresponsive) > 0 && now.Before(b.unresponsive[i.Name].until) || stopping && i.Name == b.Self.Name {
 			continue
 		}
-		cores := 0.0
-		if req.Target == "" {
-			cores = i.Cores
-		}
-		h := xxhash.Sum64String(i.Name + "\x00" + key)
-		if best == "" || cores > bestCores || cores == bestCores && h > bestHash {
-			best, bestHash, bestCores = i.Name, h, cores
+		if c := newCandidate(req, i); c.precedes(best) {
+			best = c
 		}
 	}
-	return best
+	return best.name
 }
 
 func (b *Broker) markUnresponsive(scheduler string) {
