--- a/basilcross/responsetime/responsetime.go
+++ b/basilcross/responsetime/responsetime.go
@@ -14,7 +14,7 @@
 	// windowCount windows of windowLength each are kept, the oldest of which is dropped next.
 	windowCount  = 4
 	windowLength = 15 * time.Second
-	// unit is the value in the histogram of a ratio of 1. Ratios up to maxValue / unit are told apart.
+	// unit is the value in the histogram of a ratio of 1. Ratios up to maxValue / unit are distinguished.
 	unit     = 100
 	maxValue = 100 * unit
 	// significantDigits of a ratio are kept.
--- a/basilcross/schedule/admission_test.go
+++ b/basilcross/schedule/admission_test.go
@@ -223,7 +223,7 @@
 	}
 }
 
-// Guards against callers that are all told the same time, and against a Retry-After that grows with every
+// Guards against callers that all get the same Retry-After, and against a Retry-After that grows with every
 // refused caller.
 func TestRefusedCallersGetPlaces(t *testing.T) {
 	p := newPool(t, 6)
@@ -245,9 +245,9 @@
 	for _, busy := range p.takeRefused() {
 		different[p.at.Add(busy.RetryIn(true))] = true
 		assert.Check(t, busy.RetryIn(true) < 3*time.Second, "Retry-After %v", busy.RetryIn(true))
-		assert.Check(t, busy.RetryIn(false) < 500*time.Millisecond, "a retry that is not recognized is told %v", busy.RetryIn(false))
+		assert.Check(t, busy.RetryIn(false) < 500*time.Millisecond, "a retry that is not recognized gets %v", busy.RetryIn(false))
 	}
-	// A caller with 6 s left retries after 2 s at the latest. Places are 400 ms apart, the last one is told
+	// A caller with 6 s left retries after 2 s at the latest. Places are 400 ms apart, the last one is sent
 	// to all others.
 	assert.Assert(t, len(different) >= 3 && len(different) <= 5, "%d places", len(different))
 	p.scheduler.Waitlist = false
--- a/basilcross/schedule/estimate.go
+++ b/basilcross/schedule/estimate.go
@@ -90,7 +90,7 @@
 	st.answers++
 	k.answers++
 	k.lastAnswer = now
-	st.slowness *= 1 + sampleWeight(minSlownessWeight, st.answers+st.told+1)*(ratio-1)
+	st.slowness *= 1 + sampleWeight(minSlownessWeight, st.answers+st.reportedAnswers+1)*(ratio-1)
 	k.work *= 1 + sampleWeight(minWorkWeight, k.answers)*(ratio-1)
 	if s.meanWork == 0 {
 		s.meanWork = k.work
--- a/basilcross/schedule/speeds.go
+++ b/basilcross/schedule/speeds.go
@@ -116,7 +116,7 @@
 		if st.answers >= knownAnswers {
 			continue
 		}
-		st.slowness, st.told = slowness, knownAnswers
+		st.slowness, st.reportedAnswers = slowness, knownAnswers
 	}
 	after := svc.answeredSlowness()
 	if after == 0 {
--- a/basilcross/schedule/speeds_test.go
+++ b/basilcross/schedule/speeds_test.go
@@ -18,9 +18,9 @@
 	return list
 }
 
-// A scheduler that has run for long is told of its zone's targets too when the coordinator changes. That
+// A scheduler that has run for long receives the speeds of its zone's targets too when the coordinator changes. That
 // must not change what it expects of the targets that it knows.
-func TestToldSlownessChangesNoKnownTarget(t *testing.T) {
+func TestReportedSlownessChangesNoKnownTarget(t *testing.T) {
 	s := newScheduler(&roster.Target{ID: "a", Slots: 3}, &roster.Target{ID: "b", Slots: 3}, &roster.Target{ID: "c", Slots: 3}, &roster.Target{ID: "d", Slots: 3})
 	trainEstimates(t, s, now, map[string]float64{"a": 1, "b": 2})
 	before := latencies(s)
@@ -30,8 +30,8 @@
 	assert.DeepEqual(t, latencies(s), before)
 }
 
-// A scheduler that has started must expect a told target to be slower than others before it has answered.
-func TestToldSlownessIsExpected(t *testing.T) {
+// A scheduler that has started must expect a target that is reported as slow to be slower than others before it has answered.
+func TestReportedSlownessIsExpected(t *testing.T) {
 	s := newScheduler(&roster.Target{ID: "a", Slots: 3}, &roster.Target{ID: "b", Slots: 3})
 	s.SetKnownSlowness("s", map[roster.Incarnation]float64{{ID: "a", Started: 1}: 2})
 	for range 3 {
--- a/basilcross/schedule/state.go
+++ b/basilcross/schedule/state.go
@@ -52,9 +52,9 @@
 	// target's; answers is how many answers it was estimated from.
 	slowness float64
 	answers  int
-	// told is the number of answers for which what other instances know of the slowness counts.
-	told         int
-	backoffUntil time.Time
+	// reportedAnswers is the number of answers for which what other instances know of the slowness counts.
+	reportedAnswers int
+	backoffUntil    time.Time
 	// failures counts failures since the last answer. Of one instance's failures to connect only
 	// the first counts, since its own link may be down; reporters are the instances that had one.
 	failures  int
--- a/basilcross/timelimit/range.go
+++ b/basilcross/timelimit/range.go
@@ -25,7 +25,7 @@
 	// quarter, there are callers with such limits.
 	shortShare = 0.25
 	maxShort   = 1.0 / 16
-	// resolution is the smallest width that limits are told apart by, and the margin below the range, as
+	// resolution is the smallest width that limits are distinguished by, and the margin below the range, as
 	// a share of its upper end: some limits are rarer than those in the window.
 	resolution = 0.02
 	// minGain is the log-likelihood ratio above which the limits below the range count as others, and
--- a/basilcross/waitlist/waitlist.go
+++ b/basilcross/waitlist/waitlist.go
@@ -14,9 +14,9 @@
 type Caller struct {
 	// Priority is that of its request; 0 is the most urgent.
 	Priority int
-	// Earliest is when there is room, if nobody else waits.
+	// Earliest is when there is room, if no other caller waits.
 	Earliest time.Time
-	// Latest is when the caller retries at the latest, whatever it is told.
+	// Latest is when the caller retries at the latest, whatever Retry-After says.
 	Latest time.Time
 }
 
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -105,7 +105,7 @@
 	Holds             ownership.Holds
 	Log               *slog.Logger
 	// Speeds is set if the targets' speeds are estimated and kept in the store. OnSpeeds then gets those
-	// that this instance, as a scheduler, is told.
+	// that this instance, as a scheduler, receives.
 	Speeds   bool
 	OnSpeeds func(known []peers.TargetSpeed)
 	// Joined reports whether this instance has tried to load the list of other instances.
--- a/gateway/coordinator/speeds.go
+++ b/gateway/coordinator/speeds.go
@@ -36,10 +36,10 @@
 	// newSchedulerAnswers is the number of responses below which an instance has only begun to schedule
 	// a target.
 	newSchedulerAnswers = 8
-	// minToldCertainty and minToldDeviation, in natural logarithm, bound what a scheduler that starts is
-	// told: it takes all targets to be average.
-	minToldCertainty = 0.4
-	minToldDeviation = 0.1
+	// minSentCertainty and minSentDeviation, in natural logarithm, bound what is sent to a scheduler that
+	// starts: it takes all targets to be average.
+	minSentCertainty = 0.4
+	minSentDeviation = 0.1
 	// speedsPerDatagram bounds the speeds in one datagram.
 	speedsPerDatagram = 36
 	// slowBelow and fastAbove are the relative speeds that bound the classes of SpeedStatus.
@@ -78,8 +78,8 @@
 	nextRead      time.Time
 	nextUpdate    time.Time
 	nextWrite     time.Time
-	// told has the incarnations of the instances that were told the speeds in this term.
-	told   map[string]string
+	// sent has the incarnations of the instances that were sent the speeds in this term.
+	sent   map[string]string
 	status atomic.Pointer[SpeedStatus]
 }
 
@@ -109,7 +109,7 @@
 	}
 	s.began, s.read, s.reading = now, false, false
 	s.nextRead, s.nextUpdate, s.nextWrite = time.Time{}, time.Time{}, now.Add(speedWriteInterval)
-	s.told = map[string]string{}
+	s.sent = map[string]string{}
 }
 
 func (s *speedState) end(now time.Time) {
@@ -221,7 +221,7 @@
 
 // tellSpeeds tells an instance that may have started the speeds of the targets in its zone, once a term.
 func (c *Coordinator) tellSpeeds(to peers.Instance) {
-	if !c.Speeds || c.speeds.told[to.Name] == to.Incarnation {
+	if !c.Speeds || c.speeds.sent[to.Name] == to.Incarnation {
 		return
 	}
 	isTo := func(i peers.Instance) bool { return i.Name == to.Name }
@@ -234,7 +234,7 @@
 	for name := range c.leadership.managers {
 		for _, t := range view.InZone(name, to.Zone) {
 			r := c.speeds.of(name).relative[t.Incarnation()]
-			if r.Certainty < minToldCertainty || math.Abs(math.Log(r.Shrunk())) < minToldDeviation {
+			if r.Certainty < minSentCertainty || math.Abs(math.Log(r.Shrunk())) < minSentDeviation {
 				continue
 			}
 			list = append(list, peers.TargetSpeed{Target: t.ID, Started: t.Started, Us: int64(math.Round(1e6 / r.Shrunk()))})
@@ -243,7 +243,7 @@
 	if len(list) == 0 {
 		return
 	}
-	c.speeds.told[to.Name] = to.Incarnation
+	c.speeds.sent[to.Name] = to.Incarnation
 	if to.Name == c.Self.Name {
 		c.OnSpeeds(list)
 		return
--- a/gateway/coordinator/speeds_test.go
+++ b/gateway/coordinator/speeds_test.go
@@ -81,12 +81,12 @@
 	f.store.ServeHTTP(w, r)
 }
 
-// speedCoordinator is a coordinator that runs, and what it told itself.
+// speedCoordinator is a coordinator that runs, and what it received itself.
 type speedCoordinator struct {
 	*Coordinator
-	f    *speedFleet
-	told atomic.Pointer[[]peers.TargetSpeed]
-	stop func()
+	f        *speedFleet
+	received atomic.Pointer[[]peers.TargetSpeed]
+	stop     func()
 }
 
 func (f *speedFleet) run(name string, speeds bool) *speedCoordinator {
@@ -113,7 +113,7 @@
 		Revisions: func() map[string]uint64 { return nil }, OnLeading: func(int, bool) {}, RestartFeeds: func() {},
 		OnUpdate: func(*peers.AssignmentUpdate) {}, OnOversizedUpdate: func() {}, Log: log, Joined: func() bool { return true },
 		Holds:  ownership.Holds{Normal: 3200 * time.Millisecond, Long: 6 * time.Second, RenewInterval: 800 * time.Millisecond},
-		Speeds: speeds, OnSpeeds: func(known []peers.TargetSpeed) { s.told.Store(&known) },
+		Speeds: speeds, OnSpeeds: func(known []peers.TargetSpeed) { s.received.Store(&known) },
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
@@ -204,10 +204,10 @@
 		assert.Assert(t, relative[slow].Shrunk() < 0.6, "%v", relative[slow])
 		assert.Equal(t, relative[roster.Incarnation{ID: "t3", Started: 2}], speed.Relative{})
 	})
-	second.waitFor("told itself, which schedules its zone", func() bool { return second.told.Load() != nil })
-	for _, told := range *second.told.Load() {
-		assert.Assert(t, told.Answers == 0 && told.Target != "t3")
-		assert.Equal(t, told.Us > 1_000_000, told.Target == "t0")
+	second.waitFor("received itself, which schedules its zone", func() bool { return second.received.Load() != nil })
+	for _, received := range *second.received.Load() {
+		assert.Assert(t, received.Answers == 0 && received.Target != "t3")
+		assert.Equal(t, received.Us > 1_000_000, received.Target == "t0")
 	}
 	assert.Assert(t, second.SpeedStatus().Certainty > 0.4)
 	assert.Equal(t, f.store.RangeCount(SpeedTable), 2)
@@ -232,8 +232,8 @@
 }
 
 // An instance that has started takes all targets to be average, and gives slow ones too many requests
-// until they have answered. It must be told once, and again only after another start.
-func TestStartedSchedulerIsToldSpeeds(t *testing.T) {
+// until they have answered. It must be received once, and again only after another start.
+func TestStartedSchedulerIsSentSpeeds(t *testing.T) {
 	t.Parallel()
 	f := newSpeedFleet(t)
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
@@ -247,9 +247,9 @@
 	for _, incarnation := range []string{"first", "second"} {
 		started.Incarnation = incarnation
 		c.Receive(&peers.Message{From: started.Name, Hello: &started})
-		told := receiveSpeeds(t, conn)
-		assert.Equal(t, len(told), 6)
-		for _, s := range told {
+		received := receiveSpeeds(t, conn)
+		assert.Equal(t, len(received), 6)
+		for _, s := range received {
 			assert.Equal(t, s.Us > 1_000_000, s.Target == "t0" || s.Target == "t3")
 			assert.Equal(t, s.Answers, int64(0))
 		}
@@ -369,7 +369,7 @@
 	c.waitFor("renewed the lease", func() bool { return f.writes.Load() > before+1 })
 	assert.Equal(t, f.store.RangeCount(SpeedTable), 0)
 	assert.Equal(t, f.speedWrites.Load(), int64(0))
-	assert.Assert(t, c.told.Load() == nil)
+	assert.Assert(t, c.received.Load() == nil)
 	c.do(func() { assert.Equal(t, len(c.speeds.services), 0) })
 	assert.Equal(t, c.SpeedStatus(), SpeedStatus{})
 }
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -90,7 +90,7 @@
 	Options
 
 	splitter routing.Splitter
-	// limitsOf is the table whose routes TimeLimits was told last.
+	// limitsOf is the table whose routes TimeLimits knows.
 	limitsOf          atomic.Pointer[routing.Table]
 	started           time.Time
 	keepAliveDisabled atomic.Bool
--- a/gateway/front/pace_test.go
+++ b/gateway/front/pace_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a scheduler that does not know that its target has asked for a rest, and against one that is told where
+// Guards against a scheduler that does not know that its target has asked for a rest, and against one that is notified where
 // the feature is off.
 func TestSchedulerKnowsOfRest(t *testing.T) {
 	for _, paced := range []bool{false, true} {
--- a/gateway/instance/speeds_test.go
+++ b/gateway/instance/speeds_test.go
@@ -83,14 +83,14 @@
 	i := speedInstance(t, 3)
 	assert.Equal(t, len(i.dispatcher.SpeedEstimates()), 0)
 	before := i.dispatcher.TargetLatencies()
-	i.receive(toldSpeeds(3_000_000))
+	i.receive(reportedSpeeds(3_000_000))
 	assert.Equal(t, len(i.dispatcher.TargetLatencies()), len(before))
 	for _, l := range i.dispatcher.TargetLatencies() {
 		assert.Assert(t, l.Latency < 100*time.Millisecond)
 	}
 }
 
-func toldSpeeds(us int64) *peers.Message {
+func reportedSpeeds(us int64) *peers.Message {
 	return &peers.Message{From: "coordinator", Report: &peers.Report{Speeds: []peers.TargetSpeed{
 		{Target: "i-0123456789001", Started: 1_796_000_000_000, Us: us},
 		{Target: "i-0123456789002", Started: 1_700_000_000_000, Us: us},
@@ -99,7 +99,7 @@
 
 // A scheduler that has started must take a target to be as slow as it is known to be, unless that was an
 // earlier incarnation.
-func TestSchedulerTakesToldSpeeds(t *testing.T) {
+func TestSchedulerAppliesReportedSpeeds(t *testing.T) {
 	i := speedInstance(t, 3, "speeds")
 	latency := func() map[string]time.Duration {
 		m := map[string]time.Duration{}
@@ -109,7 +109,7 @@
 		return m
 	}
 	before := latency()
-	i.receive(toldSpeeds(3_000_000))
+	i.receive(reportedSpeeds(3_000_000))
 	after := latency()
 	ratio := float64(after["i-0123456789001"]) / float64(after["i-0123456789002"])
 	ratioBefore := float64(before["i-0123456789001"]) / float64(before["i-0123456789002"])
