--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -347,8 +347,8 @@
 	start := time.Now()
 	for _, n := range all {
 		n.dispatcher.RateLimit = func(roster.Incarnation) (float64, bool) { return limit, true }
-		n.receiveHook.Store(new(func(*peers.Message)))
-		*n.receiveHook.Load() = func(*peers.Message) {}
+		ignore := func(*peers.Message) {}
+		n.receiveHook.Store(&ignore)
 		group.Go(func() error {
 			for time.Since(start) < settle+window {
 				res, err := n.broker.Acquire(t.Context(), request(time.Second, 3*time.Second))
