Keep requests in their region that only the bound keeps out

Cause: a request that its own zone's bound refuses was tried in the zones of other regions, as one that its region cannot answer in time. Change: a refusal says whether the request could have been answered in time; then only zones of its own region are tried.

--- a/basilcross/schedule/admission.go
+++ b/basilcross/schedule/admission.go
@@ -279,7 +279,12 @@
 	if wait <= t.bound {
 		return nil
 	}
-	return t.setLateWait(now, wait, avail)
+	inTime := !now.Add(wait).After(t.WaitUntil)
+	err := t.setLateWait(now, wait, avail)
+	if err != nil {
+		err.InTime = inTime
+	}
+	return err
 }
 
 // setLateWait sets WaitUntil for a request that cannot be answered in time, or may not wait for that. It
--- a/basilcross/schedule/schedule.go
+++ b/basilcross/schedule/schedule.go
@@ -87,6 +87,9 @@
 	Reason Reason
 	Load   float64
 	Bound  time.Duration
+	// InTime is set if the request could have been answered in time after a wait that admission does not
+	// permit.
+	InTime bool
 	// Place is when the caller's place on the waitlist is; 0 if it has none.
 	Place time.Duration
 }
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -163,7 +163,13 @@
 		return nil, err
 	}
 	var busy *schedule.BusyError
+	bounded := false
 	for _, zone := range zones {
+		if bounded && !b.inOwnRegion(zone) {
+			// The own region could answer in time: what only its bound keeps out would fill the link
+			// between the regions, large bodies first.
+			break
+		}
 		if b.isFull(&req, zone) && zone != b.Self.Zone {
 			continue
 		}
@@ -174,6 +180,7 @@
 		}
 		if errors.As(err, &busy) {
 			b.markFull(&req, zone)
+			bounded = bounded || busy.InTime
 		}
 	}
 	req.Zone, req.RejectLate = zones[0], false
@@ -193,6 +200,11 @@
 	return policy.Check(req.Service, t.Zone, req.Regions)
 }
 
+func (b *Broker) inOwnRegion(zone string) bool {
+	regions := b.Placement().Regions
+	return regions[zone] == regions[b.Self.Zone]
+}
+
 // zonesByDistance returns the zones with targets of the service, nearest first.
 func (b *Broker) zonesByDistance(service string) []string {
 	var tiers [3][]string
@@ -449,6 +461,7 @@
 		busy := &schedule.BusyError{Service: req.Service, Wait: time.Duration(r.WaitMs) * time.Millisecond, Queued: r.QueueLength, RateLimited: r.RateLimited}
 		a := r.Admission()
 		busy.Reason, busy.Load, busy.Bound, busy.Place = schedule.Reason(a.Reason), a.Load, a.Bound, a.Place
+		busy.InTime = a.InTime
 		return nil, busy
 	}
 	t := b.Roster.Load().Find(r.Target)
--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -373,10 +373,10 @@
 func TestReasonOfRefusalReachesRequester(t *testing.T) {
 	all := startInstances(t, "a", "b")
 	all["a"].peers.SetInstances(map[string]peers.Instance{"a": all["a"].peers.Self, "b": {Name: "b", Zone: "z", Datagram: all["b"].peers.Self.Datagram, Cores: 1}})
-	sent := schedule.BusyError{Service: "s", Wait: 700 * time.Millisecond, Queued: 3, Reason: schedule.ReasonOverload, Load: 1.25, Bound: 40 * time.Millisecond, Place: 1700 * time.Millisecond}
+	sent := schedule.BusyError{Service: "s", Wait: 700 * time.Millisecond, Queued: 3, Reason: schedule.ReasonOverload, Load: 1.25, Bound: 40 * time.Millisecond, Place: 1700 * time.Millisecond, InTime: true}
 	hook := func(m *peers.Message) {
 		reply := &peers.ReserveResponse{Seq: m.ReserveRequest.Seq, WaitMs: sent.Wait.Milliseconds(), QueueLength: sent.Queued}
-		reply.SetAdmission(peers.Admission{Reason: string(sent.Reason), Load: sent.Load, Bound: sent.Bound, Place: sent.Place})
+		reply.SetAdmission(peers.Admission{Reason: string(sent.Reason), Load: sent.Load, Bound: sent.Bound, Place: sent.Place, InTime: sent.InTime})
 		all["b"].peers.Send("a", &peers.Message{ReserveResponse: reply})
 	}
 	all["b"].receiveHook.Store(&hook)
@@ -385,3 +385,44 @@
 	assert.Assert(t, errors.As(err, &busy), "%v", err)
 	assert.Equal(t, *busy, sent)
 }
+
+// Guards against large bodies that fill the link between regions, since their own region's queue is bounded although it
+// could answer them in time.
+func TestBoundedRequestsStayInTheirRegion(t *testing.T) {
+	for _, inTime := range []bool{true, false} {
+		all := startInstances(t, "a", "near", "far")
+		members := map[string]peers.Instance{
+			"a": all["a"].peers.Self, "near": {Name: "near", Zone: "z", Datagram: all["near"].peers.Self.Datagram, Cores: 1},
+			"far": {Name: "far", Zone: "y", Datagram: all["far"].peers.Self.Datagram},
+		}
+		all["a"].peers.SetInstances(members)
+		all["a"].roster.Replace(time.Now(), []*roster.Target{
+			{ID: "t", Started: 1, Service: "s", Zone: "z", Slots: 1}, {ID: "u", Started: 1, Service: "s", Zone: "y", Slots: 1},
+		}, 2)
+		all["a"].broker.Placement = func() *placement.Policy {
+			return &placement.Policy{Regions: map[string]string{"z": "west", "y": "east"}}
+		}
+		var asked atomic.Int64
+		refuse := func(n *testInstance) func(*peers.Message) {
+			return func(m *peers.Message) {
+				if m.ReserveRequest == nil {
+					return
+				}
+				if n == all["far"] {
+					asked.Add(1)
+				}
+				reply := &peers.ReserveResponse{Seq: m.ReserveRequest.Seq, WaitMs: 100}
+				reply.SetAdmission(peers.Admission{Reason: string(schedule.ReasonOverload), InTime: inTime})
+				n.peers.Send("a", &peers.Message{ReserveResponse: reply})
+			}
+		}
+		for _, name := range []string{"near", "far"} {
+			hook := refuse(all[name])
+			all[name].receiveHook.Store(&hook)
+		}
+		_, err := all["a"].broker.Acquire(t.Context(), request(time.Second, time.Minute))
+		var busy *schedule.BusyError
+		assert.Assert(t, errors.As(err, &busy), "%v", err)
+		assert.Equal(t, asked.Load() == 0, inTime)
+	}
+}
--- a/gateway/broker/delegate.go
+++ b/gateway/broker/delegate.go
@@ -118,7 +118,7 @@
 	case errors.As(err, &busy):
 		reply.WaitMs, reply.QueueLength, reply.RateLimited = busy.Wait.Milliseconds(), busy.Queued, busy.RateLimited
 		if busy.Reason != "" || busy.Place > 0 {
-			reply.SetAdmission(peers.Admission{Reason: string(busy.Reason), Load: busy.Load, Bound: busy.Bound, Place: busy.Place})
+			reply.SetAdmission(peers.Admission{Reason: string(busy.Reason), Load: busy.Load, Bound: busy.Bound, Place: busy.Place, InTime: busy.InTime})
 		}
 	case errors.As(err, &noTarget):
 		reply.NoTarget = true
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -182,14 +182,16 @@
 	Load   float64
 	Bound  time.Duration
 	Place  time.Duration
+	// InTime is set if only the bound kept the request from an answer in time.
+	InTime bool
 }
 
 // admissionFields is the number of texts that SetAdmission sets.
-const admissionFields = 4
+const admissionFields = 5
 
 // SetAdmission sets the details of a refusal by admission.
 func (r *ReserveResponse) SetAdmission(a Admission) {
-	r.EvacuatedOrAdmission = []string{a.Reason, strconv.FormatFloat(a.Load, 'f', 2, 64), formatMs(a.Bound), formatMs(a.Place)}
+	r.EvacuatedOrAdmission = []string{a.Reason, strconv.FormatFloat(a.Load, 'f', 2, 64), formatMs(a.Bound), formatMs(a.Place), strconv.FormatBool(a.InTime)}
 }
 
 func formatMs(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
@@ -204,6 +206,7 @@
 	a.Reason = texts[0]
 	a.Load, _ = strconv.ParseFloat(texts[1], 64)
 	a.Bound, a.Place = parseMs(texts[2]), parseMs(texts[3])
+	a.InTime, _ = strconv.ParseBool(texts[4])
 	return a
 }
 
--- a/gateway/peers/message_test.go
+++ b/gateway/peers/message_test.go
@@ -39,7 +39,7 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, plain, want)
 
-	refusal.SetAdmission(Admission{"overload", 1.256, 41 * time.Millisecond, 1700 * time.Millisecond})
+	refusal.SetAdmission(Admission{"overload", 1.256, 41 * time.Millisecond, 1700 * time.Millisecond, true})
 	text, err := cbor.Marshal(refusal)
 	assert.NilError(t, err)
 	var earlier earlierResponse
@@ -47,12 +47,12 @@
 	assert.Assert(t, earlier.Seq == 7 && earlier.WaitMs == 40 && earlier.QueueLength == 3 && !earlier.Denied && earlier.Target == "" && earlier.Address == "")
 	var decoded ReserveResponse
 	assert.NilError(t, cbor.Unmarshal(text, &decoded))
-	assert.DeepEqual(t, decoded.Admission(), Admission{"overload", 1.26, 41 * time.Millisecond, 1700 * time.Millisecond})
+	assert.DeepEqual(t, decoded.Admission(), Admission{"overload", 1.26, 41 * time.Millisecond, 1700 * time.Millisecond, true})
 }
 
 // Guards against evacuated zones that are read as the reason of a refusal by admission.
 func TestEvacuatedZonesAreNoReason(t *testing.T) {
-	for _, r := range []*ReserveResponse{{}, {Denied: true, EvacuatedOrAdmission: []string{"a", "b", "c", "d"}}} {
+	for _, r := range []*ReserveResponse{{}, {Denied: true, EvacuatedOrAdmission: []string{"a", "b", "c", "d", "e"}}} {
 		assert.DeepEqual(t, r.Admission(), Admission{})
 	}
 }
