--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -162,6 +162,16 @@
 	if err != nil {
 		return nil, err
 	}
+	if res, err := b.acquireInTime(ctx, req, zones); res != nil || err != nil && ctx.Err() != nil {
+		return res, err
+	}
+	req.Zone, req.RejectLate = zones[0], false
+	return b.acquireInZone(ctx, req)
+}
+
+// acquireInTime reserves a slot in the first zone that can answer the request in time. The error is that of the last
+// zone that was tried; both are nil if none was.
+func (b *Broker) acquireInTime(ctx context.Context, req schedule.Request, zones []string) (res *Reservation, err error) {
 	var busy *schedule.BusyError
 	bounded := false
 	for _, zone := range zones {
@@ -174,7 +184,7 @@
 			continue
 		}
 		req.Zone, req.RejectLate = zone, true
-		res, err := b.acquireInZone(ctx, req)
+		res, err = b.acquireInZone(ctx, req)
 		if err == nil || ctx.Err() != nil {
 			return res, err
 		}
@@ -183,8 +193,7 @@
 			bounded = bounded || busy.InTime
 		}
 	}
-	req.Zone, req.RejectLate = zones[0], false
-	return b.acquireInZone(ctx, req)
+	return nil, err
 }
 
 // evacuatedOwnerTTL is how long the owner of keys in an evacuated zone still gets requests,
