--- a/gateway/coordinator/speeds.go
+++ b/gateway/coordinator/speeds.go
@@ -219,7 +219,7 @@
 	}
 }
 
-// tellSpeeds tells an instance that may have started the speeds of the targets in its zone, once a term.
+// tellSpeeds sends the speeds of the targets in its zone to an instance that may have started, once a term.
 func (c *Coordinator) tellSpeeds(to peers.Instance) {
 	if !c.Speeds || c.speeds.sent[to.Name] == to.Incarnation {
 		return
