--- a/gateway/front/owner_test.go
+++ b/gateway/front/owner_test.go
@@ -59,11 +59,17 @@
 }
 
 func (f *shardedFixture) get(t *testing.T, key int) int {
+	t.Helper()
+	return f.getAs(t, fmt.Sprintf("key%d", key), key)
+}
+
+// getAs sends a request with the given ID.
+func (f *shardedFixture) getAs(t *testing.T, id string, key int) int {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, f.server.URL+"/keyed/x", http.NoBody)
 	assert.NilError(t, err)
 	req.Host = "cakes.example"
-	req.Header.Set(platform.RequestID, fmt.Sprintf("key%d", key))
+	req.Header.Set(platform.RequestID, id)
 	req.Header.Set(platform.TimeLeft, "6000")
 	req.Header.Set(platform.ShardKey, fmt.Sprint(key))
 	res, err := f.server.Client().Do(req)
