Count what a forwarded request has cost at all instances that it went through

Cause: a carrier returned how many targets may have run a request, not how many it reached. A target that turns a request away with Retry-After makes the carrier decline, and the request went on to the next one, up to eight, for one payment or none; and each carrier that declined counted the request in its own budget. Of the class of retries-after-restarts: a limit of the fleet kept by parts that do not know of each other. Change: one account (runs, arrivals, counted) goes out with the request and comes back with each result; whoever sends a request to a target pays for it last before that, carriers too. The sender pays for nothing that it does not send. The flags reached and reachedTarget are gone. Ruled out by reading: parts of the slack (the highest number known of counts, budgets start empty). Measured: tests of front and instance pass.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -279,7 +279,7 @@
 		return nil, f.sendFailed(ctx, c, reservation, err)
 	}
 	f.Links.Reached(time.Now(), t.Service, t.ID)
-	f.Metrics.recordArrival(c)
+	f.recordArrival(c)
 	response, failed := f.readResponse(ctx, c, reservation, res)
 	if response != nil {
 		f.recordLatency(c.route.Name, time.Since(start))
@@ -320,8 +320,8 @@
 			f.targetEnded(ctx, t, endConnecting)
 		}
 	} else {
-		f.Metrics.recordArrival(c)
-		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true, reachedTarget: true}
+		f.recordArrival(c)
+		r = &refusal{status: http.StatusBadGateway, cause: "answerLost", mayHaveRun: true}
 		c.recordRun(reservation.Target.ID)
 	}
 	switch {
@@ -374,7 +374,7 @@
 	_ = res.Body.Close()
 	c.recordRun(reservation.Target.ID)
 	if err != nil {
-		r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true, reachedTarget: true}
+		r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true}
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			r.status = http.StatusGatewayTimeout
 		}
@@ -416,7 +416,7 @@
 	signed := res.Header.Get(f.Headers.Signature) != ""
 	switch {
 	case !signed && res.StatusCode < http.StatusMultipleChoices:
-		return &refusal{status: http.StatusBadGateway, cause: "unsigned", mayHaveRun: true, reachedTarget: true}
+		return &refusal{status: http.StatusBadGateway, cause: "unsigned", mayHaveRun: true}
 	case res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests ||
 		res.StatusCode == http.StatusRequestTimeout:
 		// Only the not-executed header proves that the request did not run. Without
@@ -434,9 +434,7 @@
 }
 
 func newTargetFailed(res *http.Response) *refusal {
-	return &refusal{
-		status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, reachedTarget: true, targetStatus: res.StatusCode,
-	}
+	return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, targetStatus: res.StatusCode}
 }
 
 // notExecuted handles a response that states that the request was not executed.
@@ -444,7 +442,6 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
 	_ = res.Body.Close()
 	r := newNotRun("shed", f.latency(c.route.Name))
-	r.reachedTarget = true
 	r.targetStatus = res.StatusCode
 	if res.StatusCode == http.StatusMisdirectedRequest {
 		r.cause = "notOwner"
--- a/gateway/front/budget.go
+++ b/gateway/front/budget.go
@@ -75,11 +75,11 @@
 	return &b.Budget
 }
 
-// payRetry takes a retry from the budget if a target received the call before, and reports whether
-// the call may be sent. It is called last before the call is sent, since the limits hold for the moment
-// at which retries arrive.
+// payRetry takes a retry from the budget if a target received the call before, also through another instance, and
+// reports whether the call may be sent to a target. It is called last before that, since the limits hold for the
+// moment at which retries arrive; a carrier pays for what it sends.
 func (f *Front) payRetry(c *call) bool {
-	if !c.reached || c.paid {
+	if c.arrivals == 0 || c.paid {
 		return true
 	}
 	if !f.budget(c.service).TryWithdraw() {
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -48,8 +48,8 @@
 	// request is taken as a caller retry.
 	sinceFirst time.Duration
 
-	// runs counts the attempts that a target may have run, sends all attempts.
-	runs  int
+	account
+	// sends counts all attempts.
 	sends int
 	// lastRunTarget is the target that may have run the request last, lastRunAt when
 	// that became known.
@@ -79,13 +79,8 @@
 	carriersAsked int
 	// unreached counts the targets that were out of reach when the call was to be sent there.
 	unreached int
-	// counted is set once an instance's retry budget counts the request: that of the instance
-	// which sends it to a target first.
-	counted bool
-	// reached is set once a target received the call, or may have: each later arrival is a retry.
-	// paid is set if the next one was taken from the budget.
-	reached bool
-	paid    bool
+	// paid is set if the next arrival was taken from this instance's retry budget.
+	paid bool
 	// retryDenied is set if the call was not retried since the budget was exhausted.
 	retryDenied bool
 	// failure is a target's failure response, forwarded if no later attempt succeeds.
--- a/gateway/front/carry.go
+++ b/gateway/front/carry.go
@@ -118,8 +118,8 @@
 		return c, causeCarrierNotReady
 	}
 	now := time.Now()
-	c.from, c.uri, c.host, c.service, c.runs = forwarded.From, forwarded.URI, forwarded.Host, forwarded.Service, forwarded.Runs
-	c.counted, c.sinceFirst = forwarded.Counted, forwarded.SinceFirst
+	c.from, c.uri, c.host, c.service, c.account = forwarded.From, forwarded.URI, forwarded.Host, forwarded.Service, forwarded.Account
+	c.sinceFirst = forwarded.SinceFirst
 	c.arrived, c.deadline = now.Add(-forwarded.Age), now.Add(forwarded.Left-carryMargin)
 	c.header = r.Header.Clone()
 	hopheader.Remove(c.header)
@@ -170,7 +170,7 @@
 	if c.id != "" {
 		h.Set(f.Headers.RequestID, c.id)
 	}
-	result := forwardedResult{Cause: cause, Runs: c.runs, Suggested: f.suggestions(c)}
+	result := forwardedResult{Cause: cause, Account: c.account, Suggested: f.suggestions(c)}
 	h.Set(forwardHeader, result.encode())
 	// Without it the sender waits for the end of a chunked body while the rest of its request is drained.
 	h.Set("Content-Length", "0")
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -75,9 +75,6 @@
 		if !ok {
 			break
 		}
-		if !f.payRetry(c) {
-			return nil, newRetryDenied(c)
-		}
 		response, refused, declined := f.sendThrough(ctx, c, &carrier, &search)
 		if !declined {
 			return response, refused
@@ -119,13 +116,10 @@
 		return nil, f.carrierLost(ctx, c, carrier, start, err), false
 	}
 	res.Header.Del(forwardHeader)
-	c.lastTarget, c.runs = result.Target, max(c.runs, result.Runs)
+	c.lastTarget, c.account = result.Target, c.merge(result.Account)
 	if !result.Answered {
 		discard(res)
 		c.mayHaveRun = c.mayHaveRun || result.MayHaveRun
-		if result.Runs > 0 {
-			c.reached, c.paid = true, false
-		}
 		mayRunAgain := !result.MayHaveRun || c.route.Idempotent() && c.runs < c.route.MaxAttempts
 		if f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) && mayRunAgain {
 			search.suggest(result.Suggested)
@@ -133,7 +127,7 @@
 			return nil, nil, true
 		}
 		f.logForwarded(c, result.Cause, start, nil)
-		return nil, &refusal{status: res.StatusCode, cause: result.Cause, mayHaveRun: result.MayHaveRun, reachedTarget: result.Runs > 0, final: true, retryAfter: result.RetryAfter}, false
+		return nil, &refusal{status: res.StatusCode, cause: result.Cause, mayHaveRun: result.MayHaveRun, final: true, retryAfter: result.RetryAfter}, false
 	}
 	f.Forwarder.recordServed(time.Now(), carrier, c.service)
 	return f.readForwarded(ctx, c, carrier, start, res)
@@ -152,7 +146,7 @@
 		SetHeaders: func(now time.Time, h http.Header) {
 			r := forwardedRequest{
 				From: f.Forwarder.Self.Name, URI: c.uri, Host: c.host, Service: c.service, Version: version,
-				Age: now.Sub(c.arrived), Left: c.deadline.Sub(now), Runs: c.runs, Counted: c.counted, SinceFirst: c.sinceFirst,
+				Age: now.Sub(c.arrived), Left: c.deadline.Sub(now), Account: c.account, SinceFirst: c.sinceFirst,
 			}
 			h.Set(forwardHeader, r.encode())
 		},
@@ -161,7 +155,7 @@
 
 // carrierLost returns the refusal for a call whose carrier gave no usable response.
 func (f *Front) carrierLost(ctx context.Context, c *call, carrier *peers.Instance, start time.Time, err error) *refusal {
-	r := &refusal{status: http.StatusBadGateway, cause: "carrierLost", mayHaveRun: true, reachedTarget: true}
+	r := &refusal{status: http.StatusBadGateway, cause: "carrierLost", mayHaveRun: true}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		r.cause, r.status = "deadlinePassed", http.StatusGatewayTimeout
@@ -169,6 +163,8 @@
 		f.Forwarder.avoid(time.Now(), carrier, "", avoidUnreachable)
 	}
 	c.recordRun("")
+	c.arrivals++
+	c.counted = true
 	f.logForwarded(c, r.cause, start, err)
 	return r
 }
@@ -197,6 +193,6 @@
 func (f *Front) logForwarded(c *call, outcome string, start time.Time, err error) {
 	f.Metrics.recordForwarded(c, outcome)
 	event.RequestForwarded.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "carrier", c.carrier,
-		"carrierZone", c.carrierZone, "asked", c.carriersAsked, "outcome", outcome, "target", c.lastTarget, "runs", c.runs, "tookMs", time.Since(start).Milliseconds(),
+		"carrierZone", c.carrierZone, "asked", c.carriersAsked, "outcome", outcome, "target", c.lastTarget, "runs", c.runs, "arrivals", c.arrivals, "tookMs", time.Since(start).Milliseconds(),
 		"leftMs", time.Until(c.deadline).Milliseconds(), "error", err)
 }
--- a/gateway/front/forwardmessage.go
+++ b/gateway/front/forwardmessage.go
@@ -41,10 +41,7 @@
 	Version uint64
 	// Age is the time since the caller's request arrived, and Left the time left to answer it.
 	Age, Left time.Duration
-	// Runs is how many targets may have run it already.
-	Runs int
-	// Counted is set if the sender's retry budget counts it already.
-	Counted bool
+	Account   account
 	// SinceFirst is how long before its arrival the caller's first attempt was, by the sender's estimate.
 	// Versions that do not know it leave it out.
 	SinceFirst time.Duration
@@ -56,8 +53,9 @@
 func (r *forwardedRequest) encode() string {
 	values := url.Values{
 		"from": {r.From}, "uri": {r.URI}, "host": {r.Host}, "service": {r.Service}, "version": {strconv.FormatUint(r.Version, 10)},
-		"ageMs": {formatMs(r.Age)}, "leftMs": {formatMs(r.Left)}, "runs": {strconv.Itoa(r.Runs)}, "counted": {strconv.FormatBool(r.Counted)},
+		"ageMs": {formatMs(r.Age)}, "leftMs": {formatMs(r.Left)},
 	}
+	r.Account.addTo(values)
 	if r.SinceFirst > 0 {
 		values.Set(sinceFirstField, formatMs(r.SinceFirst))
 	}
@@ -72,8 +70,7 @@
 	p := fieldParser{values: v}
 	r := &forwardedRequest{
 		From: v.Get("from"), URI: v.Get("uri"), Host: v.Get("host"), Service: v.Get("service"), Version: uint64(p.number("version")),
-		Age: p.ms("ageMs"), Left: p.ms("leftMs"), Runs: p.number("runs"),
-		Counted: p.bool("counted"),
+		Age: p.ms("ageMs"), Left: p.ms("leftMs"), Account: p.account(),
 	}
 	if v.Has(sinceFirstField) {
 		r.SinceFirst = p.ms(sinceFirstField)
@@ -83,13 +80,13 @@
 
 // forwardedResult is what forwardHeader says of a response.
 type forwardedResult struct {
-	// Answered is set if the response is a target's; the other fields but Target and Runs then
+	// Answered is set if the response is a target's; the other fields but Target and Account then
 	// say nothing.
 	Answered   bool
 	Target     string
 	Cause      string
 	MayHaveRun bool
-	Runs       int
+	Account    account
 	RetryAfter time.Duration
 	// Suggested are instances that may serve the request, if the sender declined it.
 	Suggested []peers.Instance
@@ -98,8 +95,9 @@
 func (r *forwardedResult) encode() string {
 	values := url.Values{
 		"answered": {strconv.FormatBool(r.Answered)}, "target": {r.Target}, "cause": {r.Cause},
-		"mayHaveRun": {strconv.FormatBool(r.MayHaveRun)}, "runs": {strconv.Itoa(r.Runs)}, "retryAfterMs": {formatMs(r.RetryAfter)},
+		"mayHaveRun": {strconv.FormatBool(r.MayHaveRun)}, "retryAfterMs": {formatMs(r.RetryAfter)},
 	}
+	r.Account.addTo(values)
 	for _, i := range r.Suggested {
 		// An instance's fields are texts and a number, which always can be encoded.
 		text, _ := json.Marshal(i)
@@ -116,7 +114,7 @@
 	p := fieldParser{values: v}
 	r := &forwardedResult{
 		Answered: p.bool("answered"), Target: v.Get("target"), Cause: v.Get("cause"),
-		MayHaveRun: p.bool("mayHaveRun"), Runs: p.number("runs"), RetryAfter: p.ms("retryAfterMs"),
+		MayHaveRun: p.bool("mayHaveRun"), Account: p.account(), RetryAfter: p.ms("retryAfterMs"),
 		Suggested: p.instances("suggested"),
 	}
 	return r, p.err
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -201,9 +201,6 @@
 		if c.retryDenied && last != nil {
 			return c.failure, last
 		}
-		if failed.reachedTarget {
-			c.reached, c.paid = true, false
-		}
 		c.mayHaveRun = c.mayHaveRun || failed.mayHaveRun
 		if c.mayHaveRun {
 			failed.mayHaveRun = true
@@ -224,7 +221,7 @@
 	if c.runs >= c.route.MaxAttempts || c.sends >= maxSends {
 		return false
 	}
-	if c.reached && !c.paid && !f.budget(c.service).CanWithdraw() {
+	if c.arrivals > 0 && !c.paid && !f.budget(c.service).CanWithdraw() {
 		f.denyRetry(c)
 		return false
 	}
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -30,8 +30,6 @@
 	cause  string
 	// mayHaveRun is set unless it is certain that no target ran the request or will.
 	mayHaveRun bool
-	// reachedTarget is set if any part of the request was written to a target.
-	reachedTarget bool
 	// awaitOwner makes the next attempt wait for the key's next owner.
 	awaitOwner bool
 	// ownerTrialIn is the time after which the key's owner, which did not hold the key, may be tried again;
@@ -94,7 +92,7 @@
 		h.Set(f.Headers.RequestID, c.id)
 	}
 	if c.from != "" {
-		result := forwardedResult{Target: c.lastTarget, Cause: r.cause, MayHaveRun: r.mayHaveRun, Runs: c.runs, RetryAfter: r.retryAfter}
+		result := forwardedResult{Target: c.lastTarget, Cause: r.cause, MayHaveRun: r.mayHaveRun, Account: c.account, RetryAfter: r.retryAfter}
 		if r.cause == causeLinksDown || r.cause == causeTargetUnreached || r.cause == causeTargetRests {
 			result.Suggested = f.suggestions(c)
 		}
@@ -145,7 +143,7 @@
 	}
 	hopheader.Remove(h)
 	if c.from != "" {
-		result := forwardedResult{Answered: true, Target: c.lastTarget, Runs: c.runs}
+		result := forwardedResult{Answered: true, Target: c.lastTarget, Account: c.account}
 		h.Set(forwardHeader, result.encode())
 	}
 	if f.keepAliveDisabled.Load() {
--- a/gateway/instance/outage_test.go
+++ b/gateway/instance/outage_test.go
@@ -85,11 +85,16 @@
 
 // callKeys sends requests for all keys by turns, for the given time, from eight callers.
 func (f *fleet) callKeys(d time.Duration, pause time.Duration, at []*runningInstance) (sent, served int) {
+	return f.callKeysFrom(8, d, pause, at)
+}
+
+// callKeysFrom does the same from a number of callers.
+func (f *fleet) callKeysFrom(callers int, d, pause time.Duration, at []*runningInstance) (sent, served int) {
 	var group errgroup.Group
 	var mu sync.Mutex
-	for n := range 8 {
+	for n := range callers {
 		group.Go(func() error {
-			for k, start := n, time.Now(); time.Since(start) < d; k += 8 {
+			for k, start := n, time.Now(); time.Since(start) < d; k += callers {
 				status, _ := f.call(at[k%len(at)], "/lists/x", k*7919%65536)
 				mu.Lock()
 				sent++
