Check that a target does not leave last before a request is written

Cause: whether a leaving owner may still get requests was decided before they waited for its slot and for a connection. An owner whose keys do not move, since it answers no orders, got what waited. Change: a request that waits for an owner which leaves stops waiting 0.7 s after the list says so, at the scheduler (each 50 ms) and at the instance that asked it; a reservation of a target that leaves is returned; checkListed is called once the connection is open, before the first byte. The rule is one function, roster.Target.Accepts. Such requests wait for the key's next owner, within their limit, or are refused at once; requests without a key get another target.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -120,7 +120,7 @@
 	if t.Target != nil {
 		return nil
 	}
-	err := d.scheduler.Rejected(time.Now(), t)
+	err := d.scheduler.CheckWaiting(time.Now(), t)
 	if err != nil {
 		delete(d.waiting, t)
 	}
--- a/basilcross/roster/roster.go
+++ b/basilcross/roster/roster.go
@@ -48,6 +48,16 @@
 // ListedDraining reports whether the platform lists the target as draining.
 func (t *Target) ListedDraining() bool { return t.listedDraining }
 
+// ownerGrace is how long a target that leaves still gets requests for keys that it owns, while they move to other
+// targets. The users allow 2 s from the store's acknowledgement.
+const ownerGrace = 700 * time.Millisecond
+
+// Accepts reports whether the target may be sent requests. One that leaves gets only those for keys that it owns,
+// and only for a while.
+func (t *Target) Accepts(now time.Time, owner bool) bool {
+	return !t.Draining || owner && now.Sub(t.LeavingSince) <= ownerGrace
+}
+
 // IsCold reports whether the target is warming up: it is slower then, and may crash under
 // the usual rate of requests.
 func (t *Target) IsCold(now time.Time) bool { return now.Before(t.ColdUntil) }
--- a/basilcross/schedule/choose.go
+++ b/basilcross/schedule/choose.go
@@ -137,7 +137,7 @@
 // fail now and then still answer more often than not.
 func (s *Scheduler) usableTargets(now time.Time, t *Ticket) []*roster.Target {
 	var open, failing []*roster.Target
-	for _, c := range s.candidates(&t.Request) {
+	for _, c := range s.candidates(now, &t.Request) {
 		if t.Request.Target == "" && t.Request.Excluded[c.ID] || t.service.stateOf(c).rejectionOf(now, &t.Request) != nil {
 			continue
 		}
@@ -154,17 +154,18 @@
 	return open
 }
 
-func (s *Scheduler) candidates(r *Request) []*roster.Target {
+// candidates returns the listed targets that accept the request.
+func (s *Scheduler) candidates(now time.Time, r *Request) []*roster.Target {
 	view := s.Roster.Load()
 	if r.Target != "" {
-		if t := view.Find(r.Target); t != nil && t.Service == r.Service {
+		if t := view.Find(r.Target); t != nil && t.Service == r.Service && t.Accepts(now, true) {
 			return []*roster.Target{t}
 		}
 		return nil
 	}
 	var list []*roster.Target
 	for _, t := range view.InZone(r.Service, r.Zone) {
-		if !t.Draining {
+		if t.Accepts(now, false) {
 			list = append(list, t)
 		}
 	}
--- a/basilcross/schedule/rejected.go
+++ b/basilcross/schedule/rejected.go
@@ -138,10 +138,14 @@
 	maps.DeleteFunc(st.rejections, func(_ int, x *rejection) bool { return x.trial == nil && now.Sub(x.until) > rejectionTTL })
 }
 
-// Rejected returns a *RejectedError if a waiting ticket's target has rejected its keys meanwhile, and
-// removes the ticket from its queue.
-func (s *Scheduler) Rejected(now time.Time, t *Ticket) error {
+// CheckWaiting returns an error if the target that a waiting ticket names can't get it any more, and removes the
+// ticket from its queue: a *RejectedError if the target has rejected its keys meanwhile, a *NoTargetError if it
+// leaves.
+func (s *Scheduler) CheckWaiting(now time.Time, t *Ticket) error {
 	err := s.rejected(now, t)
+	if err == nil && t.Request.Target != "" && len(s.candidates(now, &t.Request)) == 0 {
+		err = &NoTargetError{Service: t.Request.Service}
+	}
 	if err != nil {
 		s.Cancel(t)
 	}
@@ -152,7 +156,7 @@
 	if t.Request.Grant == nil {
 		return nil
 	}
-	for _, c := range s.candidates(&t.Request) {
+	for _, c := range s.candidates(now, &t.Request) {
 		if x := t.service.stateOf(c).rejectionOf(now, &t.Request); x != nil {
 			return &RejectedError{Service: t.Request.Service, Wait: x.wait(now)}
 		}
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -424,6 +424,10 @@
 			unanswered = 0
 			timer.Reset(queuedResendInterval)
 		case <-timer.C:
+			if b.mustNotWait(req) {
+				b.sendRelease(scheduler, seq, outcome{result: schedule.Abandoned}, 0)
+				return nil, &schedule.NoTargetError{Service: req.Service}
+			}
 			if unanswered++; unanswered >= maxUnanswered {
 				b.sendRelease(scheduler, seq, outcome{result: schedule.Abandoned}, 0)
 				return nil, &UnresponsiveError{Scheduler: scheduler}
@@ -437,6 +441,15 @@
 	}
 }
 
+// mustNotWait reports whether the target that a request names leaves. Its scheduler may not know that yet.
+func (b *Broker) mustNotWait(req *schedule.Request) bool {
+	if req.Target == "" {
+		return false
+	}
+	t := b.Roster.Load().Find(req.Target)
+	return t == nil || !t.Accepts(time.Now(), true)
+}
+
 func (b *Broker) markResponsive(scheduler string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -474,7 +487,7 @@
 		return nil, busy
 	}
 	t := b.Roster.Load().Find(r.Target)
-	if t == nil || t.Started != r.Started || req.Target == "" && t.Draining {
+	if t == nil || t.Started != r.Started || !t.Accepts(time.Now(), req.Target != "") {
 		b.sendRelease(scheduler, seq, outcome{result: schedule.Abandoned}, 0)
 		return nil, &schedule.NoTargetError{Service: req.Service}
 	}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -259,6 +259,7 @@
 		Method: c.method, RequestURI: c.uri, Host: c.host, Header: c.header,
 		RequireFresh: !c.route.Idempotent(),
 		Matches:      f.matches(c),
+		BeforeSend:   func(now time.Time) error { return f.checkListed(now, c, t) },
 		SetHeaders: func(now time.Time, h http.Header) {
 			h.Set(f.Headers.TimeLeft, strconv.FormatInt(max(1, c.deadline.Sub(now).Milliseconds()), 10))
 			h.Set(f.Headers.ExpectedTarget, t.ID)
@@ -270,7 +271,6 @@
 		req.Body = bytes.NewReader(nil)
 	}
 	c.sentAt = start
-	f.recordLeaving(c, t)
 	f.Links.Sent(start, t.Service)
 	sendCtx, sent := f.trackDirect(ctx, c)
 	res, err := connections.Do(sendCtx, req)
@@ -287,15 +287,6 @@
 	return response, failed
 }
 
-// recordLeaving records for how long the target has been leaving to which the call is sent.
-func (f *Front) recordLeaving(c *call, t *roster.Target) {
-	c.leavingFor = 0
-	if listed := f.Roster.Load().Find(t.ID); listed != nil && listed.Started == t.Started && listed.Draining {
-		c.leavingFor = time.Since(listed.LeavingSince)
-		f.Metrics.afterLeaving.WithLabelValues(c.service).Observe(c.leavingFor.Seconds())
-	}
-}
-
 // matches returns a function that reports whether a response belongs to the call.
 func (f *Front) matches(c *call) func(http.Header) bool {
 	return func(h http.Header) bool {
@@ -310,6 +301,12 @@
 	var pe *pool.Error
 	wrote := !errors.As(err, &pe) || pe.Wrote
 	t, now := reservation.Target, time.Now()
+	var leaves *TargetLeavesError
+	if errors.As(err, &leaves) {
+		reservation.Release(schedule.Abandoned)
+		_, r := f.passOverWithdrawn(ctx, c, t, 0)
+		return r
+	}
 	if errors.Is(err, syscall.ETIMEDOUT) && wrote {
 		f.Links.Failed(now, t.Service, t.ID)
 	}
--- a/gateway/front/withdrawn.go
+++ b/gateway/front/withdrawn.go
@@ -33,6 +33,29 @@
 	return all
 }
 
+// TargetLeavesError is returned for a request whose target is not listed any more, or is listed as leaving.
+type TargetLeavesError struct{ Target string }
+
+func (e *TargetLeavesError) Error() string { return "front: target " + e.Target + " leaves" }
+
+// checkListed returns a *TargetLeavesError if the call must not be sent to its target, which may have begun to leave
+// while the call waited for a slot or a connection. A thin instance lists no targets; its hub has checked.
+func (f *Front) checkListed(now time.Time, c *call, t *roster.Target) error {
+	c.leavingFor = 0
+	if f.Thin() {
+		return nil
+	}
+	listed := f.Roster.Load().Find(t.ID)
+	if listed == nil || listed.Started != t.Started || !listed.Accepts(now, c.sharded) {
+		return &TargetLeavesError{Target: t.ID}
+	}
+	if listed.Draining {
+		c.leavingFor = now.Sub(listed.LeavingSince)
+		f.Metrics.afterLeaving.WithLabelValues(c.service).Observe(c.leavingFor.Seconds())
+	}
+	return nil
+}
+
 // passOverWithdrawn makes the next attempt choose another target than one that wants no request from this
 // instance. The owner of a key cannot be passed over: another instance may send it the call, or the key moves
 // to another one if it leaves.
