Let the sender pay for retries through carriers, if it can

Cause: with a carrier alone paid for the retries of forwarded requests; its budget has no deposits of the sender's callers. Change: the sender takes the next arrival from its budget before it forwards the request; that it is paid for goes out and comes back with the account. If the sender cannot pay, the carrier does, or refuses.

--- a/gateway/front/account.go
+++ b/gateway/front/account.go
@@ -13,27 +13,38 @@
 	// counted is set once an instance's retry budget counts the request: that of the instance which sends it to
 	// a target first.
 	counted bool
+	// paid is set if the next arrival was taken from an instance's retry budget already.
+	paid bool
 }
 
 // merge adds what another instance has returned, which began with this account. An earlier version may leave out
 // a part of it.
 func (a account) merge(returned account) account {
 	return account{
-		runs: max(a.runs, returned.runs), arrivals: max(a.arrivals, returned.arrivals), counted: a.counted || returned.counted,
+		runs: max(a.runs, returned.runs), arrivals: max(a.arrivals, returned.arrivals),
+		counted: a.counted || returned.counted, paid: returned.paid,
 	}
 }
 
-// The fields of forwardHeader with an account. Versions that do not know arrivals leave it out.
+// recordArrival records that a target received the request, or may have. The next arrival has to be paid for again.
+func (a *account) recordArrival() {
+	a.arrivals++
+	a.paid = false
+}
+
+// The fields of forwardHeader with an account. Versions that do not know arrivals and paid leave them out.
 const (
 	runsField     = "runs"
 	arrivalsField = "arrivals"
 	countedField  = "counted"
+	paidField     = "paid"
 )
 
 func (a account) addTo(values url.Values) {
 	values.Set(runsField, strconv.Itoa(a.runs))
 	values.Set(arrivalsField, strconv.Itoa(a.arrivals))
 	values.Set(countedField, strconv.FormatBool(a.counted))
+	values.Set(paidField, strconv.FormatBool(a.paid))
 }
 
 func (p *fieldParser) account() account {
@@ -44,12 +55,13 @@
 	if p.values.Has(countedField) {
 		a.counted = p.bool(countedField)
 	}
+	if p.values.Has(paidField) {
+		a.paid = p.bool(paidField)
+	}
 	return a
 }
 
-// recordArrival records that a target received the call, or may have. The next arrival has to be paid for again.
 func (f *Front) recordArrival(c *call) {
-	c.arrivals++
-	c.paid = false
+	c.recordArrival()
 	f.Metrics.recordArrival(c)
 }
--- a/gateway/front/budget.go
+++ b/gateway/front/budget.go
@@ -77,13 +77,22 @@
 
 // payRetry takes a retry from the budget if a target received the call before, also through another instance, and
 // reports whether the call may be sent to a target. It is called last before that, since the limits hold for the
-// moment at which retries arrive; a carrier pays for what it sends.
+// moment at which retries arrive.
 func (f *Front) payRetry(c *call) bool {
+	if f.prepay(c) {
+		return true
+	}
+	f.denyRetry(c)
+	return false
+}
+
+// prepay takes the next arrival from the budget if it is a retry, and reports whether it is paid for. A carrier pays
+// for it itself if its sender has not.
+func (f *Front) prepay(c *call) bool {
 	if c.arrivals == 0 || c.paid {
 		return true
 	}
 	if !f.budget(c.service).TryWithdraw() {
-		f.denyRetry(c)
 		return false
 	}
 	c.paid = true
--- a/gateway/front/call.go
+++ b/gateway/front/call.go
@@ -79,8 +79,6 @@
 	carriersAsked int
 	// unreached counts the targets that were out of reach when the call was to be sent there.
 	unreached int
-	// paid is set if the next arrival was taken from this instance's retry budget.
-	paid bool
 	// retryDenied is set if the call was not retried since the budget was exhausted.
 	retryDenied bool
 	// failure is a target's failure response, forwarded if no later attempt succeeds.
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -75,6 +75,7 @@
 		if !ok {
 			break
 		}
+		f.prepay(c)
 		response, refused, declined := f.sendThrough(ctx, c, &carrier, &search)
 		if !declined {
 			return response, refused
@@ -163,7 +164,7 @@
 		f.Forwarder.avoid(time.Now(), carrier, "", avoidUnreachable)
 	}
 	c.recordRun("")
-	c.arrivals++
+	c.recordArrival()
 	c.counted = true
 	f.logForwarded(c, r.cause, start, err)
 	return r
--- a/gateway/instance/withdrawn_test.go
+++ b/gateway/instance/withdrawn_test.go
@@ -192,6 +192,9 @@
 	f.callSteadily(3500*time.Millisecond, 7*time.Millisecond, all)
 	over := time.Now()
 	f.callAtOnce(30, time.Second, all)
+	for _, w := range menus {
+		t.Logf("%s: %d requests after the rest", w.id, w.since(over))
+	}
 	for _, w := range menus[:2] {
 		assert.Check(t, w.since(over) > 10, "%d requests after the rest", w.since(over))
 	}
