Stop waiting for a target's slot once the key has another owner

Cause: a request that waited for its owner's slot stayed in that queue when the key moved, got the slot late, was rejected with 421 and needed a retry of the budget. Evidence: front TestWaitingRequestFollowsItsKey failed before (503 after 3.4 s), now 200 in 0.4 s, no arrival at the former owner.

--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -40,6 +40,10 @@
 	Pace   bool
 	OnPace func(schedule.PaceChange)
 
+	// OwnerOf, if set, returns the owner of a key; nothing if it is not known. A request stops waiting for a
+	// target that its key has left. It must not call the Dispatcher.
+	OwnerOf func(service string, key int) string
+
 	mu        sync.Mutex
 	scheduler schedule.Scheduler
 	waiting   map[*schedule.Ticket]chan struct{}
@@ -121,12 +125,25 @@
 		return nil
 	}
 	err := d.scheduler.CheckWaiting(time.Now(), t)
+	if err == nil && d.hasMoved(&t.Request) {
+		d.scheduler.Cancel(t)
+		err = &schedule.NoTargetError{Service: t.Request.Service}
+	}
 	if err != nil {
 		delete(d.waiting, t)
 	}
 	return err
 }
 
+// hasMoved reports whether the request's key has another owner than the target that it names.
+func (d *Dispatcher) hasMoved(r *schedule.Request) bool {
+	if r.Target == "" || d.OwnerOf == nil {
+		return false
+	}
+	owner := d.OwnerOf(r.Service, r.Key)
+	return owner != "" && owner != r.Target
+}
+
 // expire is called when a ticket's WaitUntil has passed. It returns an error if the
 // ticket does not wait any longer.
 func (d *Dispatcher) expire(t *schedule.Ticket) error {
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -441,13 +441,21 @@
 	}
 }
 
-// mustNotWait reports whether the target that a request names leaves. Its scheduler may not know that yet.
+// mustNotWait reports whether the target that a request names leaves, or does not own its key any more. The target's
+// scheduler may not know that yet.
 func (b *Broker) mustNotWait(req *schedule.Request) bool {
 	if req.Target == "" {
 		return false
 	}
 	t := b.Roster.Load().Find(req.Target)
-	return t == nil || !t.Accepts(time.Now(), true)
+	if t == nil || !t.Accepts(time.Now(), true) {
+		return true
+	}
+	if b.Owner == nil {
+		return false
+	}
+	owner, _ := b.Owner(req.Service, req.Key)
+	return owner != "" && owner != req.Target
 }
 
 func (b *Broker) markResponsive(scheduler string) {
--- a/gateway/front/owner_test.go
+++ b/gateway/front/owner_test.go
@@ -16,6 +16,8 @@
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/gateway/front"
 	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
+	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
@@ -112,6 +114,42 @@
 	assert.Assert(t, misdirected.Load() <= 3, "%d requests to the former owner", misdirected.Load())
 }
 
+// Guards against a request that waits for the slot of its key's owner although the key has another owner by now: it
+// would reach a target without the key, late, and be sent once more.
+func TestWaitingRequestFollowsItsKey(t *testing.T) {
+	f := newShardedFixture(t)
+	f.front.Broker.Dispatcher.OwnerOf = func(_ string, key int) string {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.assignment.Find(key).Owner
+	}
+	release := make(chan struct{})
+	var former arrivals
+	f.startTarget("former", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		former.record(r.Header.Get(platform.RequestID))
+		<-release
+		w.Header().Set(platform.RequestID, r.Header.Get(platform.RequestID))
+		w.Header().Set(platform.Signature, "former")
+	}))
+	f.startTarget("next", &standin.Target{ID: "next"})
+	f.assign("former", "next")
+	var group errgroup.Group
+	end := sync.OnceFunc(func() { close(release) })
+	defer func() { end(); _ = group.Wait() }()
+	for n := range 3 {
+		group.Go(func() error {
+			f.getAs(t, fmt.Sprint("slot", n), 5)
+			return nil
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	start := time.Now()
+	time.AfterFunc(200*time.Millisecond, func() { f.assign("next", "next") })
+	assert.Equal(t, f.getAs(t, "waits", 5), http.StatusOK)
+	assert.Assert(t, time.Since(start) < 600*time.Millisecond, "answered after %v", time.Since(start))
+	assert.Equal(t, former.byID["waits"], 0)
+}
+
 // Guards against a request that waits for another owner, although the current owner gets
 // its grant a moment after it refused the request.
 func TestRequestIsRetriedAtOwnerAwaitingItsGrant(t *testing.T) {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -179,6 +179,10 @@
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
 	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds, Pace: i.features.Pace, OnPace: i.logPace}
+	i.dispatcher.OwnerOf = func(service string, key int) string {
+		id, _ := i.state.owner(service, key)
+		return id
+	}
 	if i.features.Admission {
 		i.dispatcher.Admission = &schedule.Admission{OnOverload: i.logOverload}
 	}
