Send nothing to an owner that was leaving when it was first listed

Change: since when such a target leaves is unknown, so it gets nothing; its keys' requests wait for the next owner or are refused. Evidence: front TestOwnerFirstListedAsLeavingGetsNothing failed before (200 of the leaving owner), passes now. Measured: tests of roster, ownership, schedule, coordinator and the leaving tests of front pass.

--- a/basilcross/roster/builder.go
+++ b/basilcross/roster/builder.go
@@ -48,6 +48,10 @@
 	}
 	if t.Draining && t.LeavingSince.IsZero() {
 		t.LeavingSince = now
+		if known == nil {
+			// Since when it has been leaving is not known.
+			t.LeavingSince = now.Add(-ownerGrace)
+		}
 		leaving = &t
 	}
 	if b.Since.IsZero() {
--- a/basilcross/roster/roster.go
+++ b/basilcross/roster/roster.go
@@ -29,7 +29,8 @@
 	ColdUntil time.Time
 	// FirstSeen is when this instance first saw the incarnation.
 	FirstSeen time.Time
-	// LeavingSince is when this instance first saw the target draining; zero otherwise.
+	// LeavingSince is when this instance first saw the target draining; zero otherwise. It lies earlier if the
+	// target was draining when it was first listed.
 	LeavingSince time.Time
 
 	// listedDraining is set if the platform lists the target as draining, and statedLeaving if its answers
@@ -56,7 +57,7 @@
 // Accepts reports whether the target may be sent requests. One that leaves gets only those for keys that it owns,
 // and only for a while.
 func (t *Target) Accepts(now time.Time, owner bool) bool {
-	return !t.Draining || owner && now.Sub(t.LeavingSince) <= ownerGrace
+	return !t.Draining || owner && now.Sub(t.LeavingSince) < ownerGrace
 }
 
 // IsCold reports whether the target is warming up: it is slower then, and may crash under
--- a/gateway/front/leaving_test.go
+++ b/gateway/front/leaving_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -125,3 +127,20 @@
 	t.Logf("last of %d runs %v after the list said that the owner leaves", runs.runs, runs.last.Sub(listed))
 	assert.Assert(t, runs.last.Sub(listed) <= drainLimit/2)
 }
+
+// Guards against requests to an owner that was leaving already when this instance first listed it: since when is
+// not known.
+func TestOwnerFirstListedAsLeavingGetsNothing(t *testing.T) {
+	f := newShardedFixture(t)
+	var runs runTimes
+	f.startTarget("other", &standin.Target{ID: "other"})
+	server := httptest.NewServer(&standin.Target{ID: "owner", OnRun: func(*http.Request) { runs.record() }})
+	t.Cleanup(server.Close)
+	f.targets = append(f.targets, &roster.Target{
+		ID: "owner", Started: 1, Service: "s", Zone: "z", Slots: 3, Address: strings.TrimPrefix(server.URL, "http://"), Draining: true,
+	})
+	f.roster.Replace(time.Now(), f.targets, 2)
+	f.assign("owner", "other")
+	assert.Equal(t, f.get(t, 5), http.StatusServiceUnavailable)
+	assert.Equal(t, runs.runs, 0)
+}
