Keep a payment that a carrier did not use, and plainer code

Cause: found while reading the diff: an instance that declines a request unread returns an empty account, so that the sender's payment for the next arrival was lost and taken again. The check of waiting requests went through all recent changes of owners. Change: merge keeps the payment unless an arrival used it; usableOwner looks at the assignment alone; the bucket of replacements has one return; a duty of metrics is named apart from that of calls.

--- a/basilcross/schedule/ratelimit.go
+++ b/basilcross/schedule/ratelimit.go
@@ -91,13 +91,12 @@
 		return 0, 0, true
 	case CountsPart:
 		rate *= partialShare
-		return rate, st.stated.refillReplacing(now, rate, limitBurst), false
 	case CountsLess:
 		rate *= lessShare
-		return rate, st.stated.refillReplacing(now, rate, limitBurst), false
 	case CountsAll:
+		return rate, st.stated.refill(now, rate, limitBurst), false
 	}
-	return rate, st.stated.refill(now, rate, limitBurst), false
+	return rate, st.stated.refillReplacing(now, rate, limitBurst), false
 }
 
 // limitOf returns how many requests per second a target may get, 0 if that is not limited, and the
--- a/gateway/front/account.go
+++ b/gateway/front/account.go
@@ -17,12 +17,12 @@
 	paid bool
 }
 
-// merge adds what another instance has returned, which began with this account. An earlier version may leave out
-// a part of it.
+// merge adds what another instance has returned, which began with this account. An instance that declined the request
+// unread, or of an earlier version, leaves out a part of it.
 func (a account) merge(returned account) account {
 	return account{
 		runs: max(a.runs, returned.runs), arrivals: max(a.arrivals, returned.arrivals),
-		counted: a.counted || returned.counted, paid: returned.paid,
+		counted: a.counted || returned.counted, paid: returned.paid || a.paid && returned.arrivals <= a.arrivals,
 	}
 }
 
@@ -60,8 +60,3 @@
 	}
 	return a
 }
-
-func (f *Front) recordArrival(c *call) {
-	c.recordArrival()
-	f.Metrics.recordArrival(c)
-}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -166,6 +166,12 @@
 	return reservation.OwnerSince.After(c.lastRunAt) || f.OwnerChangedSince(c.service, c.key, c.lastRunAt)
 }
 
+// recordArrival records that a target received the call, or may have.
+func (f *Front) recordArrival(c *call) {
+	c.recordArrival()
+	f.Metrics.recordArrival(c)
+}
+
 // recordRun records that the target may have run the request.
 func (c *call) recordRun(target string) {
 	c.runs++
--- a/gateway/front/metrics.go
+++ b/gateway/front/metrics.go
@@ -60,7 +60,7 @@
 		Name: "basilcross_retries_denied_total", Help: "Requests that were not retried, since the budget of retries was exhausted.",
 	}, []string{"service"})
 	m.arrivals = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "basilcross_target_arrivals_total", Help: "Requests that a target received, or may have, by whose callers sent them.",
+		Name: "basilcross_target_arrivals_total", Help: "Requests that a target received, or may have: of this instance's callers, or carried ones.",
 	}, []string{"service", "path"})
 	m.deposits = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "basilcross_retry_deposits_total", Help: "Requests that the budget of retries counted.",
@@ -110,7 +110,7 @@
 	m.requests.WithLabelValues(c.service, "", "callerGone").Inc()
 }
 
-// recordArrival records that a target received the call, or may have.
+// recordArrival counts an arrival by whose caller's call it was.
 func (m *Metrics) recordArrival(c *call) {
 	path := "own"
 	if c.from != "" {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -178,11 +178,7 @@
 		Links: i.links, ReachesTargets: i.reachesTargets, Quarantine: &i.quarantiner.list, OnQuarantined: i.quarantiner.merge, AskLinks: i.askLinks, Peers: i.peers, Roster: i.state.roster, Table: i.state.routes.Load, Placement: i.state.policy, Revisions: i.revisions, Log: log,
 		Holds: ownership.Holds{Normal: min(normalHold, s.LongestHold), Long: min(longHold, s.LongestHold-longHoldMargin), RenewInterval: renewalInterval, AddressReuse: s.AddressReuse},
 	})
-	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds, Pace: i.features.Pace, OnPace: i.logPace}
-	i.dispatcher.OwnerOf = func(service string, key int) string {
-		id, _ := i.state.owner(service, key)
-		return id
-	}
+	i.dispatcher = &dispatch.Dispatcher{Roster: i.state.roster, OwnerOf: i.state.usableOwner, ColdRate: i.state.coldRate, IsBound: i.state.isBound, HasAlternative: i.state.hasAlternative, OnBackoff: i.logBackoff, RateLimit: i.limiter.limits.Find, Waitlist: i.features.Waitlist, Speeds: i.features.Speeds, Pace: i.features.Pace, OnPace: i.logPace}
 	if i.features.Admission {
 		i.dispatcher.Admission = &schedule.Admission{OnOverload: i.logOverload}
 	}
--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -92,6 +92,12 @@
 	})
 }
 
+// usableOwner returns the usable owner of a key, or nothing.
+func (s *state) usableOwner(service string, key int) string {
+	a, _ := s.currentAssignment(service)
+	return a.UsableOwner(time.Now(), s.roster.Load(), key)
+}
+
 // owner returns the usable owner of a key, or nothing, and when the key got it; zero if that
 // was long ago.
 func (s *state) owner(service string, key int) (id string, since time.Time) {
