--- a/gateway/front/leaving_test.go
+++ b/gateway/front/leaving_test.go
@@ -144,3 +144,30 @@
 	assert.Equal(t, f.get(t, 5), http.StatusServiceUnavailable)
 	assert.Equal(t, runs.runs, 0)
 }
+
+// Guards against a request that another instance forwards to an owner which leaves.
+func TestCarrierSendsNothingToLeavingOwner(t *testing.T) {
+	var runs runTimes
+	server := httptest.NewServer(&standin.Target{ID: "owner", OnRun: func(*http.Request) { runs.record() }})
+	t.Cleanup(server.Close)
+	var fleet []*fixture
+	var sender *shardedFixture
+	for n := range 3 {
+		f := newShardedFixture(t)
+		f.addTarget("owner", strings.TrimPrefix(server.URL, "http://"))
+		f.assign("owner", "owner")
+		if n == 0 {
+			sender = f
+			breakLinks(f.front.Links)
+		} else {
+			f.setDraining("owner")
+		}
+		fleet = append(fleet, f.fixture)
+	}
+	linkFleet(t, fleet)
+	time.Sleep(drainLimit / 2)
+	start := time.Now()
+	assert.Equal(t, sender.get(t, 5), http.StatusServiceUnavailable)
+	assert.Equal(t, runs.runs, 0)
+	assert.Assert(t, time.Since(start) < drainLimit, "refused after %v", time.Since(start))
+}
