--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -31,7 +31,9 @@
 	// receiveHook, if set, receives messages in place of the broker.
 	receiveHook atomic.Pointer[func(*peers.Message)]
 	thin        atomic.Bool
-	stop        func()
+	// owner, if set, owns all keys.
+	owner atomic.Value
+	stop  func()
 }
 
 // startInstances starts instances of one zone that have each other and the same
@@ -59,6 +61,10 @@
 		n.broker = broker.New(broker.Options{
 			Self: n.peers.Self, Placement: func() *placement.Policy { return &placement.Policy{} }, Peers: n.peers, Dispatcher: n.dispatcher, Roster: targets, Log: log,
 			Thin: n.thin.Load,
+			Owner: func(string, int) (string, time.Time) {
+				id, _ := n.owner.Load().(string)
+				return id, time.Time{}
+			},
 		})
 		assert.NilError(t, n.peers.Listen())
 		ctx, cancel := context.WithCancel(context.Background())
--- a/gateway/front/arrivals_test.go
+++ b/gateway/front/arrivals_test.go
@@ -34,6 +34,13 @@
 	a.byID[id]++
 }
 
+// of returns the number of arrivals of a request.
+func (a *arrivals) of(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byID[id]
+}
+
 // repeated returns the number of arrivals beyond the first of each request.
 func (a *arrivals) repeated() (n int) {
 	a.mu.Lock()
