--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -77,7 +77,7 @@
 	return q
 }
 
-// entryWriteTime is how long the steady part of a case lasts before the disruption.
+// steady is how long the steady part of a case lasts before the disruption.
 const steady = 15 * time.Second
 
 // ownerCase: another writer's entry names a service that no configuration has, at an endpoint's address.
@@ -118,92 +118,37 @@
 	return held
 }
 
-// routeCase: endpoints of two services that are divided by key leave at the same time.
-func routeCase(w *world) int {
-	services := []service{{"alpha", true, safe}, {"beta", true, unsafe}}
-	const count, leaving = 120, 30
-	w.startStore()
-	w.putConfig(services)
-	lists := map[string][]*endpoint{}
-	for i, s := range services {
-		lists[s.name] = w.startEndpoints(s, 10+i, count, workOf(60*time.Millisecond))
-	}
-	w.startGateways([]string{"z1", "z1", "z2"})
-	w.awaitReady()
-	time.Sleep(8 * time.Second)
-	stop := make(chan struct{})
-	var next struct {
-		sync.Mutex
-		n int
-	}
-	load := w.load(150, stop, func() *request {
-		next.Lock()
-		defer next.Unlock()
-		next.n++
-		return w.newRequest(services[next.n%2])
-	})
-	time.Sleep(steady)
-	if w.trouble {
-		for i := range leaving {
-			for _, s := range services {
-				lists[s.name][i].drain(6 * time.Second)
-			}
-		}
-		w.record.say("%d of %d endpoints of each service drain and leave", leaving, count)
-	}
-	time.Sleep(15 * time.Second)
-	close(stop)
-	load.Wait()
-	w.record.say("answers by status: %v", w.summary())
-	wrong, foreign := 0, 0
-	w.outcomes.Range(func(_, value any) bool {
-		res := value.(*result)
-		for _, run := range w.record.runsOf(res.request.id) {
-			if !strings.HasSuffix(run, "/"+res.request.service) {
-				w.record.add("request %s to service %s was run at %s", res.request.id, res.request.service, run)
-				wrong++
-			}
-		}
-		if res.status == 200 && !strings.Contains(res.body, "service="+res.request.service+" ") {
-			foreign++
-		}
-		return true
-	})
-	w.record.say("%d requests were run by a service to which no config allows them to go; %d successes of such a service were returned", wrong, foreign)
-	if wrong > 0 {
-		w.record.say("ROUTE is broken")
-		return broken
-	}
-	w.record.say("ROUTE held")
-	return held
-}
-
-// twiceCase: the endpoints that replace others send a few of their answers a second time, late.
+// twiceCase: endpoints are replaced one after the other, and the new ones send a few of their answers a second
+// time, late.
 func twiceCase(w *world) int {
 	s := service{"ledger", true, unsafe}
+	const count, replaced = 12, 6
 	w.startStore()
 	w.putConfig([]service{s})
-	endpoints := w.startEndpoints(s, 10, 8, workOf(120*time.Millisecond))
-	w.startGateways([]string{"z1", "z1", "z2"})
+	endpoints := w.startEndpoints(s, 10, count, workOf(120*time.Millisecond))
+	w.startGateways([]string{"z1", "z2", "z1", "z2", "z1", "z2", "z1", "z2", "z1", "z2", "z1"})
 	w.awaitReady()
 	time.Sleep(8 * time.Second)
 	stop := make(chan struct{})
-	load := w.load(60, stop, func() *request { return w.newRequest(s) })
+	load := w.load(130, stop, func() *request { return w.newRequest(s) })
 	time.Sleep(8 * time.Second)
-	for i, old := range endpoints[:4] {
+	var faulty []*faults
+	for i, old := range endpoints[:replaced] {
 		e := &endpoint{
 			id: fmt.Sprintf("i-ledger-new-%d", i+1), service: s.name, zone: old.zone, address: w.freeAddress(11, i+1),
 			slots: 3, queue: 12, sharded: true, work: workOf(120 * time.Millisecond), store: w.store, record: w.record,
 		}
 		began := time.Now()
 		e.orderDelay = func() time.Duration {
-			if time.Since(began) < 3*time.Second {
-				return 150 * time.Millisecond
+			if time.Since(began) < slowStart {
+				return slowOrder
 			}
 			return 0
 		}
+		f := &faults{until: began.Add(faultyFor)}
+		faulty = append(faulty, f)
 		if w.trouble {
-			e.extra = limitedExtras()
+			e.extra = f.choose
 		}
 		must(e.start())
 		endpoints, w.endpoints = append(endpoints, e), append(w.endpoints, e)
@@ -212,9 +157,12 @@
 		old.drain(3 * time.Second)
 		time.Sleep(4 * time.Second)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(2 * time.Second)
 	close(stop)
 	load.Wait()
+	for i, f := range faulty {
+		w.record.say("endpoint i-ledger-new-%d sent %d of its %d answers of %s a second time", i+1, f.extras, f.answers, faultyFor)
+	}
 	w.record.say("answers by status: %v", w.summary())
 	twice, refused := 0, 0
 	w.outcomes.Range(func(_, value any) bool {
@@ -238,19 +186,33 @@
 	return held
 }
 
-// limitedExtras returns a choice of the answers that are sent a second time: refusals, but no more than 3 in
-// 100 of all answers.
-func limitedExtras() func(status int) bool {
-	var mu sync.Mutex
-	answers, extras := 0, 0
-	return func(status int) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		answers++
-		if status == 200 || float64(extras+1) > 0.03*float64(answers)+1 {
-			return false
-		}
-		extras++
-		return true
+const (
+	// An endpoint that has just started is slow for slowStart: it carries out an order after slowOrder.
+	slowStart = 3 * time.Second
+	slowOrder = 200 * time.Millisecond
+	// A faulty endpoint sends extraShare of its answers a second time, for faultyFor.
+	extraShare = 0.03
+	faultyFor  = 5 * time.Second
+)
+
+// faults chooses the answers that an endpoint sends a second time: refusals first.
+type faults struct {
+	until time.Time
+
+	mu              sync.Mutex
+	answers, extras int
+}
+
+func (f *faults) choose(status int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Now().After(f.until) {
+		return false
+	}
+	f.answers++
+	if status == 200 || float64(f.extras) > extraShare*float64(f.answers) {
+		return false
 	}
+	f.extras++
+	return true
 }
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -54,8 +54,7 @@
 	first, last int
 	fence       int64
 	from, until time.Time
-	// runs are the moments at which requests on the keys began.
-	endpoint *endpoint
+	endpoint    *endpoint
 }
 
 type fenced struct {
@@ -176,7 +175,12 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(r.Body)
+		var body bytes.Buffer
+		var to io.Writer = &body
+		if !strings.HasPrefix(r.URL.Path, "/v1/") {
+			to = io.Discard
+		}
+		size, err := io.Copy(to, r.Body)
 		if err != nil {
 			return
 		}
@@ -187,7 +191,7 @@
 			}
 			late = nil
 		}
-		a, order := e.handle(r, body)
+		a, order := e.handle(r, body.Bytes(), size)
 		text := a.bytes()
 		if _, err := c.Write(text); err != nil {
 			return
@@ -199,7 +203,7 @@
 }
 
 // handle carries out a call. order is set for all but requests of clients.
-func (e *endpoint) handle(r *http.Request, body []byte) (a *answer, order bool) {
+func (e *endpoint) handle(r *http.Request, body []byte, size int64) (a *answer, order bool) {
 	switch r.URL.Path {
 	case "/v1/grant":
 		return e.grant(r, body), true
@@ -208,10 +212,10 @@
 	case "/health":
 		return &answer{status: http.StatusOK, header: map[string]string{"Basilcross-Instance-Id": e.id}}, true
 	}
-	return e.request(r, body), false
+	return e.request(r, size), false
 }
 
-func (e *endpoint) request(r *http.Request, body []byte) *answer {
+func (e *endpoint) request(r *http.Request, size int64) *answer {
 	id := r.Header.Get("Basilcross-Request-Id")
 	header := map[string]string{"Basilcross-Request-Id": id}
 	if want := r.Header.Get("Basilcross-Expected-Instance"); want != "" && want != e.id {
@@ -250,7 +254,7 @@
 		}
 		defer e.endKey(key)
 	}
-	e.record.ran(id, e, r.Method, r.URL.RequestURI(), len(body))
+	e.record.ran(id, e, r.Method, r.URL.RequestURI(), size)
 	took := e.work()
 	if limit := time.Duration(ms) * time.Millisecond; took > limit {
 		time.Sleep(limit)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,16 +22,14 @@
 
 // The exit codes of a case.
 const (
-	held     = 0
-	broken   = 1
-	notRun   = 2
-	longest  = 110 * time.Second
-	grace    = 6 * time.Second
-	stopWait = grace + time.Second
+	held    = 0
+	broken  = 1
+	notRun  = 2
+	longest = 110 * time.Second
 )
 
 func main() {
-	cases := map[string]func(*world) int{"owner": ownerCase, "route": routeCase, "twice": twiceCase}
+	cases := map[string]func(*world) int{"owner": ownerCase, "twice": twiceCase, "memory": memoryCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(notRun)
@@ -54,7 +52,6 @@
 		record: &record{file: file, began: time.Now(), runs: map[string][]string{}}, folder: temporary,
 		trouble: os.Getenv("TROUBLE") != "0", net: 16 + rand.IntN(200),
 	}
-	w.port = 20000 + rand.IntN(10000)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	done := make(chan int, 1)
@@ -76,6 +73,7 @@
 		w.record.add("the case took too long")
 		code = notRun
 	}
+	w.ending.Store(true)
 	w.kill()
 	w.record.add("exit %d", code)
 	w.record.close()
@@ -108,7 +106,7 @@
 	fmt.Printf(format+"\n", values...)
 }
 
-func (r *record) ran(id string, e *endpoint, method, uri string, size int) {
+func (r *record) ran(id string, e *endpoint, method, uri string, size int64) {
 	r.add("request %s runs at %s of %s: %s %s, body of %d bytes", id, e.id, e.service, method, uri, size)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -134,13 +132,14 @@
 	record  *record
 	folder  string
 	trouble bool
-	// net is a part of the loopback addresses, and port the port of all callers' addresses.
-	net, port int
+	// net is a part of the loopback addresses.
+	net       int
 	store     *store
 	gateways  []*gateway
 	endpoints []*endpoint
-	requests  atomic.Int64
 	outcomes  sync.Map
+	// ending is set once the case has ended, so that no process is started again.
+	ending atomic.Bool
 }
 
 func must(err error) {
@@ -166,9 +165,11 @@
 
 // gateway is a process of the system.
 type gateway struct {
-	name, zone, callers, ready, control string
-	process                             *exec.Cmd
-	ended                               chan struct{}
+	name, zone, callers, ready, control, settings, log string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
 }
 
 // startGateways starts gateways with the command of the deploy file and its template of the settings, as on
@@ -178,12 +179,12 @@
 	must(err)
 	var seeds []string
 	for i, zone := range zones {
-		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ended: make(chan struct{})}
+		g := &gateway{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone}
 		g.callers, g.ready, g.control = w.freeAddress(2, i+1), w.freeAddress(2, i+1), w.freeAddress(2, i+1)
 		w.gateways = append(w.gateways, g)
 		seeds = append(seeds, g.control)
 	}
-	for i, g := range w.gateways {
+	for _, g := range w.gateways {
 		ip, _, _ := net.SplitHostPort(g.callers)
 		udp, err := net.ListenPacket("udp", ip+":0")
 		must(err)
@@ -207,18 +208,39 @@
 		}
 		path := filepath.Join(w.folder, g.name+".conf")
 		must(os.WriteFile(path, []byte(text), 0o600))
-		logs, err := os.Create(filepath.Join(w.folder, g.name+".log"))
-		must(err)
-		g.process = exec.Command("target/basilcross-gateway", "serve")
-		g.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BASILCROSS_SETTINGS=" + path}
-		g.process.Stdout, g.process.Stderr = logs, logs
-		must(g.process.Start())
-		w.record.add("gateway %s started, callers at %s", g.name, g.callers)
-		go func() {
-			err := g.process.Wait()
-			w.record.add("gateway %s ended: %v", w.gateways[i].name, err)
-			close(g.ended)
-		}()
+		g.settings, g.log = path, filepath.Join(w.folder, g.name+".log")
+		w.start(g)
+	}
+}
+
+// start starts a gateway's process.
+func (w *world) start(g *gateway) {
+	logs, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	must(err)
+	defer logs.Close()
+	process, ended := exec.Command("target/basilcross-gateway", "serve"), make(chan struct{})
+	process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "BASILCROSS_SETTINGS=" + g.settings}
+	process.Stdout, process.Stderr = logs, logs
+	must(process.Start())
+	g.mu.Lock()
+	g.process, g.ended = process, ended
+	g.mu.Unlock()
+	w.record.add("gateway %s started, callers at %s", g.name, g.callers)
+	go func() {
+		err := process.Wait()
+		w.record.add("gateway %s ended: %v", g.name, err)
+		close(ended)
+	}()
+}
+
+// end kills a gateway's process and waits for its end.
+func (g *gateway) end() {
+	g.mu.Lock()
+	process, ended := g.process, g.ended
+	g.mu.Unlock()
+	if process != nil {
+		_ = process.Process.Signal(syscall.SIGKILL)
+		<-ended
 	}
 }
 
@@ -246,10 +268,7 @@
 // kill ends all processes that the case started.
 func (w *world) kill() {
 	for _, g := range w.gateways {
-		if g.process != nil && g.process.Process != nil {
-			_ = g.process.Process.Signal(syscall.SIGKILL)
-			<-g.ended
-		}
+		g.end()
 	}
 	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
 		for _, g := range w.gateways {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -38,8 +38,6 @@
 	rows    map[rowName]storeRow
 	changes []storeRow
 	changed chan struct{}
-	// loseAnswers and delay are the disturbances: see setTrouble.
-	trouble func(path string) (drop bool, delay time.Duration)
 }
 
 const (
@@ -115,13 +113,6 @@
 	if err != nil {
 		return
 	}
-	if s.trouble != nil {
-		drop, delay := s.trouble(r.URL.Path)
-		time.Sleep(delay)
-		if drop {
-			panic(http.ErrAbortHandler)
-		}
-	}
 	switch r.URL.Path {
 	case "/v1/rows-tx":
 		s.transact(w, body)
