--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target
-GOWORK=off GOFLAGS=-mod=mod go build -o target/review-harness review/harness/*.go
+GOWORK=off GOFLAGS=-mod=mod go build -o "${OUT:-target/review-harness}" review/harness/*.go
--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -216,3 +216,104 @@
 	f.extras++
 	return true
 }
+
+const (
+	// For hotFor, hotShare of the requests are to hotCount neighbouring keys.
+	hotShare = 0.42
+	hotCount = 200
+	hotFor   = 5 * time.Second
+)
+
+// handedCase: other keys become busy every few seconds, and meanwhile some endpoints are faulty: they send a few
+// of their answers a second time, late.
+func handedCase(w *world) int {
+	s := service{"ledger", true, unsafe}
+	const count, faultyCount, rounds, pause = 8, 4, 6, 1500 * time.Millisecond
+	w.startStore()
+	w.putConfig([]service{s})
+	endpoints := w.startEndpoints(s, 10, count, workOf(500*time.Millisecond))
+	var mu sync.Mutex
+	violations, extras, answers, faulty := 0, 0, 0, false
+	for i, e := range endpoints {
+		e.granted = func(first, last int) {
+			for _, other := range endpoints {
+				if keys := other.working(first, last); other != e && len(keys) > 0 {
+					w.record.say("endpoint %s is given the keys %d-%d while %s is at work on the released keys %v of them", e.id, first, last, other.id, keys)
+					mu.Lock()
+					violations++
+					mu.Unlock()
+				}
+			}
+		}
+		if i >= faultyCount || !w.trouble {
+			continue
+		}
+		own, ownExtras := 0, 0
+		count := func(may bool) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			if !faulty {
+				return false
+			}
+			own++
+			answers++
+			if !may || float64(ownExtras+1) > extraShare*float64(own) {
+				return false
+			}
+			ownExtras++
+			extras++
+			return true
+		}
+		e.extra = func(int) bool { return count(false) }
+		e.extraOrder = func(path string) bool { return count(path == "/v1/release") }
+	}
+	w.startGateways([]string{"z1", "z1", "z2"})
+	w.awaitReady()
+	time.Sleep(8 * time.Second)
+	stop := make(chan struct{})
+	var hot struct {
+		sync.Mutex
+		first int
+	}
+	hot.first = -1
+	load := w.load(24, stop, func() *request {
+		q := w.newRequest(s)
+		hot.Lock()
+		defer hot.Unlock()
+		if hot.first >= 0 && rand.Float64() < hotShare {
+			q.key = hot.first + rand.IntN(hotCount)
+		}
+		return q
+	})
+	setFaulty := func(is bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		faulty = is
+	}
+	time.Sleep(4 * time.Second)
+	for range rounds {
+		hot.Lock()
+		hot.first = rand.IntN(1<<16 - hotCount)
+		w.record.add("keys %d-%d are busy", hot.first, hot.first+hotCount-1)
+		hot.Unlock()
+		setFaulty(true)
+		time.Sleep(hotFor)
+		hot.Lock()
+		hot.first = -1
+		hot.Unlock()
+		setFaulty(false)
+		time.Sleep(pause)
+	}
+	close(stop)
+	load.Wait()
+	w.record.say("answers by status: %v", w.summary())
+	mu.Lock()
+	defer mu.Unlock()
+	w.record.say("the faulty endpoints sent %d of %d answers a second time", extras, answers)
+	if violations > 0 {
+		w.record.say("OWNER is broken %d times", violations)
+		return broken
+	}
+	w.record.say("OWNER held")
+	return held
+}
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -30,6 +30,10 @@
 	orderDelay func() time.Duration
 	// extra, if set, is asked after each answer whether the endpoint sends it a second time, late.
 	extra func(status int) bool
+	// extraOrder is the same for answers to orders.
+	extraOrder func(path string) bool
+	// granted, if set, is called after the endpoint has accepted a grant.
+	granted func(first, last int)
 
 	listener net.Listener
 
@@ -46,7 +50,10 @@
 	ended   bool
 	endedAt time.Time
 	begun   map[int]int
-	idle    chan struct{}
+	// released are the keys that were released while work on them was running, until that ends, each with
+	// the end that its hold had before.
+	released map[int]time.Time
+	idle     chan struct{}
 }
 
 // hold is a range of keys that the endpoint holds from a moment until another.
@@ -69,7 +76,7 @@
 		return err
 	}
 	e.listener, e.conns, e.state, e.seq = l, map[net.Conn]bool{}, "ready", 1
-	e.freed, e.begun, e.idle = make(chan struct{}), map[int]int{}, make(chan struct{})
+	e.freed, e.begun, e.idle, e.released = make(chan struct{}), map[int]int{}, make(chan struct{}), map[int]time.Time{}
 	if e.born == 0 {
 		e.born = time.Now().UnixMilli()
 	}
@@ -196,7 +203,7 @@
 		if _, err := c.Write(text); err != nil {
 			return
 		}
-		if !order && e.extra != nil && e.extra(a.status) {
+		if order && e.extraOrder != nil && e.extraOrder(r.URL.Path) || !order && e.extra != nil && e.extra(a.status) {
 			late = text
 		}
 	}
@@ -334,6 +341,7 @@
 	defer e.mu.Unlock()
 	if e.begun[key]--; e.begun[key] == 0 {
 		delete(e.begun, key)
+		delete(e.released, key)
 	}
 	close(e.idle)
 	e.idle = make(chan struct{})
@@ -348,11 +356,18 @@
 		Fence    int64
 		Hold     string `json:"hold_time"`
 	}
+	accepted := false
+	defer func() {
+		if accepted && e.granted != nil {
+			e.granted(o.From, o.To)
+		}
+	}()
 	err := json.Unmarshal(body, &o)
 	duration, holdErr := time.ParseDuration(o.Hold)
 	if err != nil || holdErr != nil || o.From > o.To {
 		return &answer{status: http.StatusBadRequest}
 	}
+	// The deferred call above comes after the unlocking.
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.ended {
@@ -374,6 +389,7 @@
 	h := &hold{first: o.From, last: o.To, fence: o.Fence, from: now, until: now.Add(duration), endpoint: e}
 	e.holds, e.history = append(e.holds, h), append(e.history, h)
 	e.fences = append(e.fences, fenced{o.From, o.To, o.Fence})
+	accepted = true
 	e.record.add("endpoint %s of %s holds %d-%d fence %d for %s (expects %s)", e.id, e.service, o.From, o.To, o.Fence, o.Hold, r.Header.Get("Basilcross-Expected-Instance"))
 	return &answer{status: http.StatusOK}
 }
@@ -396,6 +412,11 @@
 				rest, e.history = append(rest, part), append(e.history, part)
 			}
 		}
+		for key := range e.begun {
+			if max(h.first, first) <= key && key <= min(h.last, last) {
+				e.released[key] = h.until
+			}
+		}
 		h.until = now
 	}
 	e.holds = rest
@@ -469,3 +490,16 @@
 	}
 	return found
 }
+
+// working returns the keys of a range that were released while the endpoint's work on them was running, which is
+// still so, and whose hold has not ended otherwise.
+func (e *endpoint) working(first, last int) (keys []int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for key, until := range e.released {
+		if first <= key && key <= last && time.Now().Before(until) && !e.ended {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
