--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -29,7 +29,7 @@
 )
 
 func main() {
-	cases := map[string]func(*world) int{"owner": ownerCase, "twice": twiceCase, "memory": memoryCase, "handed": handedCase}
+	cases := map[string]func(*world) int{"owner": ownerCase, "twice": twiceCase, "memory": memoryCase, "handed": handedCase, "unsigned": unsignedCase}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(notRun)
