--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -224,8 +224,8 @@
 	hotFor   = 5 * time.Second
 )
 
-// handedCase: other keys become busy every few seconds, and meanwhile some endpoints are faulty: they send a few
-// of their answers a second time, late.
+// handedCase: other keys become busy every few seconds, each time keys of an endpoint that is faulty meanwhile: some
+// endpoints send a few of their answers a second time, late.
 func handedCase(w *world) int {
 	s := service{"ledger", true, unsafe}
 	const count, faultyCount, rounds, pause = 8, 4, 6, 1500 * time.Millisecond
@@ -293,7 +293,7 @@
 	time.Sleep(4 * time.Second)
 	for range rounds {
 		hot.Lock()
-		hot.first = rand.IntN(1<<16 - hotCount)
+		hot.first = endpoints[rand.IntN(faultyCount)].someKeys(hotCount)
 		w.record.add("keys %d-%d are busy", hot.first, hot.first+hotCount-1)
 		hot.Unlock()
 		setFaulty(true)
--- a/review/harness/endpoint.go
+++ b/review/harness/endpoint.go
@@ -512,3 +512,16 @@
 	}
 	return keys
 }
+
+// someKeys returns the first of some neighbouring keys in the longest range that the endpoint holds.
+func (e *endpoint) someKeys(count int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	longest := &hold{first: 0, last: 1<<16 - 1}
+	for i, h := range e.holds {
+		if i == 0 || h.last-h.first > longest.last-longest.first {
+			longest = h
+		}
+	}
+	return longest.first + rand.IntN(max(1, longest.last-longest.first-count))
+}
