Servers: a connection is closed only once what was written has been sent

Cause: an answer counted as delivered once its write had returned. net/http then closes the socket; with the further request unread in it, the operating system resets the connection and drops what it has not sent yet. Ruled out: the end of the process and the stop timeout (the resets come seconds before either). Change: linger.Listener, below all servers of both programs. Close sends the end of the stream after what was written, and reads and discards what the client still sends until it closes too (5 s and 16 MiB at most), so that there is nothing unread that could reset the connection. A stopping process waits for these connections within its stop timeout. The same cause elsewhere: refusals of unread bodies, idle connections at a stop, carriers' answers, the daemon's listeners, with TLS too; all have the listener. Connections to targets are reset on purpose.

--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -28,6 +28,7 @@
 	"basilcross.example/gateway/follower"
 	"basilcross.example/gateway/keyload"
 	"basilcross.example/gateway/leader"
+	"basilcross.example/gateway/linger"
 	"basilcross.example/gateway/peerclient"
 	"basilcross.example/gateway/planner"
 	"basilcross.example/gateway/relay"
@@ -275,6 +276,7 @@
 		if err := s.Shutdown(ctx); err != nil {
 			d.log.Warn("shut down listener", "address", s.Addr, "error", err)
 		}
+		s.linger.Wait(ctx)
 	}
 	event.Stopped.Log(d.log)
 }
@@ -282,6 +284,8 @@
 type server struct {
 	*http.Server
 	listener net.Listener
+	// linger is the listener below TLS.
+	linger *linger.Listener
 }
 
 func (s *server) serve() error {
@@ -303,10 +307,12 @@
 		{d.settings.ControlListen, d.control, d.tlsFiles.Set()},
 		{d.settings.AdminListen, d.admin, false},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		inner, err := net.Listen("tcp", l.address)
 		if err != nil {
 			return nil, fmt.Errorf("listen on %s: %w", l.address, err)
 		}
+		lingering := &linger.Listener{Listener: inner}
+		var listener net.Listener = lingering
 		if l.encrypted {
 			listener = tls.NewListener(listener, d.tlsFiles.Server())
 		}
@@ -314,7 +320,7 @@
 		protocols.SetHTTP1(true)
 		protocols.SetHTTP2(true)
 		protocols.SetUnencryptedHTTP2(true)
-		servers = append(servers, &server{listener: listener, Server: &http.Server{
+		servers = append(servers, &server{listener: listener, linger: lingering, Server: &http.Server{
 			Addr:              l.address,
 			Handler:           l.handler,
 			ReadHeaderTimeout: headerTimeout,
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -31,6 +31,7 @@
 	"basilcross.example/gateway/coordinator"
 	"basilcross.example/gateway/fleet"
 	"basilcross.example/gateway/front"
+	"basilcross.example/gateway/linger"
 	"basilcross.example/gateway/logsink"
 	"basilcross.example/gateway/mirror"
 	"basilcross.example/gateway/peers"
@@ -434,7 +435,10 @@
 	defer abandon.Stop()
 	var group errgroup.Group
 	for _, s := range servers {
-		group.Go(func() error { return s.Shutdown(ctx) })
+		group.Go(func() error {
+			defer s.listener.Wait(ctx)
+			return s.Shutdown(ctx)
+		})
 	}
 	if err := group.Wait(); err != nil {
 		event.Stopped.Log(i.log, "error", err)
@@ -445,7 +449,7 @@
 
 type server struct {
 	*http.Server
-	listener net.Listener
+	listener *linger.Listener
 }
 
 func (s *server) serve() error {
@@ -479,7 +483,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("listen for HTTP on %s: %w", h.address, err)
 		}
-		servers = append(servers, &server{listener: listener, Server: &http.Server{
+		servers = append(servers, &server{listener: &linger.Listener{Listener: listener}, Server: &http.Server{
 			Addr:              h.address,
 			Handler:           h.handler,
 			ReadHeaderTimeout: headerTimeout,
