Answers that are cut short: reset the caller's connection, and accept no head made of two

Cause: other operators report a 200 with a short body, framed as whole, where an endpoint had stopped in the middle of its answer's head. Here a head that is cut at any byte is an error (tested for twelve forms of heads). Two of its class were not: - a streamed answer that ends early, to an HTTP/1.0 caller: its connection was closed in order, which is how such a caller knows the end; - a beginning of one head, without its line's end, before a whole answer: the first one's status with the second one's headers and ID. Callers got 503 ("not run") for a request that had run, and an order's answer became 400 ("not executed"). Change: an answer that can't be forwarded whole ends with a reset (linger.Abort). A status or a header value that has a status line in it is an error, as are two different IDs; the request may have run then. Orders and health checks have the same check. stream took an error that wraps io.EOF for the end; io.Copy never returns that one, so the condition is gone.

--- a/basilcross/pool/id.go
+++ b/basilcross/pool/id.go
@@ -45,12 +45,16 @@
 
 func (l *carriedIDs) full() bool { return len(l.ids) >= maxRequests }
 
-// UnprovenError reports a response without an ID on a connection that has carried other requests: it may
-// be a late second response to one of them.
-type UnprovenError struct{ Header string }
+// UnprovenError reports a response that cannot be told from a late second response to another request: it
+// has no ID, on a connection that has carried others, or several.
+type UnprovenError struct {
+	Header string
+	// IDs are the values of the header.
+	IDs []string
+}
 
 func (e *UnprovenError) Error() string {
-	return fmt.Sprintf("response on a reused connection has no header %q", e.Header)
+	return fmt.Sprintf("response on a reused connection has the IDs %q in header %q, want one", e.IDs, e.Header)
 }
 
 // belongs reports whether a response belongs to the request. first is set for the first one on the
@@ -59,13 +63,13 @@
 	if r.IDHeader == "" || r.ID == "" {
 		return true, nil
 	}
-	id := h.Get(r.IDHeader)
+	ids := slices.Compact(slices.Clone(h.Values(r.IDHeader)))
 	switch {
-	case id != "":
-		return id == r.ID, nil
-	case first:
+	case len(ids) == 1:
+		return ids[0] == r.ID, nil
+	case len(ids) == 0 && first:
 		c.noReuse = true
 		return true, nil
 	}
-	return false, &UnprovenError{Header: r.IDHeader}
+	return false, &UnprovenError{Header: r.IDHeader, IDs: ids}
 }
--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -305,6 +305,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := CheckHead(res); err != nil {
+			return nil, err
+		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("target sent %s, which is not supported", res.Status)
 		}
--- a/gateway/entry/response.go
+++ b/gateway/entry/response.go
@@ -9,6 +9,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/gateway/hopheader"
+	"basilcross.example/gateway/linger"
 )
 
 // streamBufferSize is the size of the chunks in which long responses are forwarded.
@@ -35,7 +36,7 @@
 }
 
 // streamResponse forwards a long response as it arrives. If it is truncated, the
-// caller's connection is aborted, or the part would look complete.
+// caller's connection is reset, or the part would look complete.
 func (f *Front) streamResponse(w http.ResponseWriter, c *call, out *answered) {
 	res := out.response
 	if res.ContentLength >= 0 {
@@ -53,7 +54,7 @@
 	out.done(err == nil)
 	if err != nil {
 		event.AnswerCut.Log(f.Log, "service", c.service, "error", err)
-		panic(http.ErrAbortHandler)
+		linger.Abort(w)
 	}
 	for name, values := range res.Trailer {
 		w.Header()[name] = values
--- a/gateway/front/reply.go
+++ b/gateway/front/reply.go
@@ -1,7 +1,6 @@
 package front
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +8,7 @@
 
 	"basilcross.example/basilcross/event"
 	"basilcross.example/gateway/hopheader"
+	"basilcross.example/gateway/linger"
 )
 
 // The retry delays that callers get in the Retry-After header.
@@ -183,7 +183,7 @@
 }
 
 // stream forwards a response that is not buffered completely. If it is truncated, the caller's
-// connection is aborted: closed properly, the response would look complete.
+// connection is reset.
 func (f *Front) stream(w http.ResponseWriter, c *call, response *targetResponse) {
 	if n := response.head.ContentLength; n >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
@@ -194,9 +194,9 @@
 		_, err = io.Copy(w, response.rest)
 	}
 	response.finish(err == nil)
-	if err == nil || errors.Is(err, io.EOF) {
+	if err == nil {
 		return
 	}
 	event.AnswerCut.Log(f.Log, "request", c.id, "target", c.lastTarget, "error", err)
-	panic(http.ErrAbortHandler)
+	linger.Abort(w)
 }
--- a/gateway/linger/linger.go
+++ b/gateway/linger/linger.go
@@ -9,6 +9,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -121,6 +122,28 @@
 	return n, err
 }
 
+// Reset closes a connection with a reset. What was written and not sent yet is dropped.
+func Reset(c net.Conn) {
+	if own, ok := c.(*conn); ok {
+		own.closed.Store(true)
+		c = own.TCPConn
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Abort ends a handler whose response is incomplete, and resets its connection: if that were closed in
+// order, a response without a length to an HTTP/1.0 client would look complete.
+func Abort(w http.ResponseWriter) {
+	// Streams of HTTP/2 are reset by the server.
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		Reset(c)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // Close ends the connection without a wait.
 func (c *conn) Close() error {
 	if c.closed.Swap(true) {
