Roster: a row whose service no configuration names lists no target

Cause: a row of valid form counted as a target. Renewals to its address stopped, what was not sent counted as unanswered, and both together as the end of the owner, whose keys were free at once. Change: such rows are set aside and applied once a configuration names their service. The roster does not list them, so all that reads it is covered: the coordinator's two uses, schedulers, readiness, probes.

--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -1,7 +1,6 @@
 package instance
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"log/slog"
@@ -30,6 +29,7 @@
 	routes         atomic.Pointer[routing.Table]
 	placement      atomic.Pointer[placement.Policy]
 	roster         *roster.Roster
+	unnamed        unnamedTargets
 	revisionReport atomic.Pointer[revisionReport]
 	targetLines    targetLines
 	// configRevision is the revision of the configuration's row that was applied last.
@@ -224,6 +224,7 @@
 		}
 		s.routes.Store(routing.New(config))
 		event.ConfigInForce.Log(s.log, "version", config.Version, "revision", r.Revision, "routes", len(config.Routes))
+		s.applyNamedTargets(current == nil)
 		s.logUnknownRegions(config)
 		s.logUnknownTypes(config)
 	}
@@ -248,62 +249,6 @@
 	}
 }
 
-func (s *state) applyTargets(u mirror.Update) {
-	now := time.Now()
-	s.targetLines.flush(s.log, now)
-	var added, leaving []*roster.Target
-	first := s.roster.Load().Len() == 0
-	if u.Full {
-		list := make([]*roster.Target, 0, len(u.Rows))
-		for _, r := range u.Rows {
-			if t := s.parseTarget(r); t != nil {
-				list = append(list, t)
-			}
-		}
-		added, leaving = s.roster.Replace(now, list, u.Revision)
-	} else {
-		changes := make([]roster.Change, 0, len(u.Rows))
-		for _, r := range u.Rows {
-			if r.Removed {
-				changes = append(changes, roster.Change{ID: r.Key})
-			} else if t := s.parseTarget(r); t != nil {
-				changes = append(changes, roster.Change{ID: r.Key, Target: t})
-			}
-		}
-		added, leaving = s.roster.Apply(now, changes, u.Revision)
-	}
-	if s.targetsChanged != nil {
-		s.targetsChanged(added, leaving)
-	}
-	if first && u.Full {
-		event.TargetsLoaded.Log(s.log, "targets", len(added), "leaving", len(leaving), "revision", u.Revision)
-		return
-	}
-	if !s.targetLines.allow(now, len(added)+len(leaving)) {
-		s.targetLines.add(len(added), len(leaving))
-		if !s.log.Enabled(context.Background(), slog.LevelDebug) {
-			return
-		}
-	}
-	for _, t := range added {
-		event.TargetCame.Log(s.log, "target", t.ID, "born", t.Started, "service", t.Service, "zone", t.Zone, "address", t.Address,
-			"slots", t.Slots, "warmingMs", t.WarmupLeft.Milliseconds(), "revision", u.Revision)
-	}
-	for _, t := range leaving {
-		event.TargetLeft.Log(s.log, "target", t.ID, "born", t.Started, "service", t.Service, "draining", t.Draining, "revision", u.Revision)
-	}
-}
-
-// parseTarget returns the target of a row; nil if the row is invalid.
-func (s *state) parseTarget(r platform.Row) *roster.Target {
-	t, err := platform.ParseTarget(r.Key, r.Value)
-	if err != nil {
-		event.RowUnusable.Log(s.log, "table", r.Table, "key", r.Key, "revision", r.Revision, "error", err)
-		return nil
-	}
-	return t
-}
-
 // isMinorTargetChange reports whether a target's row changed only in its warm-up
 // progress, which every instance counts down by itself. All targets of a fleet warm
 // up together, each with a change at every report. A target that turns cold again is
