Coordinator: the answer to an order proves something only as the first one on its connection

Cause: releases to an endpoint shared kept connections, and the next answer on one was taken for the call's own. Change: a connection for each release. A refused grant (409, 400) on a connection that has carried another call proves nothing, and closes it. The health check before the first grant on a connection is the first call on it, or another one is opened: a late answer to a grant would be taken for the check's, and the check's for the next grant's.

--- a/gateway/channel/channel.go
+++ b/gateway/channel/channel.go
@@ -21,6 +21,8 @@
 	set *Set
 	// semaphore has capacity 1 and holds an element while the channel is in use.
 	semaphore chan struct{}
+	// calls counts the calls that were sent. Only the holder of the channel may access it.
+	calls int
 	// Set.mu guards the fields below. conn is nil until the connection is established;
 	// dialErr is why it was not.
 	conn    *http.ClientConn
@@ -79,13 +81,23 @@
 // connection.
 func (c *Channel) Client() *http.Client { return &http.Client{Transport: c} }
 
+// Used reports whether a call was sent on the connection. A response to a further one may be a late second
+// response to an earlier one. Only the holder of the channel may call it.
+func (c *Channel) Used() bool { return c.calls > 0 }
+
+// Discard makes Release close the channel permanently.
+func (c *Channel) Discard() {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.closing = true
+}
+
 // RoundTrip sends a request on the connection.
 func (c *Channel) RoundTrip(r *http.Request) (*http.Response, error) {
+	c.calls++
 	res, err := c.conn.RoundTrip(r)
 	if err != nil || res.Close {
-		c.set.mu.Lock()
-		defer c.set.mu.Unlock()
-		c.closing = true
+		c.Discard()
 	}
 	return res, err
 }
--- a/gateway/coordinator/address_test.go
+++ b/gateway/coordinator/address_test.go
@@ -78,7 +78,7 @@
 		Self:          peers.Instance{Name: "one", Incarnation: "a", Cores: 1},
 		Store:         &platform.Store{Address: strings.TrimPrefix(store.URL, "http://"), HTTP: store.Client()},
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
-		ReleaseClient: &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{}}},
+		ReleaseClient: NewReleaseClient((&net.Dialer{}).DialContext),
 		Links:         &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return true },
 		Peers: &peers.Peers{Log: log}, Roster: f.roster, Table: func() *routing.Table { return table },
 		Placement: func() *placement.Policy { return &placement.Policy{} },
@@ -275,6 +275,8 @@
 		{&net.OpError{Op: "dial"}, ownership.Unsent},
 		{&net.OpError{Op: "read"}, ownership.Unknown},
 		{context.DeadlineExceeded, ownership.Unknown},
+		{&unprovenError{&platform.StaleEpochError{}}, ownership.Unknown},
+		{&unprovenError{&platform.OrderError{Status: http.StatusBadRequest}}, ownership.Unknown},
 	} {
 		assert.Equal(t, orderOutcome(c.err), c.want, "%v", c.err)
 	}
--- a/gateway/coordinator/coordinator.go
+++ b/gateway/coordinator/coordinator.go
@@ -70,7 +70,7 @@
 	Self  peers.Instance
 	Store *platform.Store
 	// Channels are for grants, each of which is bound to one connection. ReleaseClient is
-	// for releases, which any target at the address may receive.
+	// for releases, which any target at the address may receive; see NewReleaseClient.
 	Channels      *channel.Set
 	ReleaseClient *platform.GrantClient
 	// Links tells this instance's own broken links from targets that are down.
--- a/gateway/coordinator/orders.go
+++ b/gateway/coordinator/orders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"basilcross.example/basilcross/event"
@@ -123,12 +124,36 @@
 	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 	defer cancel()
 	sent = time.Now()
-	grants := &platform.GrantClient{HTTP: ch.Client()}
-	return sent, grants.Grant(ctx, o.Address, platform.Grant{
+	grants, used := &platform.GrantClient{HTTP: ch.Client()}, ch.Used()
+	err = grants.Grant(ctx, o.Address, platform.Grant{
 		Target: o.Owner.ID, First: o.First, Last: o.Last, Epoch: o.Epoch, Hold: o.Hold, Handover: o.Handover,
 	})
+	if used && isRefusal(err) {
+		// The response to this order may follow it.
+		ch.Discard()
+		err = &unprovenError{err}
+	}
+	return sent, err
+}
+
+// isRefusal reports whether an order's error is a response, which says that the target did not execute the order.
+func isRefusal(err error) bool {
+	var stale *platform.StaleEpochError
+	var refused *platform.OrderError
+	return errors.As(err, &stale) || errors.As(err, &refused)
+}
+
+// unprovenError is a response that may be a late second one to an earlier call on the same connection: a faulty
+// target sends such, and responses to orders have no ID.
+type unprovenError struct{ cause error }
+
+func (e *unprovenError) Error() string {
+	return "response on a reused connection proves nothing: " + e.cause.Error()
 }
 
+// Unwrap returns the response.
+func (e *unprovenError) Unwrap() error { return e.cause }
+
 // otherServiceTargetAt returns the ID of another service's target that is listed at the
 // order's address and was started after the intended one; it would accept the order.
 func (c *Coordinator) otherServiceTargetAt(service string, o *ownership.Grant) string {
@@ -141,13 +166,18 @@
 
 // verifyTarget checks that the order's target is at the other end of the channel, if the
 // target of another sharded service could be: that one would accept the keys. One response is
-// valid for as long as the connection lasts. The error is a *wrongTargetError if another
+// valid for as long as the connection lasts; it must be the first one on it. The error is a *wrongTargetError if another
 // target answers.
 func (c *Coordinator) verifyTarget(ctx context.Context, service string, ch *channel.Channel, o *ownership.Grant) error {
 	path := healthPath(c.Table(), service)
 	if path == "" || ch.Target == o.Owner.ID {
 		return nil
 	}
+	if ch.Target == "" && ch.Used() {
+		// The response may be a late one to an earlier call.
+		ch.Discard()
+		return &channel.ClosedError{Address: o.Address, Number: ch.Number}
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	health := &platform.HealthClient{HTTP: ch.Client()}
@@ -202,6 +232,17 @@
 
 var errNoAuthority = errors.New("authority to send orders has expired")
 
+// NewReleaseClient returns a client that opens a connection for each release. The response to a release proves that work on its keys
+// has ended; on a kept connection it could be a late second response to an earlier one.
+func NewReleaseClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *platform.GrantClient {
+	return &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader,
+	}}}
+}
+
+// maxResponseHeader bounds the headers of responses to releases, in bytes.
+const maxResponseHeader = 64 << 10
+
 func (c *Coordinator) release(l *leadership, manager *ownership.Manager, o *ownership.Release) {
 	sent := time.Now()
 	ctx, cancel := context.WithDeadline(l.ctx, o.HeldUntil.Add(releaseTimeout))
@@ -267,9 +308,12 @@
 	var closed *channel.ClosedError
 	var unsent *unsentError
 	var op *net.OpError
+	var unproven *unprovenError
 	switch {
 	case err == nil:
 		return ownership.Done
+	case errors.As(err, &unproven):
+		return ownership.Unknown
 	case errors.As(err, &closed):
 		return ownership.ChannelClosed
 	case errors.As(err, &unsent):
--- a/gateway/coordinator/speeds_test.go
+++ b/gateway/coordinator/speeds_test.go
@@ -104,7 +104,7 @@
 		Self:          peers.Instance{Name: name, Incarnation: name, Cores: 1, Zone: "z"},
 		Store:         &platform.Store{Address: strings.TrimPrefix(f.server.URL, "http://"), HTTP: f.server.Client()},
 		Channels:      &channel.Set{Dial: (&net.Dialer{}).DialContext},
-		ReleaseClient: &platform.GrantClient{HTTP: &http.Client{Transport: &http.Transport{}}},
+		ReleaseClient: NewReleaseClient((&net.Dialer{}).DialContext),
 		// No target answers. The coordinator would resign if another instance reached them.
 		Links: &links.Monitor{}, AskLinks: func(context.Context, peers.Instance, []string, bool) bool { return false },
 		ReachesTargets: func(context.Context, string) bool { return true },
--- a/gateway/instance/export_test.go
+++ b/gateway/instance/export_test.go
@@ -4,11 +4,12 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"basilcross.example/gateway/coordinator"
 )
 
 // Cut is a way in which an instance loses its links to all targets.
@@ -49,7 +50,7 @@
 	l := &TargetLinks{dial: i.pools.Dial, open: map[*linkConn]bool{}, opened: map[string]bool{}}
 	i.pools.Dial = l.DialContext
 	i.coordinator.Channels.Dial = l.DialContext
-	i.coordinator.ReleaseClient.HTTP = &http.Client{Transport: &http.Transport{DialContext: l.DialContext}}
+	i.coordinator.ReleaseClient = coordinator.NewReleaseClient(l.DialContext)
 	return l
 }
 
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -171,7 +171,7 @@
 	i.buildMirrors()
 	i.coordinator = coordinator.New(coordinator.Options{
 		Self: i.peers.Self, Store: i.store,
-		Channels: &channel.Set{Dial: targetDialer.DialContext}, ReleaseClient: &platform.GrantClient{HTTP: newHTTPClient(targetDialer)},
+		Channels: &channel.Set{Dial: targetDialer.DialContext}, ReleaseClient: coordinator.NewReleaseClient(targetDialer.DialContext),
 		RestartFeeds: i.replicator.restartFeeds,
 		Joined:       func() bool { return i.replicator.joined.Load() && !i.replicator.thin.Load() },
 		OnLeading:    i.recordLeading, OnUpdate: i.applyAssignmentUpdate, OnOversizedUpdate: i.assignments.Refresh,
