Bodies: the limit on held bytes is in force wherever an instance's memory is stated

Change: it is in force where memory-mb is set. Nothing changes without the setting. TestFeatureLimitsHeldBytes is TestStatedMemoryLimitsHeldBytes now: it asks the same with the feature, without a setting, and besides without the feature.

--- a/basilcross/feature/feature.go
+++ b/basilcross/feature/feature.go
@@ -20,7 +20,7 @@
 	Speeds bool
 	// Pace limits the requests to a target that has started or recovered, by how it answers.
 	Pace bool
-	// BodyBudget bounds the bytes of request bodies that an instance holds.
+	// BodyBudget bounds the bytes of request bodies that an instance holds also if its memory is not stated.
 	BodyBudget bool
 }
 
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -191,7 +191,8 @@
 	peerDialer := &egress.Dialer{DialTimeout: targetDialTimeout, UserTimeout: targetUserTimeout, KeepAliveInterval: keepAliveInterval}
 	i.forwarder = &front.Forwarder{Self: i.peers.Self, Peers: i.peers, Dial: peerDialer.DialContext, Region: func(zone string) string { return i.state.policy().Regions[zone] }}
 	i.bodies = &bodybudget.Budget{}
-	if i.features.BodyBudget {
+	// Without a stated memory nothing says that bodies within the configuration's limit are too many.
+	if i.features.BodyBudget || s.MemoryMB > 0 {
 		i.bodies.Bytes = int64(bodyShare * float64(s.MemoryBytes()))
 	}
 	i.front = front.New(front.Options{
--- a/gateway/instance/metrics_test.go
+++ b/gateway/instance/metrics_test.go
@@ -32,25 +32,32 @@
 	assert.Equal(t, found, 19)
 }
 
-// Guards against a limit on held bytes that is in force without its feature, or not the stated share of
-// the memory, and against its metric missing on the page.
-func TestFeatureLimitsHeldBytes(t *testing.T) {
+// Guards against bodies within the configuration's limit that take more memory at a time than the instance has, against a
+// limit on held bytes that nothing calls for, or that is not the stated share of the memory, and against its metric
+// missing on the page.
+func TestStatedMemoryLimitsHeldBytes(t *testing.T) {
 	assert.Assert(t, !testInstance().bodies.Limited())
 	page, err := os.ReadFile("../../docs/METRICS.md")
 	assert.NilError(t, err)
+	for _, features := range [][]string{nil, {"bodyBudget"}} {
+		s := Defaults()
+		s.MemoryMB, s.Features = 184, features
+		sink := logsink.New(io.Discard)
+		i := New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
+		assert.Equal(t, i.front.Bodies.Bytes, int64(46<<20))
+		families, err := i.registry.Gather()
+		assert.NilError(t, err)
+		names := ""
+		for _, f := range families {
+			names += f.GetName() + "\n"
+		}
+		const held = "basilcross_held_body_bytes"
+		assert.Assert(t, strings.Contains(names, held) && strings.Contains(string(page), "`"+held+"`"))
+	}
 	s := Defaults()
-	s.MemoryMB, s.Features = 184, []string{"bodyBudget"}
+	s.Features = []string{"bodyBudget"}
 	sink := logsink.New(io.Discard)
-	i := New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink)
-	assert.Equal(t, i.front.Bodies.Bytes, int64(46<<20))
-	families, err := i.registry.Gather()
-	assert.NilError(t, err)
-	names := ""
-	for _, f := range families {
-		names += f.GetName() + "\n"
-	}
-	const held = "basilcross_held_body_bytes"
-	assert.Assert(t, strings.Contains(names, held) && strings.Contains(string(page), "`"+held+"`"))
+	assert.Assert(t, New(s, slog.New(slog.NewJSONHandler(sink, nil)), sink).bodies.Limited(), "of the machine's memory")
 }
 
 // Guards against profiles that are served without being enabled, and against a
