--- a/basilcross/dispatch/dispatch.go
+++ b/basilcross/dispatch/dispatch.go
@@ -189,6 +189,13 @@
 	d.notify(d.scheduler.Release(time.Now(), r.ticket, result))
 }
 
+// Charge records a request that another instance has sent to a target, as schedule.Scheduler.Charge.
+func (d *Dispatcher) Charge(t *roster.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scheduler.Charge(t)
+}
+
 // Prune drops the state of ended incarnations, as schedule.Scheduler.Prune.
 func (d *Dispatcher) Prune() {
 	d.mu.Lock()
--- a/basilcross/schedule/ratelimit.go
+++ b/basilcross/schedule/ratelimit.go
@@ -58,11 +58,11 @@
 	return seconds((1 - b.tokens) / rate)
 }
 
-// refillReplacing does the same for a scheduler that replaces another one. It begins empty each time: the scheduler
-// has used what it did not.
+// refillReplacing does the same for a scheduler that replaces another one. It begins with a burst to make up for each time:
+// the other one has used what it did not, and may be sending requests for instances that hear it.
 func (b *tokenBucket) refillReplacing(now time.Time, rate, burst float64) time.Duration {
 	if now.Sub(b.updated) > replacementPause {
-		*b = tokenBucket{}
+		*b = tokenBucket{tokens: -burst}
 	}
 	return b.refill(now, rate, burst)
 }
@@ -74,6 +74,26 @@
 	}
 }
 
+// maxCharged bounds the requests of others that a scheduler has yet to make up for.
+const maxCharged = 4.0
+
+// charge removes the token of a request that another scheduler has sent to the target.
+func (b *tokenBucket) charge() {
+	if !b.updated.IsZero() {
+		b.tokens = max(b.tokens-1, -maxCharged)
+	}
+}
+
+// Charge records that another instance, which replaced this scheduler for a while, has sent a request to a
+// target whose rate is limited.
+func (s *Scheduler) Charge(t *roster.Target) {
+	if svc := s.services[t.Service]; svc != nil {
+		if st := svc.targets[t.Incarnation()]; st != nil {
+			st.stated.charge()
+		}
+	}
+}
+
 // rateLimit returns how many requests per second a target may get of this scheduler since it states a
 // limit, 0 if it states none, and the time until it may get the next one. It may get none if denied is set.
 func (s *Scheduler) rateLimit(now time.Time, t *roster.Target, st *targetState, r *Request) (rate float64, wait time.Duration, denied bool) {
--- a/basilcross/schedule/ratelimit_test.go
+++ b/basilcross/schedule/ratelimit_test.go
@@ -70,6 +70,34 @@
 	})
 }
 
+// Guards against replacements of a scheduler that add to what it sends, although it is told of their requests: beyond the limit
+// there may be the scheduler's own burst, and one request of each replacement that it has yet to make up for.
+func TestChargedSchedulersShareOneLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(1, 8).Draw(t, "perSecond")
+		now := time.Unix(1000, 0)
+		var sent []time.Time
+		schedulers := []*schedule.Scheduler{limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond)}
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pauseMs")) * time.Millisecond)
+			at := rapid.IntRange(0, 2).Draw(t, "scheduler")
+			r := schedule.Request{Service: "s", Zone: "z", Objective: now.Add(50 * time.Millisecond), Deadline: now.Add(60 * time.Millisecond), RejectLate: true, Counting: schedule.Counting(at)}
+			ticket, err := schedulers[at].Submit(now, r)
+			if err != nil || ticket.Target == nil {
+				continue
+			}
+			sent = append(sent, now)
+			for other, s := range schedulers {
+				if at > 0 && other != at {
+					s.Charge(ticket.Target)
+				}
+			}
+			schedulers[at].Release(now.Add(time.Millisecond), ticket, schedule.Answered)
+		}
+		assert.Assert(t, float64(mostIn(sent, usersWindow)) <= perSecond*usersWindow.Seconds()+3)
+	})
+}
+
 // Guards against a target that states a limit no more, or 0, and is never asked again.
 func TestTargetIsUsedFullyAfterItsLimit(t *testing.T) {
 	perSecond := 0.0
--- a/gateway/broker/broker.go
+++ b/gateway/broker/broker.go
@@ -276,6 +276,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if req.Counting != schedule.CountsAll {
+		b.sendCharge(res.Target)
+	}
 	start := time.Now()
 	return &Reservation{Target: res.Target, release: func(o outcome) {
 		b.recordRateLimit(res.Target, o, start)
@@ -284,52 +287,12 @@
 	}}, nil
 }
 
-// recordRateLimit records what a target's answer says about its limit.
-func (b *Broker) recordRateLimit(t *roster.Target, o outcome, reserved time.Time) {
-	if b.OnStatement == nil {
-		return
-	}
-	s := ratelimit.Statement{Sent: reserved, Answered: time.Now()}
-	switch {
-	case o.rateLimit != nil && *o.rateLimit < 0:
-		return
-	case o.rateLimit != nil:
-		s.Stated, s.PerSecond = true, *o.rateLimit
-	case o.result != schedule.Answered:
-		// Only a target that has run the request surely speaks for itself.
-		return
-	}
-	b.OnStatement(t, s)
-}
-
 // Scheduler returns the name of the instance that assigns the slots for a request. It
 // is chosen by rendezvous hashing: if an instance leaves, only what it scheduled
 // moves. Of a zone's targets of a service, the scheduler is an instance with the most
 // cores, since all requests of the zone go to it.
 func (b *Broker) Scheduler(req *schedule.Request) string { return b.chooseScheduler(req, true) }
 
-// counting returns which part of the requests to a target with a limited rate this instance counts: all
-// if it is the scheduler of a request while all listed instances respond, and less if it is the next one or the
-// one after that, which replace instances that do not respond. No others count any: while none receives the
-// messages of the others, each takes all others to be unresponsive.
-func (b *Broker) counting(req *schedule.Request) schedule.Counting {
-	hubs := b.Peers.Hubs(req.Zone)
-	self := slices.IndexFunc(hubs, func(i peers.Instance) bool { return i.Name == b.Self.Name })
-	if self < 0 || b.Stopping != nil && b.Stopping() {
-		return schedule.CountsNone
-	}
-	own, rank := newCandidate(req, hubs[self]), 0
-	for _, i := range hubs {
-		if newCandidate(req, i).precedes(own) {
-			rank++
-		}
-	}
-	if rank >= int(schedule.CountsNone) {
-		return schedule.CountsNone
-	}
-	return [...]schedule.Counting{schedule.CountsAll, schedule.CountsPart, schedule.CountsLess}[rank]
-}
-
 // candidate is an instance that may schedule a request. Of a zone's targets of a service, those with the most
 // cores precede others.
 type candidate struct {
--- a/gateway/broker/scheduler.go
+++ b/gateway/broker/scheduler.go
@@ -31,6 +31,9 @@
 		b.handleReserveResponse(m.ReserveResponse)
 	case m.Release != nil:
 		b.handleRelease(m)
+	case m.RateLimits != nil:
+		b.handleCharges(m.RateLimits)
+		return false
 	default:
 		return false
 	}
--- a/gateway/instance/limiter.go
+++ b/gateway/instance/limiter.go
@@ -96,7 +96,7 @@
 		return false
 	}
 	for _, r := range m.RateLimits {
-		if math.IsNaN(r.PerSecond) || r.PerSecond < 0 {
+		if math.IsNaN(r.PerSecond) || r.IsCharge() {
 			continue
 		}
 		at := time.Now().Add(-time.Duration(r.AgeMs) * time.Millisecond)
--- a/gateway/peers/message.go
+++ b/gateway/peers/message.go
@@ -229,19 +229,30 @@
 	RateLimit *float64
 }
 
-// RateLimit is what an instance that schedules a target's slots knows of the target's limit.
+// RateLimit is what an instance that schedules a target's slots knows of the target's limit, or states that
+// the instance has sent the target a request in place of its scheduler.
 type RateLimit struct {
 	_ struct{} `cbor:",toarray"`
 
-	Target    string
-	Started   int64
-	Stated    bool
+	Target  string
+	Started int64
+	Stated  bool
+	// PerSecond is the limit. It is negative in a statement about a request that was sent; versions that do not
+	// know such ones ignore negative limits.
 	PerSecond float64
 	// AgeMs is how long ago the answer arrived that stated the limit, or the request was sent whose answer
 	// stated none.
 	AgeMs int64
 }
 
+// NewCharge returns the statement that the sender has sent the target a request.
+func NewCharge(target string, started int64) RateLimit {
+	return RateLimit{Target: target, Started: started, PerSecond: -1}
+}
+
+// IsCharge reports whether it is a statement about a request that was sent.
+func (r *RateLimit) IsCharge() bool { return r.PerSecond < 0 }
+
 // resultCount is above every result.
 const resultCount = 16
 
