Front: a long response is checked like a short one

A long 503, 429 or 408 without the endpoint's word that it did not run would have been forwarded too, which states that it did not. Cause: the check came after the branch that streams what the buffer does not hold. Change: the head is checked before anything is forwarded; what fails the check is refused with 502, since it may have run. A streamed answer's run is recorded. Measured: TestLongResponseIsCheckedLikeShortOnes fails on (200 with 300,000 bytes) and passes, with the other tests of front.

--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -360,7 +360,8 @@
 		return nil, f.notExecuted(ctx, c, reservation, res)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, bufferLimit))
-	if err == nil && int64(len(body)) == bufferLimit {
+	if err == nil && int64(len(body)) == bufferLimit && f.checkResponse(res) == nil {
+		c.recordRun(reservation.Target.ID)
 		return &targetResponse{head: res, body: body, rest: res.Body, finish: func(complete bool) {
 			_ = res.Body.Close()
 			reservation.Release(resultOf(complete))
--- a/gateway/front/cut_test.go
+++ b/gateway/front/cut_test.go
@@ -50,6 +50,23 @@
 	}
 }
 
+// Guards against a success without the target's signature that reaches the caller since it is too long to be buffered, and
+// against a long failure whose status would falsely state that the request did not run.
+func TestLongResponseIsCheckedLikeShortOnes(t *testing.T) {
+	for _, status := range []string{"200 OK", "503 Service Unavailable"} {
+		for _, size := range []int{10, 300_000, 3_000_000} {
+			f := newFixture(t)
+			f.setRoutes(4 * time.Second)
+			f.startRawTarget("t", func(id string) string {
+				return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, platform.RequestID, id, size, strings.Repeat("x", size))
+			})
+			res, text := f.call(t.Context(), http.MethodPost, "/book/x", "")
+			assert.Assert(t, res != nil, text)
+			assert.Equal(t, res.StatusCode, http.StatusBadGateway, "%s, %d bytes", status, size)
+		}
+	}
+}
+
 // Guards against a streamed response that ends early and looks complete to an HTTP/1.0 caller, which knows its end
 // by the end of the connection only.
 func TestStreamCutShortLooksCutToAnyCaller(t *testing.T) {
