Instance: parts of two services' updates are kept apart

Cause: the parts of an update were collected by the revision of the write, which both updates share, and their number. An ID that several things share was taken as proof once more. Change: parts are kept by service.

--- a/gateway/instance/state.go
+++ b/gateway/instance/state.go
@@ -40,10 +40,15 @@
 
 	mu          sync.Mutex
 	assignments map[string]*versionedAssignment
-	// updateParts are the parts received so far, by number, of the assignment update
-	// that was recorded at updatePartsRevision.
-	updateParts         map[int]*peers.AssignmentUpdate
-	updatePartsRevision uint64
+	// updateParts are the parts received so far of each service's latest assignment update. One write
+	// may change the assignments of several services, whose updates have the same revision then.
+	updateParts map[string]*updateParts
+}
+
+// updateParts are parts of an assignment update, by number.
+type updateParts struct {
+	revision uint64
+	parts    map[int]*peers.AssignmentUpdate
 }
 
 type versionedAssignment struct {
@@ -387,16 +392,22 @@
 // collectParts keeps the parts of an update. It returns nil until all have arrived,
 // and then the complete update.
 func (s *state) collectParts(u *peers.AssignmentUpdate) *peers.AssignmentUpdate {
-	if s.updateParts == nil || s.updatePartsRevision != u.Revision {
-		s.updateParts, s.updatePartsRevision = map[int]*peers.AssignmentUpdate{}, u.Revision
+	if s.updateParts == nil {
+		s.updateParts = map[string]*updateParts{}
+	}
+	received := s.updateParts[u.Service]
+	if received == nil || received.revision != u.Revision {
+		received = &updateParts{revision: u.Revision, parts: map[int]*peers.AssignmentUpdate{}}
+		s.updateParts[u.Service] = received
 	}
-	s.updateParts[u.Part] = u
-	if len(s.updateParts) < u.Parts {
+	received.parts[u.Part] = u
+	if len(received.parts) < u.Parts {
 		return nil
 	}
+	delete(s.updateParts, u.Service)
 	complete := *u
 	complete.Pieces = nil
-	for _, p := range s.updateParts {
+	for _, p := range received.parts {
 		complete.Pieces = append(complete.Pieces, p.Pieces...)
 	}
 	return &complete
--- a/gateway/instance/state_test.go
+++ b/gateway/instance/state_test.go
@@ -141,6 +141,32 @@
 	assert.Assert(t, !i.state.ownerChangedSince("other", 7, start))
 }
 
+// Guards against parts of one service's update that are taken for another's: one write may change the assignments of
+// both, so that the updates have the same revision.
+func TestPartsOfTwoServicesUpdatesAreNotMixed(t *testing.T) {
+	i := testInstance()
+	services := []string{"s", "other"}
+	for _, name := range services {
+		a := evenAssignment(4)
+		a.Service = name
+		injectAssignment(t, i, a, 10)
+	}
+	for part := range 3 {
+		for _, name := range services {
+			i.applyAssignmentUpdate(&peers.AssignmentUpdate{
+				Service: name, Term: 2, Base: 10, Revision: 12, Part: part, Parts: 3,
+				Pieces: []ownership.Piece{{First: 10 * part, Last: 10*part + 9, Owner: fmt.Sprint(name, part)}},
+			})
+		}
+	}
+	for _, name := range services {
+		for part := range 3 {
+			assert.Equal(t, i.state.assignments[name].assignment.Find(10*part).Owner, fmt.Sprint(name, part))
+		}
+	}
+	assert.Equal(t, len(i.state.updateParts), 0)
+}
+
 // Measures an instance that applies an update of 36 pieces.
 func BenchmarkApplyAssignmentUpdate(b *testing.B) {
 	for _, n := range []int{100, 300, 1000, 3000} {
