Coordinator: a term ends before its epochs do

Each grant without an answer takes a new one, some hundred a second while many endpoints leave orders unanswered. Change: the coordinator resigns when 7/8 of them are used, as it does for an instance with more cores, and steps down at 15/16, which leaves more than one for each key.

--- a/gateway/coordinator/lead.go
+++ b/gateway/coordinator/lead.go
@@ -32,6 +32,10 @@
 		c.stepDown("lease expired")
 		return
 	}
+	if l.epochs.UsedUp() {
+		c.stepDown("epochs used up")
+		return
+	}
 	now := time.Now()
 	if overdue := l.writing && now.Sub(l.writeStarted) > healthyWriteTime; overdue != l.writeOverdue {
 		l.writeOverdue = overdue
@@ -49,7 +53,7 @@
 		c.stepManagers(now) //nolint:contextcheck // orders use the context of the term, which cancels them
 	}
 	c.checkInDoubt(now)
-	if c.shouldResignUnlinked() || c.shouldHandOver(ctx, now) {
+	if c.shouldResignUnlinked() || c.shouldHandOver(ctx, now) || l.epochs.NearlyUsedUp() && !l.writing {
 		l.resigning = true
 		c.group.Go(func() error {
 			c.releaseLease(ctx, l)
