Soak: targets send some responses twice

Change: the fault repeatResponses sends each 20th response of a target, to orders too, once more when the next request comes on the connection. Not done: pipelining callers with small windows at a stop (the soak's answers are shorter than any window), other writers' rows and long bodies.

--- a/standin/demo/fault.go
+++ b/standin/demo/fault.go
@@ -120,6 +120,8 @@
 	case "storeSlow":
 		f.store.SetDelay(storeDelay)
 		return func() { f.store.SetDelay(0) }
+	case "repeatResponses":
+		return toggle(f.network.SetRepeating)
 	case "silenceConnections":
 		f.network.BlackholeConnections()
 	case "resetConnections":
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -20,6 +20,10 @@
 	// maxQueuedChunks bounds the chunks in flight in one direction of a connection.
 	maxQueuedChunks = 256
 	chunkSize       = 16 << 10
+	// repeatEvery is how many responses of targets there are to one that is sent twice, and maxRepeated the size in
+	// bytes up to which one is.
+	repeatEvery = 20
+	maxRepeated = 64 << 10
 	// cutConnectDelay is how long a connection attempt across a cut hangs before it fails.
 	cutConnectDelay = 5 * time.Second
 )
@@ -38,6 +42,10 @@
 	conns        map[*connection]bool
 	// extraDelay is added to the one-way delay between any two zones.
 	extraDelay time.Duration
+
+	// repeating is set while some responses of targets are sent twice; responses counts them.
+	repeating atomic.Bool
+	responses atomic.Int64
 }
 
 // New returns a network without faults.
@@ -102,6 +110,15 @@
 	n.extraDelay = d
 }
 
+// SetRepeating begins or ends that some responses of targets, to orders too, are sent a second time: when the next
+// request is sent on the connection, before the response to that one.
+func (n *Network) SetRepeating(on bool) { n.repeating.Store(on) }
+
+// repeatsNext reports whether the next response is sent twice.
+func (n *Network) repeatsNext() bool {
+	return n.repeating.Load() && n.responses.Add(1)%repeatEvery == 0
+}
+
 // ResetConnections closes all open connections with a TCP reset.
 func (n *Network) ResetConnections() {
 	n.mu.Lock()
@@ -210,6 +227,7 @@
 	_, _ = io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n")
 	c := &connection{network: n, egress: e, controlBytes: controlBytes, ends: [2]net.Conn{client, target}}
 	c.isControl.Store(isControl)
+	c.toTarget = !isControl
 	n.forward(c, client, target, zone)
 }
 
@@ -220,6 +238,45 @@
 	isControl    atomic.Bool
 	blackholed   atomic.Bool
 	ends         [2]net.Conn
+	// toTarget is set if the other end is a target, whose last response is kept then.
+	toTarget bool
+	response response
+}
+
+// response is what a target has sent since the last request.
+type response struct {
+	mu   sync.Mutex
+	data []byte
+	// long is set if it is not kept whole.
+	long bool
+}
+
+func (r *response) add(data []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.long = r.long || len(r.data)+len(data) > maxRepeated; !r.long {
+		r.data = append(r.data, data...)
+	}
+}
+
+// take returns the response and begins the next one; nothing if it is not kept.
+func (r *response) take() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	data := r.data
+	if r.long {
+		data = nil
+	}
+	r.data, r.long = nil, false
+	return data
+}
+
+// repeatResponse sends the last response once more when a request begins.
+func (c *connection) repeatResponse() {
+	data := c.response.take()
+	if len(data) > 0 && c.network.repeatsNext() {
+		_, _ = c.ends[0].Write(data)
+	}
 }
 
 func (n *Network) forward(c *connection, client, target net.Conn, zone deployment.Zone) {
@@ -255,6 +312,12 @@
 		buffer := make([]byte, chunkSize)
 		count, err := src.Read(buffer)
 		if count > 0 {
+			switch {
+			case c.toTarget && src == c.ends[0]:
+				c.repeatResponse()
+			case c.toTarget:
+				c.response.add(buffer[:count])
+			}
 			if bytes.HasPrefix(buffer[:count], []byte("POST "+grant.Path)) {
 				c.isControl.Store(true)
 			}
--- a/standin/scenario/random.go
+++ b/standin/scenario/random.go
@@ -54,6 +54,7 @@
 			s.Faults = append(s.Faults, repeat)
 		}
 	}
+	s.Faults = append(s.Faults, addedFaults(seed, last)...)
 	all := slices.Clone(s.Faults)
 	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool {
 		return f.AtMs+f.ForMs > last+1 || f.Do == "drainTarget" && drainMayBeMissed(all, f)
@@ -62,6 +63,18 @@
 	return s
 }
 
+// addedFaults returns the faults of types that were added later. They are drawn apart, so that a seed gives the same
+// faults of the other types as before.
+func addedFaults(seed uint64, last int) (list []Fault) {
+	rng := rand.New(rand.NewPCG(seed, 30))
+	for range 2 {
+		f := Fault{AtMs: quietStartMs + rng.IntN(last-quietStartMs), Do: "repeatResponses"}
+		f.ForMs = min(minFaultMs+rng.IntN(maxFaultMs-minFaultMs), last-f.AtMs+1)
+		list = append(list, f)
+	}
+	return list
+}
+
 // drainNoticeMs is how long it may take until every gateway has received that a target is leaving.
 const drainNoticeMs = 4000
 
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -66,6 +66,7 @@
 	"cutZone": ZoneResource, "cutZoneOneWay": ZoneResource, "cutZoneFromPlatform": ZoneResource, "cutRegions": NoResource,
 	"storeDown": NoResource, "storeSlow": NoResource, "loseStoreAnswers": NoResource,
 	"silenceConnections": NoResource, "resetConnections": NoResource, "slowLinks": NoResource, "changeConfig": NoResource,
+	"repeatResponses": NoResource,
 }
 
 // Parse decodes and validates a scenario. Unknown fields are errors.
