--- a/basilcross/schedule/ratelimit_test.go
+++ b/basilcross/schedule/ratelimit_test.go
@@ -43,28 +43,39 @@
 	return most
 }
 
+// sendByThree sends requests to a target with a limit through its scheduler and two replacements, and returns when they were
+// sent, and which of them by the scheduler. If charged is set, each is told of what the replacements send.
+func sendByThree(t *rapid.T, perSecond float64, charged bool) (sent, own []time.Time) {
+	now := time.Unix(1000, 0)
+	schedulers := []*schedule.Scheduler{limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond)}
+	for range rapid.IntRange(1, 400).Draw(t, "requests") {
+		now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pauseMs")) * time.Millisecond)
+		at := rapid.IntRange(0, 2).Draw(t, "scheduler")
+		r := schedule.Request{Service: "s", Zone: "z", Objective: now.Add(50 * time.Millisecond), Deadline: now.Add(60 * time.Millisecond), RejectLate: true, Counting: schedule.Counting(at)}
+		ticket, err := schedulers[at].Submit(now, r)
+		if err != nil || ticket.Target == nil {
+			continue
+		}
+		sent = append(sent, now)
+		if at == 0 {
+			own = append(own, now)
+		}
+		for other, s := range schedulers {
+			if charged && at > 0 && other != at {
+				s.Charge(ticket.Target)
+			}
+		}
+		schedulers[at].Release(now.Add(time.Millisecond), ticket, schedule.Answered)
+	}
+	return sent, own
+}
+
 // Guards against a limited target that gets more than the users allow of its scheduler and a replacement
 // of that, which count by themselves, however requests come and however long they take.
 func TestSchedulersOfLimitedTargetStayWithinItsLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		perSecond := rapid.Float64Range(0, 8).Draw(t, "perSecond")
-		now := time.Unix(1000, 0)
-		var sent, own []time.Time
-		schedulers := []*schedule.Scheduler{limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond)}
-		for range rapid.IntRange(1, 400).Draw(t, "requests") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pauseMs")) * time.Millisecond)
-			at := rapid.IntRange(0, 2).Draw(t, "scheduler")
-			r := schedule.Request{Service: "s", Zone: "z", Objective: now.Add(50 * time.Millisecond), Deadline: now.Add(60 * time.Millisecond), RejectLate: true, Counting: schedule.Counting(at)}
-			ticket, err := schedulers[at].Submit(now, r)
-			if err != nil || ticket.Target == nil {
-				continue
-			}
-			sent = append(sent, now)
-			if at == 0 {
-				own = append(own, now)
-			}
-			schedulers[at].Release(now.Add(time.Millisecond), ticket, schedule.Answered)
-		}
+		sent, own := sendByThree(t, perSecond, false)
 		assert.Assert(t, float64(mostIn(sent, usersWindow)) <= usersFactor*perSecond*usersWindow.Seconds()+usersBurst)
 		assert.Assert(t, float64(mostIn(own, usersWindow)) <= max(perSecond, 0.25)*usersWindow.Seconds()+1)
 	})
@@ -75,25 +86,7 @@
 func TestChargedSchedulersShareOneLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		perSecond := rapid.Float64Range(1, 8).Draw(t, "perSecond")
-		now := time.Unix(1000, 0)
-		var sent []time.Time
-		schedulers := []*schedule.Scheduler{limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond)}
-		for range rapid.IntRange(1, 400).Draw(t, "requests") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "pauseMs")) * time.Millisecond)
-			at := rapid.IntRange(0, 2).Draw(t, "scheduler")
-			r := schedule.Request{Service: "s", Zone: "z", Objective: now.Add(50 * time.Millisecond), Deadline: now.Add(60 * time.Millisecond), RejectLate: true, Counting: schedule.Counting(at)}
-			ticket, err := schedulers[at].Submit(now, r)
-			if err != nil || ticket.Target == nil {
-				continue
-			}
-			sent = append(sent, now)
-			for other, s := range schedulers {
-				if at > 0 && other != at {
-					s.Charge(ticket.Target)
-				}
-			}
-			schedulers[at].Release(now.Add(time.Millisecond), ticket, schedule.Answered)
-		}
+		sent, _ := sendByThree(t, perSecond, true)
 		assert.Assert(t, float64(mostIn(sent, usersWindow)) <= perSecond*usersWindow.Seconds()+3)
 	})
 }
--- a/gateway/coordinator/latecopy_test.go
+++ b/gateway/coordinator/latecopy_test.go
@@ -17,24 +17,17 @@
 	"basilcross.example/gateway/channel"
 	"basilcross.example/platform"
 	"basilcross.example/platform/standin"
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
 // startRepeating starts a target that sends all its responses twice, the second time late.
 func startRepeating(t *testing.T, h http.HandlerFunc) (address string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
 	s := &standin.Repeater{Handler: h}
-	var group errgroup.Group
-	group.Go(func() error { return s.Serve(l) })
-	t.Cleanup(func() {
-		_ = l.Close()
-		assert.NilError(t, group.Wait())
-		s.Close()
-	})
-	return l.Addr().String()
+	address, err := s.Start()
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	return address
 }
 
 // Guards against a late second response to one release that is taken for the response to the next one: its keys are granted
--- a/gateway/entry/latecopy_test.go
+++ b/gateway/entry/latecopy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -11,25 +10,18 @@
 	"basilcross.example/basilcross/grant"
 	"basilcross.example/basilcross/shard"
 	"basilcross.example/platform/standin"
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
 // assignRepeating makes a target the owner of all keys that sends the chosen responses twice.
 func (f *fixture) assignRepeating(s *standin.Repeater) {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := s.Start()
 	assert.NilError(f.t, err)
-	var group errgroup.Group
-	group.Go(func() error { return s.Serve(l) })
-	f.t.Cleanup(func() {
-		_ = l.Close()
-		assert.NilError(f.t, group.Wait())
-		s.Close()
-	})
+	f.t.Cleanup(s.Close)
 	assert.NilError(f.t, f.view.ApplyDelta(assignment.Delta{
 		Service: "menus", To: 1,
-		Targets: []assignment.Target{{ID: "t", Service: "menus", Address: l.Addr().String(), Fenced: true, Slots: 8, State: assignment.Active}},
+		Targets: []assignment.Target{{ID: "t", Service: "menus", Address: address, Fenced: true, Slots: 8, State: assignment.Active}},
 		Shards:  []shard.Shard{{Last: ^uint64(0), Owner: "t", Epoch: 1}},
 	}))
 }
--- a/gateway/front/latecopy_test.go
+++ b/gateway/front/latecopy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,22 +11,15 @@
 	"basilcross.example/basilcross/routing"
 	"basilcross.example/platform"
 	"basilcross.example/platform/standin"
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 )
 
 // startRepeatingTarget adds a target that sends the chosen responses twice.
 func (f *fixture) startRepeatingTarget(id string, s *standin.Repeater) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := s.Start()
 	assert.NilError(f.t, err)
-	var group errgroup.Group
-	group.Go(func() error { return s.Serve(l) })
-	f.t.Cleanup(func() {
-		_ = l.Close()
-		assert.NilError(f.t, group.Wait())
-		s.Close()
-	})
-	f.addTarget(id, l.Addr().String())
+	f.t.Cleanup(s.Close)
+	f.addTarget(id, address)
 }
 
 // refusingFirst refuses the first attempts of each request with the status, and runs the next one.
