--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -66,6 +66,7 @@
 	loadCtx, stopLoad := context.WithDeadline(ctx, began.Add(time.Duration(s.Seconds)*time.Second))
 	defer stopLoad()
 	background.Go(func() { f.printProgress(loadCtx, began, out) })
+	background.Go(func() { f.generator.RunPipelines(loadCtx, s.Load.Pipelines) })
 	results := f.scheduleFaults(ctx, s, began, out)
 	f.generator.Run(loadCtx)
 	faults := results()
--- a/standin/scenario/random.go
+++ b/standin/scenario/random.go
@@ -55,6 +55,7 @@
 		}
 	}
 	s.Faults = append(s.Faults, addedFaults(seed, last)...)
+	s.Load.Pipelines = 1
 	all := slices.Clone(s.Faults)
 	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool {
 		return f.AtMs+f.ForMs > last+1 || f.Do == "drainTarget" && drainMayBeMissed(all, f)
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -28,6 +28,9 @@
 // Load configures the rate of requests.
 type Load struct {
 	RequestsPerSecond float64 `json:"requestsPerSecond"`
+	// Pipelines is how many callers of each gateway send a second request before the first one is answered, and
+	// read long responses through small receive buffers.
+	Pipelines int `json:"pipelines,omitempty"`
 }
 
 // Fault is a fault to inject, with its start time and its duration; see At and For.
@@ -91,9 +94,7 @@
 	if s.Seconds < 1 || s.Seconds > 3600 {
 		addError("seconds = %d: want 1 to 3600", s.Seconds)
 	}
-	if s.Load.RequestsPerSecond <= 0 || s.Load.RequestsPerSecond > 20000 {
-		addError("load.requestsPerSecond = %v: want more than 0 and at most 20000", s.Load.RequestsPerSecond)
-	}
+	s.Load.validate(addError)
 	for i, name := range s.Unfenced {
 		if names := ResourceNames(d, TargetResource); !slices.Contains(names, name) {
 			addError("unfenced[%d] = %q is not known, want one of %s", i, name, strings.Join(names, ", "))
@@ -118,6 +119,15 @@
 	return errors.Join(errs...)
 }
 
+func (l Load) validate(addError func(format string, args ...any)) {
+	if l.RequestsPerSecond <= 0 || l.RequestsPerSecond > 20000 {
+		addError("load.requestsPerSecond = %v: want more than 0 and at most 20000", l.RequestsPerSecond)
+	}
+	if l.Pipelines < 0 || l.Pipelines > 50 {
+		addError("load.pipelines = %d: want 0 to 50", l.Pipelines)
+	}
+}
+
 func faultTypeNames() []string {
 	var names []string
 	for name := range FaultTypes {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -26,6 +26,8 @@
 const (
 	// RequestHeader carries the caller's unique ID of a request.
 	RequestHeader = "X-Request-Id"
+	// FillerHeader has the size of the filler that the caller wants, in bytes.
+	FillerHeader = "X-Filler"
 	// maxQueuePerSlot is how many requests wait per slot before the target sheds.
 	maxQueuePerSlot = 4
 	// warmupTime is how long after a start requests take warmupFactor times as long.
@@ -236,7 +238,11 @@
 		}
 		return
 	}
-	t.respond(w, e)
+	filler, err := strconv.Atoi(r.Header.Get(FillerHeader))
+	if err != nil {
+		filler = int(e.run.Hash % 900)
+	}
+	t.respond(w, e, filler)
 }
 
 // admit checks the request against the grants; it responds and returns false if refused.
@@ -317,13 +323,13 @@
 	e.value = entry.value
 }
 
-func (t *Target) respond(w http.ResponseWriter, e *execution) {
+func (t *Target) respond(w http.ResponseWriter, e *execution, filler int) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(Response{
 		Request:  e.run.Request,
 		Target:   t.Name,
 		Value:    e.value,
-		Filler:   strings.Repeat("x", int(e.run.Hash%900)),
+		Filler:   strings.Repeat("x", filler),
 		Complete: true,
 	})
 }
