--- a/basilcross/pool/id.go
+++ b/basilcross/pool/id.go
@@ -22,7 +22,7 @@
 	return requestID(max(1, maphash.String(idSeed, r.ID)))
 }
 
-// needsOwnConnection reports whether the response to the request cannot be told from late responses to
+// needsOwnConnection reports whether nothing distinguishes the response to the request from late responses to
 // others on the same connection, or the other way round.
 func (r *Request) needsOwnConnection() bool {
 	return r.IDHeader != "" && (r.ID == "" || r.Method == http.MethodHead)
@@ -45,8 +45,8 @@
 
 func (l *carriedIDs) full() bool { return len(l.ids) >= maxRequests }
 
-// UnprovenError reports a response that cannot be told from a late second response to another request: it
-// has no ID, on a connection that has carried others, or several.
+// UnprovenError reports a response that may be a late second response to another request: it has no ID, on a
+// connection that has carried others, or several IDs.
 type UnprovenError struct {
 	Header string
 	// IDs are the values of the header.
@@ -58,7 +58,7 @@
 }
 
 // belongs reports whether a response belongs to the request. first is set for the first one on the
-// connection. If it cannot be told whose response it is, it cannot be told of the next one either.
+// connection. A response of which that is not known is an error: the next one would not be known either.
 func (c *conn) belongs(r *Request, h http.Header, first bool) (bool, error) {
 	if r.IDHeader == "" || r.ID == "" {
 		return true, nil
--- a/basilcross/schedule/ratelimit_test.go
+++ b/basilcross/schedule/ratelimit_test.go
@@ -44,7 +44,7 @@
 }
 
 // sendByThree sends requests to a target with a limit through its scheduler and two replacements, and returns when they were
-// sent, and which of them by the scheduler. If charged is set, each is told of what the replacements send.
+// sent, and which of them by the scheduler. If charged is set, each is charged for what the replacements send.
 func sendByThree(t *rapid.T, perSecond float64, charged bool) (sent, own []time.Time) {
 	now := time.Unix(1000, 0)
 	schedulers := []*schedule.Scheduler{limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond), limitedScheduler(1, &perSecond)}
