Broker tests: set up all instances before any sends

Cause: two tests started the senders of one instance before the next one's dispatcher had its limit. Change: a loop for the set-up, and one that starts the senders. The checks, bounds and times are as they were.

--- a/gateway/broker/broker_test.go
+++ b/gateway/broker/broker_test.go
@@ -351,11 +351,13 @@
 	all := startInstances(t, "a", "b", "c", "d", "e")
 	var group errgroup.Group
 	var sent atomic.Int64
-	start := time.Now()
 	for _, n := range all {
 		n.dispatcher.RateLimit = func(roster.Incarnation) (float64, bool) { return limit, true }
 		ignore := func(*peers.Message) {}
 		n.receiveHook.Store(&ignore)
+	}
+	start := time.Now()
+	for _, n := range all {
 		group.Go(func() error {
 			for time.Since(start) < settle+window {
 				res, err := n.broker.Acquire(t.Context(), request(time.Second, 3*time.Second))
@@ -400,6 +402,8 @@
 			}
 		}
 		n.receiveHook.Store(&receive)
+	}
+	for _, n := range all {
 		for range 3 {
 			group.Go(func() error {
 				for time.Since(start) < runFor {
