Pool: the end of a connection proves a response only if the request was written

What callers saw: a long upload was answered at once, with a 200 without a length; the target sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer (MIXED).

Cause: the operating system reports a reset to the next operation on the socket, once. The pending write of the upload consumed it, so that the read of the response got an end of file, as after an orderly close. The end of a connection was taken as proof without regard to its other user.

Change: a body that ends with its connection is whole only if the request was written completely, without an error; a write that succeeds consumes none, and after the last one only the reader is left.

Ruled out: net/http takes resets for the end (existing tests of resets without an upload hold), parts forwarded too early (below 256 KiB nothing is).

--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -18,8 +18,6 @@
 	"strings"
 	"sync"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -204,9 +202,8 @@
 	if r.SetHeaders != nil {
 		r.SetHeaders(time.Now(), r.Header)
 	}
-	sent := make(chan error, 1)
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedBody {
-		return c.exchangeDuplex(r, sent)
+		return c.exchangeDuplex(r)
 	}
 	if err := c.send(r); err != nil {
 		return nil, &Error{Stage: Writing, Wrote: c.wrote, Reused: c.reused, Cause: err}
@@ -218,46 +215,6 @@
 	return res, nil
 }
 
-// maxBufferedBody is the longest body that surely fits into the socket's
-// buffers: writing it can't block on a target that responds early and stops reading.
-const maxBufferedBody = 16 << 10
-
-// exchangeDuplex reads the response while the body is still being written: a
-// target may respond before it has read a long body. The body may then
-// be sent incompletely, so the connection is not reused.
-func (c *conn) exchangeDuplex(r *Request, sent chan error) (*http.Response, *Error) {
-	var group errgroup.Group
-	group.Go(func() error {
-		err := c.send(r)
-		if err != nil {
-			// Without it, receive would wait for a response to a partial request.
-			_ = c.SetReadDeadline(time.Now().Add(earlyResponseTimeout))
-		}
-		sent <- err
-		return nil
-	})
-	res, err := c.receive(r)
-	if err == nil {
-		select {
-		case werr := <-sent:
-			c.noReuse = c.noReuse || werr != nil
-		default:
-			c.noReuse = true
-		}
-		return res, nil
-	}
-	_ = c.SetDeadline(time.Unix(1, 0))
-	werr := <-sent
-	if werr != nil && !c.wrote {
-		return nil, &Error{Stage: Writing, Reused: c.reused, Cause: werr}
-	}
-	return nil, &Error{Stage: Waiting, Wrote: true, Reused: c.reused, Cause: err}
-}
-
-// earlyResponseTimeout bounds the reading of a response that was sent before
-// the connection failed: it is in the socket's receive buffer already.
-const earlyResponseTimeout = 100 * time.Millisecond
-
 func parseKeepAlive(h http.Header) time.Duration {
 	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
--- /dev/null
+++ b/gateway/entry/upload_test.go
@@ -0,0 +1,92 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"basilcross.example/basilcross/config"
+	"basilcross.example/basilcross/grant"
+	"gotest.tools/v3/assert"
+)
+
+// configureUploads sets the configuration of configure with a limit of 4 MiB on bodies.
+func (f *fixture) configureUploads() {
+	f.configure()
+	document := *f.view.Load().Config
+	document.Version++
+	for i := range document.Kinds {
+		document.Kinds[i].Rules.BodyLimit = config.Ptr(config.Size(4 << 20))
+	}
+	assert.NilError(f.t, f.view.SetConfig(&document))
+}
+
+// respondUnbounded takes over the connection of a request and sends a response without a length, then ends the connection.
+func respondUnbounded(w http.ResponseWriter, r *http.Request, body string, reset bool) {
+	id := r.Header.Get(grant.AttemptHeader)
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\n%s", grant.AttemptHeader, id, body)
+	if tcp, ok := c.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// post sends an upload and returns the status, 0 if the connection ended before the end of the response.
+func (f *fixture) post(size int) (status int, content string) {
+	f.t.Helper()
+	res, err := http.Post(f.url+"/menus/entry/graz-7", "text/plain", strings.NewReader(strings.Repeat("u", size)))
+	if err != nil {
+		return 0, ""
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return res.StatusCode, string(text)
+}
+
+// Guards against a part of a response without a length that reaches the caller as the whole one: the target resets the
+// connection while the request is still being written.
+func TestResponseResetDuringUploadIsNoSuccess(t *testing.T) {
+	for _, size := range []int{20 << 10, 300 << 10, 4 << 20} {
+		for _, part := range []int{0, 3000, 70_000} {
+			t.Run(fmt.Sprintf("upload %d, part %d", size, part), func(t *testing.T) {
+				f := newFixture(t)
+				f.configureUploads()
+				f.assign(func(w http.ResponseWriter, r *http.Request) {
+					respondUnbounded(w, r, strings.Repeat("x", part), true)
+				}, true)
+				for range 4 {
+					status, content := f.post(size)
+					assert.Assert(t, status == 0 || status >= http.StatusInternalServerError, "%d with %d bytes", status, len(content))
+				}
+			})
+		}
+	}
+}
+
+// Guards against the loss of responses without a length that are whole: sent after the request, from a connection that ends in
+// order.
+func TestUnboundedResponseAfterUploadIsServed(t *testing.T) {
+	for _, size := range []int{0, 20 << 10, 4 << 20} {
+		for _, length := range []int{0, 5, 600 << 10} {
+			f := newFixture(t)
+			f.configureUploads()
+			f.assign(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				respondUnbounded(w, r, strings.Repeat("x", length), false)
+			}, true)
+			status, content := f.post(size)
+			assert.Equal(t, status, http.StatusOK, "upload %d, response %d", size, length)
+			assert.Equal(t, len(content), length)
+		}
+	}
+}
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -102,9 +102,22 @@
 
 // startRawTarget adds a target that writes the bytes that response returns for a request's ID.
 func (f *fixture) startRawTarget(id string, response func(requestID string) string) {
+	f.startConnTarget(id, func(c *net.TCPConn, r *http.Request) {
+		_, _ = io.WriteString(c, response(r.Header.Get(platform.RequestID)))
+	})
+}
+
+// startConnTarget adds a target that calls serve for each connection, with the first request on it, and closes the connection
+// afterwards.
+func (f *fixture) startConnTarget(id string, serve func(c *net.TCPConn, r *http.Request)) {
+	f.addTarget(id, startConnServer(f.t, serve))
+}
+
+func startConnServer(t *testing.T, serve func(c *net.TCPConn, r *http.Request)) (address string) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(f.t, err)
-	f.t.Cleanup(func() { _ = l.Close() })
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -117,11 +130,11 @@
 				if err != nil {
 					return
 				}
-				_, _ = io.WriteString(c, response(r.Header.Get(platform.RequestID)))
+				serve(c.(*net.TCPConn), r)
 			}()
 		}
 	}()
-	f.addTarget(id, l.Addr().String())
+	return l.Addr().String()
 }
 
 // call sends a request with the next request ID. If it fails, the response is nil and
