Egress: a failed write hides no reset from the reader of a connection

What was seen: with net/http as the client, a part of a response without a length counts as whole after a reset, as it did in pool: of 300 calls each, 5 to 47 in a trial, with requests of 100 KB and more, and of 10 bytes if the server does not wait for them. A release of keys counted as executed so.

Cause: a write consumes the error of the reset; net/http returns the response that its reader has seen.

Change: connections of egress, which all programs use for the store, orders, health checks and other instances, are of type duplex.Conn: an end of file that follows a failed write, or a write that has not ended within 1 s, is an error for the reader.

Evidence: duplex: TestResponseResetDuringRequestIsCut fails with a plain connection (10 of its 16 cases), platform: TestAnswerToOrderBeforeResetProvesNothing with the egress of before. Tried and dropped: reads that return nothing before the first write has succeeded. The write often succeeds though the target never reads it, so that 200 of 200 calls are not rejected; such a response with a length remains believed.

Measured: the tests of duplex, egress, pool, platform, channel, coordinator and instance pass; duplex three times under the race detector.

--- a/basilcross/egress/egress.go
+++ b/basilcross/egress/egress.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"basilcross.example/basilcross/duplex"
 )
 
 const (
@@ -82,14 +84,14 @@
 		}
 	}
 	if d.Proxy == "" {
-		return c, nil
+		return &duplex.Conn{Conn: c}, nil
 	}
 	if err := openTunnel(ctx, c, address); err != nil {
 		_ = c.Close()
 		// The same error type as of a failed direct dial, which callers check for.
 		return nil, &net.OpError{Op: "dial", Net: network, Err: err}
 	}
-	return c, nil
+	return &duplex.Conn{Conn: c}, nil
 }
 
 func openTunnel(ctx context.Context, c net.Conn, address string) error {
