A refusal that is not whole proves nothing

What callers saw: 503, which states that the request did not run and never will, after a target's answer with the not-executed header whose body was broken: shorter than stated, without its last chunk, no chunk at all, or longer than is read. The same with a carrier that declined, and didNotRun on our own interface.

Cause: the head was taken as the proof; the body was discarded and the error of that dropped.

Change: pool.Discard reads a body to its end; an error, or a body of more than the limit, means that the request may have run.

--- a/gateway/entry/attempt.go
+++ b/gateway/entry/attempt.go
@@ -123,9 +123,12 @@
 	}
 	res.Header.Del(grant.AttemptHeader)
 	if reason := grant.RefusalReason(res.Header.Get(grant.RefusedHeader)); reason != "" {
-		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBody))
-		_ = res.Body.Close()
+		err := pool.Discard(res, maxBufferedBody)
 		cancel()
+		if err != nil {
+			release(slot.Failed)
+			return f.responseCut(c, r, err)
+		}
 		return refusedByTarget(reason, res, release)
 	}
 	out := &answered{response: res, done: func(complete bool) {
@@ -195,14 +198,20 @@
 	body, err := io.ReadAll(res.Body)
 	out.done(err == nil)
 	if err != nil {
-		event.AnswerCut.Log(f.Log, "target", r.target.ID, "error", err)
-		r.upstream.RecordFailure(time.Now())
-		return &failed{refusal: refusal.NewUnknown(refusal.AnswerCut, "the target's answer ended early"), retryWhen: c.retryIfBuffered()}
+		return f.responseCut(c, r, err)
 	}
 	out.body, out.buffered = body, true
 	return out
 }
 
+// responseCut returns the outcome of a request whose response is not whole: the target may have run it, whatever the
+// response's head says.
+func (f *Front) responseCut(c *call, r *route, err error) outcome {
+	event.AnswerCut.Log(f.Log, "target", r.target.ID, "error", err)
+	r.upstream.RecordFailure(time.Now())
+	return &failed{refusal: refusal.NewUnknown(refusal.AnswerCut, "the target's answer ended early"), retryWhen: c.retryIfBuffered()}
+}
+
 func (c *call) retryIfBuffered() retryCondition {
 	if c.buffered {
 		return retryNow
--- a/gateway/entry/cut_test.go
+++ b/gateway/entry/cut_test.go
@@ -12,6 +12,7 @@
 	"testing"
 
 	"basilcross.example/basilcross/grant"
+	"basilcross.example/basilcross/refusal"
 	"gotest.tools/v3/assert"
 )
 
@@ -62,3 +63,23 @@
 		})
 	}
 }
+
+// Guards against a broken refusal that is taken for a whole one: nothing of a broken response proves that the request did not run.
+func TestBrokenRefusalDoesNotProveThatNothingRan(t *testing.T) {
+	for _, reason := range []grant.RefusalReason{grant.Shed, grant.Leaving, grant.Moved} {
+		for name, framing := range map[string]string{
+			"shorter than stated":    "Content-Length: 20\r\n\r\nfull",
+			"without the last chunk": "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n",
+			"without end":            "\r\n" + strings.Repeat("full", 300_000),
+		} {
+			f := newFixture(t)
+			f.configure()
+			f.assign(func(w http.ResponseWriter, r *http.Request) {
+				writeRaw(w, fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: %s\r\n%s",
+					grant.AttemptHeader, r.Header.Get(grant.AttemptHeader), grant.RefusedHeader, reason, framing))
+			}, true)
+			res, content := f.do(http.MethodPost, "/menus/entry/graz-7", "")
+			assert.Equal(t, res.Header.Get(refusal.OutcomeHeader), string(refusal.Unknown), "%s, %s: %s", reason, name, content)
+		}
+	}
+}
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -357,6 +357,9 @@
 	f.recordRateLimit(c, reservation, res)
 	f.recordWithdrawal(c, reservation.Target, res)
 	if res.Header.Get(f.Headers.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest {
+		if err := pool.Discard(res, bufferLimit); err != nil {
+			return nil, f.responseCut(ctx, c, reservation, err)
+		}
 		return nil, f.notExecuted(ctx, c, reservation, res)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, bufferLimit))
@@ -368,18 +371,10 @@
 		}}, nil
 	}
 	_ = res.Body.Close()
-	c.recordRun(reservation.Target.ID)
 	if err != nil {
-		r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true}
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			r.status = http.StatusGatewayTimeout
-		}
-		reservation.Release(schedule.Failed)
-		f.exclude(c, reservation.Target.ID)
-		f.logAttempt(c, r, err)
-		f.checkEnded(ctx, c, reservation.Target, r, err)
-		return nil, r
+		return nil, f.responseCut(ctx, c, reservation, err)
 	}
+	c.recordRun(reservation.Target.ID)
 	response := &targetResponse{head: res, body: body}
 	f.endings.recordAnswer(c.sentAt, reservation.Target.Incarnation())
 	f.recordTargetFailure(c, reservation.Target, res) //nolint:contextcheck // the target is watched beyond the request
@@ -398,6 +393,21 @@
 	return response, nil
 }
 
+// responseCut returns the refusal for a request whose response is not whole: the target may have run it, whatever
+// the response's head says.
+func (f *Front) responseCut(ctx context.Context, c *call, reservation *broker.Reservation, err error) *refusal {
+	c.recordRun(reservation.Target.ID)
+	r := &refusal{status: http.StatusBadGateway, cause: "answerCut", mayHaveRun: true}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		r.status = http.StatusGatewayTimeout
+	}
+	reservation.Release(schedule.Failed)
+	f.exclude(c, reservation.Target.ID)
+	f.logAttempt(c, r, err)
+	f.checkEnded(ctx, c, reservation.Target, r, err)
+	return r
+}
+
 func resultOf(complete bool) schedule.Result {
 	if complete {
 		return schedule.Answered
@@ -433,10 +443,8 @@
 	return &refusal{status: http.StatusBadGateway, cause: "targetFailed", mayHaveRun: true, targetStatus: res.StatusCode}
 }
 
-// notExecuted handles a response that states that the request was not executed.
+// notExecuted handles a whole response that states that the request was not executed.
 func (f *Front) notExecuted(ctx context.Context, c *call, reservation *broker.Reservation, res *http.Response) *refusal {
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
-	_ = res.Body.Close()
 	r := newNotRun("shed", f.latency(c.route.Name))
 	r.targetStatus = res.StatusCode
 	if res.StatusCode == http.StatusMisdirectedRequest {
--- a/gateway/front/cut_test.go
+++ b/gateway/front/cut_test.go
@@ -2,17 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"basilcross.example/platform"
+	"basilcross.example/platform/standin"
 	"gotest.tools/v3/assert"
 )
 
@@ -104,3 +107,47 @@
 		assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
 	}
 }
+
+// Guards against a broken refusal that is taken for a whole one: nothing of a broken response proves that the request did not run.
+func TestBrokenRefusalDoesNotProveThatNothingRan(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "421 Misdirected Request", "429 Too Many Requests"} {
+		for name, framing := range map[string]string{
+			"shorter than stated":    "Content-Length: 20\r\n\r\nfull",
+			"cut in a chunk":         "Transfer-Encoding: chunked\r\n\r\n14\r\nfull",
+			"cut before a chunk":     "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n",
+			"without the last chunk": "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n",
+			"no chunks":              "Transfer-Encoding: chunked\r\n\r\nfull",
+			"without end":            "\r\n" + strings.Repeat("full", 300_000),
+		} {
+			for _, carried := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, carried %v", status, name, carried), func(t *testing.T) {
+					t.Parallel()
+					f := newUploadFixture(t, carried, func(c *net.TCPConn, r *http.Request) {
+						_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\n%s: %s\r\n%s: 1\r\n%s", status, platform.RequestID, r.Header.Get(platform.RequestID), platform.NotExecuted, framing)
+					})
+					res, text := f.call(t.Context(), http.MethodPost, "/book/x", "")
+					assert.Assert(t, res != nil, text)
+					assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a carrier's statement that it has not sent the request, in a response that is broken.
+func TestBrokenDeclineDoesNotProveThatNothingRan(t *testing.T) {
+	carrier, _ := startCarrier(t, &standin.Target{ID: "t"})
+	breakLinks(carrier.front.Links)
+	carrier.front.ReachesTargets = func(context.Context, string) bool { return false }
+	f := withoutLinks(t, startConnServer(t, func(c *net.TCPConn, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		carrier.front.ServeForwarded(recorded, r)
+		recorded.Header().Set("Content-Length", "20")
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Declined\r\n", recorded.Code)
+		_ = recorded.Header().Write(c)
+		_, _ = io.WriteString(c, "\r\npart")
+	}))
+	res, text := f.call(t.Context(), http.MethodPost, "/book/x", "")
+	assert.Assert(t, res != nil, text)
+	assert.Equal(t, res.StatusCode, http.StatusBadGateway, text)
+}
--- a/gateway/front/endings.go
+++ b/gateway/front/endings.go
@@ -253,7 +253,9 @@
 		// A target resets connections that it has no room for.
 		return ""
 	}
-	discard(res)
+	if err := pool.Discard(res, bufferLimit); err != nil {
+		return ""
+	}
 	if id := res.Header.Get(f.Headers.AnsweringTarget); id != "" && id != t.ID {
 		return endOther
 	}
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -107,19 +107,20 @@
 	}
 	result, err := parseForwardedResult(res.Header.Get(forwardHeader))
 	switch {
-	case err != nil && isUnknownPath(res):
-		discard(res)
+	case err != nil && isUnknownPath(res) && pool.Discard(res, bufferLimit) == nil:
 		f.Forwarder.avoid(time.Now(), carrier, "", avoidUnknown)
 		f.logForwarded(c, "unknownPath", start, nil)
 		return nil, nil, true
 	case err != nil:
-		discard(res)
+		_ = res.Body.Close()
 		return nil, f.carrierLost(ctx, c, carrier, start, err), false
 	}
 	res.Header.Del(forwardHeader)
 	c.lastTarget, c.account = result.Target, c.merge(result.Account)
 	if !result.Answered {
-		discard(res)
+		if err := pool.Discard(res, bufferLimit); err != nil {
+			return nil, f.carrierLost(ctx, c, carrier, start, err), false
+		}
 		c.mayHaveRun = c.mayHaveRun || result.MayHaveRun
 		mayRunAgain := !result.MayHaveRun || c.route.Idempotent() && c.runs < c.route.MaxAttempts
 		if f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) && mayRunAgain {
@@ -185,12 +186,6 @@
 	return &targetResponse{head: res, body: body}, nil, false
 }
 
-// discard reads what is left of a short response, so that its connection can be used again.
-func discard(res *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, bufferLimit))
-	_ = res.Body.Close()
-}
-
 func (f *Front) logForwarded(c *call, outcome string, start time.Time, err error) {
 	f.Metrics.recordForwarded(c, outcome)
 	event.RequestForwarded.Log(f.Log, "request", c.id, "route", c.route.Name, "service", c.service, "carrier", c.carrier,
