Malformed heads of responses are errors

What callers saw: responses with a status from 600 to 999; with a line whose field name had a blank, without that line; and, where the name was that of a framing field (Content-Length and a blank), a body that was not the target's, or a wait until the deadline. Status 000 was skipped as an interim response, so that what followed it counted. The store's unknown statuses counted as calls without an effect.

Cause: what net/http parses was taken as well-formed. It accepts any three digits as a status and any blank in a name, and drops a field that it does not use.

Control bytes in names were rejected already: their cases stay.

Change: head.Scanner checks the bytes of a head before they are parsed, in pool, by the grammar of RFC 9112; head.Check what net/http has parsed, for orders, health checks, the store and other instances. Such a response is an error, after which the request may have run.

--- a/basilcross/pool/pool.go
+++ b/basilcross/pool/pool.go
@@ -18,6 +18,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"basilcross.example/basilcross/head"
 )
 
 const (
@@ -258,13 +260,10 @@
 	defer c.source.unbound()
 	first := c.carried.count == 1
 	for {
-		res, err := http.ReadResponse(c.reader, request)
+		res, err := c.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if err := CheckHead(res); err != nil {
-			return nil, err
-		}
 		if res.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("target sent %s, which is not supported", res.Status)
 		}
@@ -285,6 +284,19 @@
 	}
 }
 
+// readHead reads the head of the next response.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.source.beginHead(buffered); err != nil {
+		return nil, err
+	}
+	res, err := http.ReadResponse(c.reader, request)
+	if err != nil {
+		return nil, err
+	}
+	return res, head.Check(res)
+}
+
 func (p *Pool) get(ctx context.Context, r *Request, id requestID) (*conn, error) {
 	if r.needsOwnConnection() {
 		return p.open(ctx)
--- a/basilcross/transfer/transfer.go
+++ b/basilcross/transfer/transfer.go
@@ -6,9 +6,11 @@
 	"io"
 	"net/http"
 	"time"
+
+	"basilcross.example/basilcross/head"
 )
 
-// Transport reports how the responses to calls arrived. Base must be set.
+// Transport reports how the responses to calls arrived, and rejects those with a malformed head. Base must be set.
 type Transport struct {
 	Base http.RoundTripper
 	// OnEnd, if set, is called once for each response when its body ends.
@@ -34,6 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := head.Check(res); err != nil {
+		_ = res.Body.Close()
+		return nil, err
+	}
 	res.Body = &body{ReadCloser: res.Body, onEnd: t.OnEnd, start: start, end: End{Address: r.URL.Host, Path: r.URL.Path}}
 	return res, nil
 }
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"basilcross.example/basilcross/object"
 	"basilcross.example/basilcross/platform"
 	"basilcross.example/basilcross/table"
+	"basilcross.example/basilcross/transfer"
 	"basilcross.example/gateway/admin"
 	"basilcross.example/gateway/adminauth"
 	"basilcross.example/gateway/authority"
@@ -171,13 +172,13 @@
 
 // newExternalClient returns the client for the platform and for orders to targets.
 func newExternalClient(dialer *egress.Dialer) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &transfer.Transport{Base: &http.Transport{
 		DialContext: dialer.DialContext,
 		// With one idle connection, the retry after an unresponsive one opens a new one.
 		MaxIdleConnsPerHost: 1,
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
-	}}
+	}}}
 }
 
 // backend stores the shared state: the platform, or memory for a single instance.
--- a/gateway/front/upload_test.go
+++ b/gateway/front/upload_test.go
@@ -71,19 +71,25 @@
 	}
 }
 
+// carry serves a forwarded request without its body and returns the header of the response.
+func (f *fixture) carry(r *http.Request) http.Header {
+	recorded := httptest.NewRecorder()
+	empty := r.Clone(f.t.Context())
+	empty.Body, empty.ContentLength = http.NoBody, 0
+	f.front.ServeForwarded(recorded, empty)
+	return recorded.Header()
+}
+
 // Guards against a part of a carrier's response that is taken for the whole one. Carriers state a length or send chunks; a faulty
 // one may not.
 func TestCarrierResetDuringUploadIsNoSuccess(t *testing.T) {
 	for _, part := range []int{0, 3000, 300_000} {
 		carrier, _ := startCarrier(t, &standin.Target{ID: "t"})
 		f := withoutLinks(t, startConnServer(t, func(c *net.TCPConn, r *http.Request) {
-			recorded := httptest.NewRecorder()
-			empty := r.Clone(t.Context())
-			empty.Body, empty.ContentLength = http.NoBody, 0
-			carrier.front.ServeForwarded(recorded, empty)
-			recorded.Header().Del("Content-Length")
+			header := carrier.carry(r)
+			header.Del("Content-Length")
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n")
-			_ = recorded.Header().Write(c)
+			_ = header.Write(c)
 			_, _ = io.WriteString(c, "\r\n"+strings.Repeat("x", part))
 			_ = c.SetLinger(0)
 		}))
