A stopping instance refuses requests that may be cut off at its end

What callers saw, in a test: requests whose heads arrived before the listener closed and whose bodies came later were sent to a target and canceled 5.1 s after the signal: 502, also for requests that must not be repeated, while the target worked (LOST).

Cause: nothing compared a request's deadline with the time that was left.

Evidence: instance: TestLateRequestsAreNotCutOffDuringShutdown failed for 7 requests, all with bodies sent 4.2 s after the signal or later; with heads that were complete later than 2.6 s the connection is closed without being read, as before.

Change: from 2.6 s on a request whose deadline is after the cancellation is refused at once with 503, Retry-After 0.05 and Connection: close; shorter ones are served. On our own interface the same, and requests that still run at the end of the stop timeout are canceled before it, so that they get an answer (cause 206 is new).

Measured: the tests of entry, and those of front and instance about stops, pass.

--- a/basilcross/refusal/refusal.go
+++ b/basilcross/refusal/refusal.go
@@ -41,6 +41,7 @@
 	NotOwner         Cause = 203
 	NoAuthority      Cause = 204
 	NoTarget         Cause = 205
+	Stopping         Cause = 206
 	QueueFull        Cause = 300
 	DeadlinePassed   Cause = 301
 	TargetShed       Cause = 302
@@ -55,7 +56,7 @@
 	BadRequest: "badRequest", UnknownService: "unknownService", UnknownKind: "unknownKind",
 	BodyTooLarge: "bodyTooLarge", NoConfig: "noConfig", NoOwner: "noOwner",
 	OwnerMoving: "ownerMoving", NotOwner: "notOwner", NoAuthority: "noAuthority",
-	NoTarget: "noTarget", QueueFull: "queueFull", DeadlinePassed: "deadlinePassed",
+	NoTarget: "noTarget", Stopping: "stopping", QueueFull: "queueFull", DeadlinePassed: "deadlinePassed",
 	TargetShed: "targetShed", ConnectFailed: "connectFailed", TargetSilent: "targetSilent",
 	AnswerCut: "answerCut", CallerGone: "callerGone",
 	DuplicateRunning: "duplicateRunning",
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -62,6 +62,9 @@
 	maxHeaderBytes = 32 << 10
 	// refreshInterval is the time between two runs of the housekeeper.
 	refreshInterval = time.Second
+	// abortMargin is the part of the stop timeout that is left for the responses to requests that are
+	// canceled before it.
+	abortMargin = 900 * time.Millisecond
 	// handOverTimeout limits the writes that hand over the instance's seats.
 	handOverTimeout = time.Second
 )
@@ -76,7 +79,7 @@
 	planner   *planner.Planner
 	follower  *follower.Follower
 	renewer   *renewer.Renewer
-	front     http.Handler
+	front     *entry.Front
 	admin     http.Handler
 	control   http.Handler
 	table     table.Client
@@ -277,6 +280,11 @@
 	time.Sleep(d.settings.DrainWait)
 	ctx, cancel = context.WithTimeout(ctx, d.settings.StopTimeout)
 	defer cancel()
+	now := time.Now()
+	abortAt := now.Add(d.settings.StopTimeout - min(abortMargin, d.settings.StopTimeout/2))
+	d.front.RefuseLate(now, abortAt)
+	abort := time.AfterFunc(time.Until(abortAt), d.front.Abort)
+	defer abort.Stop()
 	for _, s := range servers {
 		if err := s.Shutdown(ctx); err != nil {
 			d.log.Warn("shut down listener", "address", s.Addr, "error", err)
--- a/gateway/entry/dedup.go
+++ b/gateway/entry/dedup.go
@@ -48,7 +48,7 @@
 // runWithDeadline runs the request within its deadline. The context stays open
 // for the response's body until the call's cancel.
 func (f *Front) runWithDeadline(ctx context.Context, c *call) outcome {
-	ctx, c.cancel = context.WithTimeout(ctx, c.deadline)
+	ctx, c.cancel = f.withDeadline(ctx, c)
 	return f.sendWithRetries(ctx, c)
 }
 
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -41,11 +41,17 @@
 	mu       sync.Mutex
 	budgets  map[string]*retry.Budget
 	inFlight map[string]*sharedRun
+
+	// stopping is nil until the instance stops.
+	stopping     atomic.Pointer[stopTimes]
+	abortContext context.Context
+	abort        context.CancelFunc
 }
 
 // New returns a Front that serves /{service}/{kind}/{key}.
 func New(o Options) *Front {
 	f := &Front{Options: o, mux: http.NewServeMux(), budgets: map[string]*retry.Budget{}, inFlight: map[string]*sharedRun{}}
+	f.abortContext, f.abort = context.WithCancel(context.Background())
 	f.mux.HandleFunc("/{service}/{kind}/{key...}", f.serve)
 	return f
 }
@@ -58,6 +64,9 @@
 func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
 	c, refused := f.readCall(r)
+	if refused == nil {
+		refused = f.refusedLate(c)
+	}
 	if refused != nil {
 		f.writeRefusal(w, c, refused, start)
 		return
--- a/gateway/entry/entry_test.go
+++ b/gateway/entry/entry_test.go
@@ -33,17 +33,18 @@
 	t         testing.TB
 	view      view.View
 	authority authority.Authority
+	front     *entry.Front
 	url       string
 }
 
 func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{t: t, view: view.View{Zone: "graz"}}
-	front := entry.New(entry.Options{
+	f.front = entry.New(entry.Options{
 		Zone: "graz", Region: "ost", View: &f.view, Authority: &f.authority, Upstreams: &upstream.Set{}, Loads: &keyload.Collector{},
 		Metrics: entry.NewMetrics(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	})
-	s := httptest.NewServer(front)
+	s := httptest.NewServer(f.front)
 	t.Cleanup(s.Close)
 	f.url = s.URL
 	return f
--- a/gateway/front/front.go
+++ b/gateway/front/front.go
@@ -94,15 +94,17 @@
 	limitsOf          atomic.Pointer[routing.Table]
 	started           time.Time
 	keepAliveDisabled atomic.Bool
-	abortContext      context.Context
-	abort             context.CancelFunc
-	carried           carried
-	direct            directRequests
-	endProbes         singleflight.Group
-	endings           endings
-	watches           errgroup.Group
-	mu                sync.Mutex
-	budgets           map[string]*serviceBudget
+	// stopping is nil until the instance stops.
+	stopping     atomic.Pointer[stopTimes]
+	abortContext context.Context
+	abort        context.CancelFunc
+	carried      carried
+	direct       directRequests
+	endProbes    singleflight.Group
+	endings      endings
+	watches      errgroup.Group
+	mu           sync.Mutex
+	budgets      map[string]*serviceBudget
 	// latencies are the average response times by route.
 	latencies map[string]time.Duration
 	// loadErrors has the services of which an invalid load was logged.
@@ -120,17 +122,13 @@
 	return f
 }
 
-// Abort cancels every request without a response and answers it with a refusal. It is
-// called shortly before the process exits: a refusal is better than a closed connection.
-func (f *Front) Abort() { f.abort() }
-
-// Close makes every further response close its connection.
-func (f *Front) Close() { f.keepAliveDisabled.Store(true) }
-
 // ServeHTTP serves a caller's request.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, refused := f.readCall(w, r)
 	defer c.releaseBody()
+	if refused == nil {
+		refused = f.refusedLate(c)
+	}
 	if refused == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 		defer cancel()
--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -345,6 +345,27 @@
 	assert.Assert(t, res.Close)
 }
 
+// Guards against a request that arrives late while the instance stops, is sent to a target, and is cut off at the end.
+func TestLateRequestIsRefusedUnlessItEndsInTime(t *testing.T) {
+	f := newFixture(t)
+	f.setRoutes(300 * time.Millisecond)
+	target := &standin.Target{ID: "a"}
+	f.startTarget("a", target)
+	f.front.Close()
+	now := time.Now()
+	f.front.RefuseLate(now.Add(time.Hour), now.Add(time.Hour))
+	res, _ := f.call(t.Context(), http.MethodPost, "/book/x", "")
+	assert.Equal(t, res.StatusCode, http.StatusOK, "not late")
+	f.front.RefuseLate(now, now.Add(time.Hour))
+	res, _ = f.call(t.Context(), http.MethodPost, "/book/x", "")
+	assert.Equal(t, res.StatusCode, http.StatusOK, "late, but it ends in time")
+	f.front.RefuseLate(now, time.Now().Add(200*time.Millisecond))
+	res, text := f.call(t.Context(), http.MethodPost, "/book/x", "")
+	assert.Equal(t, res.StatusCode, http.StatusServiceUnavailable, text)
+	assert.Assert(t, res.Close && res.Header.Get("Retry-After") != "")
+	assert.Equal(t, target.RunCount(f.lastID()), 0)
+}
+
 // The address belongs to another target now, which responds with 421 and its own ID:
 // the request has not run.
 func TestAddressReusedByAnotherTarget(t *testing.T) {
--- a/gateway/instance/instance.go
+++ b/gateway/instance/instance.go
@@ -425,6 +425,8 @@
 	began := time.Now()
 	i.shuttingDown.Store(true)
 	i.front.Close()
+	abandonAt := began.Add(i.settings.StopTimeout - abandonMargin)
+	i.front.RefuseLate(began.Add(outOfRotationDelay), abandonAt)
 	i.peers.Broadcast(&peers.Message{Leaving: true})
 	resignCtx, done := context.WithTimeout(ctx, resignTimeout)
 	i.coordinator.Resign(resignCtx)
@@ -432,7 +434,7 @@
 	timer := time.NewTimer(outOfRotationDelay - time.Since(began))
 	defer timer.Stop()
 	<-timer.C
-	abandon := time.AfterFunc(i.settings.StopTimeout-abandonMargin-time.Since(began), i.front.Abort)
+	abandon := time.AfterFunc(time.Until(abandonAt), i.front.Abort)
 	defer abandon.Stop()
 	var group errgroup.Group
 	for _, s := range servers {
