Rows with values that no target has are rejected

What was reported: one odd entry among those of the targets ended the instances that read it, or kept them from following the list. Here no process ended, in a test with some 35 odd rows for each of two services. But a start time in the future, or a huge seq, in a row under a target's ID made the target's own rows look outdated: its service refused all callers, or its draining was not noticed. Targets with impossible addresses, ports and numbers were listed. On our own interface one entry with a field of another type kept the whole list of instances from being read, without a log line.

Cause: types were checked, values were not.

--- a/basilcross/platform/platform.go
+++ b/basilcross/platform/platform.go
@@ -63,6 +63,8 @@
 type Client struct {
 	BaseURL    string
 	HTTPClient *http.Client
+	// OnInvalid, if set, is called with an *InstanceError for each invalid entry of the instance list.
+	OnInvalid func(err error)
 
 	mu        sync.Mutex
 	etag      string
@@ -100,36 +102,6 @@
 	return err
 }
 
-// Instances returns the list of instances; an unchanged one is not transferred
-// again.
-func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.BaseURL+InstancesPath, nil)
-	if err != nil {
-		return nil, fmt.Errorf("create request for the instance list: %w", err)
-	}
-	req.Header.Set("If-None-Match", c.etag)
-	res, err := c.httpClient().Do(req)
-	if err != nil {
-		return nil, fmt.Errorf("request instance list: %w", err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	switch res.StatusCode {
-	case http.StatusNotModified:
-		return c.instances, nil
-	case http.StatusOK:
-	default:
-		return nil, &StatusError{Path: InstancesPath, Status: res.StatusCode}
-	}
-	var list []Instance
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(&list); err != nil {
-		return nil, fmt.Errorf("decode instance list from %s: %w", c.BaseURL, err)
-	}
-	c.instances, c.etag = list, res.Header.Get("ETag")
-	return list, nil
-}
-
 func (c *Client) httpClient() *http.Client {
 	if c.HTTPClient == nil {
 		return http.DefaultClient
--- a/gateway/daemon/daemon.go
+++ b/gateway/daemon/daemon.go
@@ -197,7 +197,9 @@
 
 func newBackend(s settings.Settings, client *http.Client, log *slog.Logger) (*backend, error) {
 	if s.PlatformURL != "" {
-		c := &platform.Client{BaseURL: s.PlatformURL, HTTPClient: client}
+		c := &platform.Client{BaseURL: s.PlatformURL, HTTPClient: client, OnInvalid: func(err error) {
+			event.RowUnusable.Log(log, "table", "instances", "error", err)
+		}}
 		return &backend{table: c, objects: c, instances: c.Instances}, nil
 	}
 	targets, err := s.ParseTargets()
--- a/gateway/instance/targets.go
+++ b/gateway/instance/targets.go
@@ -81,9 +81,34 @@
 	return changes
 }
 
+// FutureStartError reports a target's row with a start time that no clock shows yet.
+type FutureStartError struct {
+	Target  string
+	Started time.Time
+}
+
+func (e *FutureStartError) Error() string {
+	return fmt.Sprintf("target %s: start time %v is in the future", e.Target, e.Started)
+}
+
+// maxClockError is how far a target's clock may be ahead. Clocks are close to the true time.
+const maxClockError = time.Hour
+
+// checkStart returns an error if the target cannot have started yet: the rows of the one that has its ID would count
+// as those of an earlier incarnation.
+func checkStart(now time.Time, t *roster.Target) error {
+	if started := time.UnixMilli(t.Started); started.After(now.Add(maxClockError)) {
+		return &FutureStartError{Target: t.ID, Started: started}
+	}
+	return nil
+}
+
 // usableTarget returns the target of a row; nil if the row is invalid or its service is not named.
 func (s *state) usableTarget(r platform.Row) *roster.Target {
 	t, err := platform.ParseTarget(r.Key, r.Value)
+	if err == nil {
+		err = checkStart(time.Now(), t)
+	}
 	if err == nil && !s.isNamed(t) {
 		known := s.unnamed.byID[t.ID] != nil
 		s.unnamed.add(t)
--- a/gateway/planner/planner.go
+++ b/gateway/planner/planner.go
@@ -378,6 +378,7 @@
 	defer cancel()
 	listed, err := p.Instances(callCtx)
 	if err != nil {
+		p.Log.Warn("read instance list", "error", err)
 		return
 	}
 	p.instances = listed
