--- a/gateway/entry/upload_test.go
+++ b/gateway/entry/upload_test.go
@@ -19,7 +19,7 @@
 	document := *f.view.Load().Config
 	document.Version++
 	for i := range document.Kinds {
-		document.Kinds[i].Rules.BodyLimit = config.Ptr(config.Size(4 << 20))
+		document.Kinds[i].BodyLimit = config.Ptr(config.Size(4 << 20))
 	}
 	assert.NilError(f.t, f.view.SetConfig(&document))
 }
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -121,20 +121,28 @@
 		if err := pool.Discard(res, bufferLimit); err != nil {
 			return nil, f.carrierLost(ctx, c, carrier, start, err), false
 		}
-		c.mayHaveRun = c.mayHaveRun || result.MayHaveRun
-		mayRunAgain := !result.MayHaveRun || c.route.Idempotent() && c.runs < c.route.MaxAttempts
-		if f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) && mayRunAgain {
+		f.logForwarded(c, result.Cause, start, nil)
+		refused, declined = f.carrierRefused(c, carrier, result, res.StatusCode)
+		if declined {
 			search.suggest(result.Suggested)
-			f.logForwarded(c, result.Cause, start, nil)
-			return nil, nil, true
 		}
-		f.logForwarded(c, result.Cause, start, nil)
-		return nil, &refusal{status: res.StatusCode, cause: result.Cause, mayHaveRun: result.MayHaveRun, final: true, retryAfter: result.RetryAfter}, false
+		return nil, refused, declined
 	}
 	f.Forwarder.recordServed(time.Now(), carrier, c.service)
 	return f.readForwarded(ctx, c, carrier, start, res)
 }
 
+// carrierRefused returns the refusal for a call that its carrier did not serve. declined is set, without a refusal,
+// if another instance may serve it.
+func (f *Front) carrierRefused(c *call, carrier *peers.Instance, result *forwardedResult, status int) (refused *refusal, declined bool) {
+	c.mayHaveRun = c.mayHaveRun || result.MayHaveRun
+	mayRunAgain := !result.MayHaveRun || c.route.Idempotent() && c.runs < c.route.MaxAttempts
+	if f.Forwarder.avoidAfter(time.Now(), carrier, c.service, result.Cause) && mayRunAgain {
+		return nil, true
+	}
+	return &refusal{status: status, cause: result.Cause, mayHaveRun: result.MayHaveRun, final: true, retryAfter: result.RetryAfter}, false
+}
+
 // forwardRequest returns the call as it is sent to another instance.
 func (f *Front) forwardRequest(c *call) *pool.Request {
 	header := c.header.Clone()
--- a/gateway/front/upload_test.go
+++ b/gateway/front/upload_test.go
@@ -74,7 +74,7 @@
 // carry serves a forwarded request without its body and returns the header of the response.
 func (f *fixture) carry(r *http.Request) http.Header {
 	recorded := httptest.NewRecorder()
-	empty := r.Clone(f.t.Context())
+	empty := r.Clone(r.Context())
 	empty.Body, empty.ContentLength = http.NoBody, 0
 	f.front.ServeForwarded(recorded, empty)
 	return recorded.Header()
