Own interface: responses of the platform and of targets are read to their end

Cause: a limit, or the first whole JSON value, was taken as the end of a response. Change: they are read to their end; what exceeds the limit is an error. The test of resets during uploads has small socket buffers too.

--- a/basilcross/platform/instances.go
+++ b/basilcross/platform/instances.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -51,8 +50,12 @@
 	default:
 		return nil, &StatusError{Path: InstancesPath, Status: res.StatusCode}
 	}
+	content, err := readWhole(res)
+	if err != nil {
+		return nil, fmt.Errorf("read instance list from %s: %w", c.BaseURL, err)
+	}
 	var entries []json.RawMessage
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(&entries); err != nil {
+	if err := json.Unmarshal(content, &entries); err != nil {
 		return nil, fmt.Errorf("decode instance list from %s: %w", c.BaseURL, err)
 	}
 	c.instances, c.etag = c.decodeInstances(entries), res.Header.Get("ETag")
--- a/basilcross/platform/platform.go
+++ b/basilcross/platform/platform.go
@@ -16,6 +16,7 @@
 	"sync"
 
 	"basilcross.example/basilcross/object"
+	"basilcross.example/basilcross/pool"
 	"basilcross.example/basilcross/table"
 )
 
@@ -140,5 +141,18 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, &StatusError{Path: path, Status: res.StatusCode}
 	}
-	return io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	return readWhole(res)
+}
+
+// readWhole reads a response's body to its end. One that is longer than maxResponseBytes is an error, or its first part
+// would be taken for all of it.
+func readWhole(res *http.Response) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(res.Body, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(content) > maxResponseBytes {
+		return nil, &pool.LengthError{Limit: maxResponseBytes}
+	}
+	return content, nil
 }
--- a/basilcross/pool/upload_test.go
+++ b/basilcross/pool/upload_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -83,24 +84,43 @@
 		for _, chunked := range []bool{false, true} {
 			for _, part := range []int{0, 5, 3000, 70_000, 600_000} {
 				for _, delay := range []time.Duration{0, 3 * time.Millisecond, 30 * time.Millisecond} {
-					t.Run(fmt.Sprintf("upload %d, chunked %v, part %d, reset after %v", size, chunked, part, delay), func(t *testing.T) {
-						t.Parallel()
-						p := startTarget(t, func(c *net.TCPConn, _ *http.Request) {
-							_, _ = io.WriteString(c, headWithoutLength+strings.Repeat("x", part))
-							time.Sleep(delay)
-							_ = c.SetLinger(0)
+					for _, window := range []int{0, 4 << 10} {
+						t.Run(fmt.Sprintf("upload %d, chunked %v, part %d, reset after %v, buffers %d", size, chunked, part, delay, window), func(t *testing.T) {
+							t.Parallel()
+							testReset(t, size, chunked, part, delay, window)
 						})
-						for range 4 {
-							content, err := upload(t, p, size, chunked)
-							assert.Assert(t, err != nil, "%d bytes are taken for the whole response", len(content))
-						}
-					})
+					}
 				}
 			}
 		}
 	}
 }
 
+func testReset(t *testing.T, size int, chunked bool, part int, delay time.Duration, window int) {
+	t.Helper()
+	p := startTarget(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, headWithoutLength+strings.Repeat("x", part))
+		time.Sleep(delay)
+		_ = c.SetLinger(0)
+	})
+	p.Dial = dialWithBuffers(window)
+	for range 4 {
+		content, err := upload(t, p, size, chunked)
+		assert.Assert(t, err != nil, "%d bytes are taken for the whole response", len(content))
+	}
+}
+
+// dialWithBuffers returns a function that opens connections with socket buffers of a size in bytes; 0 leaves the default.
+func dialWithBuffers(size int) pool.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if tcp, ok := c.(*net.TCPConn); ok && size > 0 {
+			err = errors.Join(err, tcp.SetReadBuffer(size), tcp.SetWriteBuffer(size))
+		}
+		return c, err
+	}
+}
+
 // Guards against responses that are rejected though they are whole: without a length, after the whole request, from a connection
 // that ends in order; and with a length, while the request is still being written.
 func TestWholeResponsesToUploadsAreAccepted(t *testing.T) {
--- a/gateway/renewer/grants.go
+++ b/gateway/renewer/grants.go
@@ -76,7 +76,11 @@
 	if res.StatusCode != http.StatusOK {
 		return s, fmt.Errorf("send order to %s: target responded with status %d", address, res.StatusCode)
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxStatusBytes)).Decode(&s); err != nil {
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxStatusBytes))
+	if err != nil {
+		return s, fmt.Errorf("read status of %s: %w", address, err)
+	}
+	if err := json.Unmarshal(text, &s); err != nil {
 		return s, fmt.Errorf("decode status of %s: %w", address, err)
 	}
 	return s, nil
