--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -188,10 +188,16 @@
 	headersWritten := false
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { headersWritten = true }}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
-	res, err := gen.client.Do(req)
+	err = gen.exchange(req, c)
 	if headersWritten && err != nil {
 		return &connectionBrokenError{cause: err}
 	}
+	return err
+}
+
+// exchange sends a request and records its outcome. An error means that there was no whole response.
+func (gen *Generator) exchange(req *http.Request, c *judge.Call) error {
+	res, err := gen.client.Do(req)
 	if err != nil {
 		return err
 	}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -67,6 +67,7 @@
 	defer stopLoad()
 	background.Go(func() { f.printProgress(loadCtx, began, out) })
 	background.Go(func() { f.generator.RunPipelines(loadCtx, s.Load.Pipelines) })
+	background.Go(func() { f.generator.RunUploads(loadCtx, s.Load.Uploads) })
 	results := f.scheduleFaults(ctx, s, began, out)
 	f.generator.Run(loadCtx)
 	faults := results()
--- a/standin/demo/fault.go
+++ b/standin/demo/fault.go
@@ -122,6 +122,12 @@
 		return func() { f.store.SetDelay(0) }
 	case "repeatResponses":
 		return toggle(f.network.SetRepeating)
+	case "breakResponses":
+		return toggle(func(on bool) {
+			for _, t := range f.targets {
+				t.SetBreaking(on)
+			}
+		})
 	case "silenceConnections":
 		f.network.BlackholeConnections()
 	case "resetConnections":
--- a/standin/judge/judge.go
+++ b/standin/judge/judge.go
@@ -96,6 +96,8 @@
 	// ConfigReversions counts gateways' reports of an older configuration version than before.
 	ConfigReversions int
 
+	// broken are the requests to which a target has sent a broken response.
+	broken   map[string]bool
 	lastHold map[holdKey]int
 }
 
@@ -132,6 +134,16 @@
 	h.Shutdowns = append(h.Shutdowns, s)
 }
 
+// AddBroken records that a target has sent a broken response to a request.
+func (h *History) AddBroken(request string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.broken == nil {
+		h.broken = map[string]bool{}
+	}
+	h.broken[request] = true
+}
+
 // AddConfigReversion records that a gateway reported an older configuration version.
 func (h *History) AddConfigReversion() {
 	h.mu.Lock()
@@ -210,7 +222,7 @@
 			v.WrongOrCutAnswer++
 		case c.Outcome == Answered && c.Executed && runs[c.Request] == 0:
 			v.AcknowledgedLost++
-		case c.Outcome == ConnectionBroken && h.duringShutdown(c):
+		case c.Outcome == ConnectionBroken && !h.broken[c.Request] && h.duringShutdown(c):
 			v.CutAtShutdown++
 		}
 	}
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"basilcross.example/basilcross/duplex"
 	"basilcross.example/basilcross/grant"
 	"basilcross.example/standin/deployment"
 )
@@ -125,11 +127,8 @@
 	defer n.mu.Unlock()
 	for c := range n.conns {
 		for _, end := range c.ends {
-			if tcp, ok := end.(*net.TCPConn); ok {
-				// Without linger 0, the bytes in flight would still arrive, followed by a regular close.
-				_ = tcp.SetLinger(0)
-			}
-			_ = end.Close()
+			// After a regular close the bytes in flight would still arrive.
+			closeLike(end, true)
 		}
 	}
 }
@@ -225,10 +224,10 @@
 	}
 	defer func() { _ = target.Close() }()
 	_, _ = io.WriteString(client, "HTTP/1.1 200 OK\r\n\r\n")
-	c := &connection{network: n, egress: e, controlBytes: controlBytes, ends: [2]net.Conn{client, target}}
+	c := &connection{network: n, egress: e, controlBytes: controlBytes, ends: [2]net.Conn{&duplex.Conn{Conn: client}, &duplex.Conn{Conn: target}}}
 	c.isControl.Store(isControl)
 	c.toTarget = !isControl
-	n.forward(c, client, target, zone)
+	n.forward(c, c.ends[0], c.ends[1], zone)
 }
 
 type connection struct {
@@ -303,9 +302,13 @@
 // ends the other direction.
 func (c *connection) forward(src, dst net.Conn, from, to deployment.Zone) {
 	queue := make(chan chunk, maxQueuedChunks)
+	var broken atomic.Bool
 	var group sync.WaitGroup
 	group.Go(func() {
 		c.deliver(queue, dst, from, to)
+		if !c.blackholed.Load() {
+			closeLike(dst, broken.Load())
+		}
 		_ = src.Close()
 	})
 	for {
@@ -329,6 +332,7 @@
 			queue <- chunk{buffer[:count], c.network.arrivalTime(from, to, count)}
 		}
 		if err != nil {
+			broken.Store(!errors.Is(err, io.EOF))
 			break
 		}
 	}
@@ -347,9 +351,17 @@
 		_, err := dst.Write(item.data)
 		failed = err != nil
 	}
-	if !c.blackholed.Load() {
-		_ = dst.Close()
+}
+
+// closeLike closes a connection as its other side was: with a reset if that was broken.
+func closeLike(c net.Conn, broken bool) {
+	if d, ok := c.(*duplex.Conn); ok {
+		c = d.Conn
+	}
+	if tcp, ok := c.(*net.TCPConn); ok && broken {
+		_ = tcp.SetLinger(0)
 	}
+	_ = c.Close()
 }
 
 // awaitCutEnd delays bytes until a cut ends, as TCP's retransmissions would.
--- a/standin/scenario/random.go
+++ b/standin/scenario/random.go
@@ -55,7 +55,7 @@
 		}
 	}
 	s.Faults = append(s.Faults, addedFaults(seed, last)...)
-	s.Load.Pipelines = 1
+	s.Load.Pipelines, s.Load.Uploads = 1, 1
 	all := slices.Clone(s.Faults)
 	s.Faults = slices.DeleteFunc(s.Faults, func(f Fault) bool {
 		return f.AtMs+f.ForMs > last+1 || f.Do == "drainTarget" && drainMayBeMissed(all, f)
@@ -67,11 +67,13 @@
 // addedFaults returns the faults of types that were added later. They are drawn apart, so that a seed gives the same
 // faults of the other types as before.
 func addedFaults(seed uint64, last int) (list []Fault) {
-	rng := rand.New(rand.NewPCG(seed, 30))
-	for range 2 {
-		f := Fault{AtMs: quietStartMs + rng.IntN(last-quietStartMs), Do: "repeatResponses"}
-		f.ForMs = min(minFaultMs+rng.IntN(maxFaultMs-minFaultMs), last-f.AtMs+1)
-		list = append(list, f)
+	for stream, do := range []string{"repeatResponses", "breakResponses"} {
+		rng := rand.New(rand.NewPCG(seed, 30+uint64(stream)))
+		for range 2 {
+			f := Fault{AtMs: quietStartMs + rng.IntN(last-quietStartMs), Do: do}
+			f.ForMs = min(minFaultMs+rng.IntN(maxFaultMs-minFaultMs), last-f.AtMs+1)
+			list = append(list, f)
+		}
 	}
 	return list
 }
--- a/standin/scenario/scenario.go
+++ b/standin/scenario/scenario.go
@@ -31,6 +31,8 @@
 	// Pipelines is how many callers of each gateway send a second request before the first one is answered, and
 	// read long responses through small receive buffers.
 	Pipelines int `json:"pipelines,omitempty"`
+	// Uploads is how many callers of each gateway send requests of 900 KiB.
+	Uploads int `json:"uploads,omitempty"`
 }
 
 // Fault is a fault to inject, with its start time and its duration; see At and For.
@@ -69,7 +71,7 @@
 	"cutZone": ZoneResource, "cutZoneOneWay": ZoneResource, "cutZoneFromPlatform": ZoneResource, "cutRegions": NoResource,
 	"storeDown": NoResource, "storeSlow": NoResource, "loseStoreAnswers": NoResource,
 	"silenceConnections": NoResource, "resetConnections": NoResource, "slowLinks": NoResource, "changeConfig": NoResource,
-	"repeatResponses": NoResource,
+	"repeatResponses": NoResource, "breakResponses": NoResource,
 }
 
 // Parse decodes and validates a scenario. Unknown fields are errors.
@@ -126,6 +128,9 @@
 	if l.Pipelines < 0 || l.Pipelines > 50 {
 		addError("load.pipelines = %d: want 0 to 50", l.Pipelines)
 	}
+	if l.Uploads < 0 || l.Uploads > 50 {
+		addError("load.uploads = %d: want 0 to 50", l.Uploads)
+	}
 }
 
 func faultTypeNames() []string {
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -71,6 +71,9 @@
 	// cache has the values of keys, each valid for one epoch of its owner.
 	cache      map[string]cachedValue
 	orderCount atomic.Int64
+	// breaking is set while some responses are broken; broken counts the requests meanwhile.
+	breaking atomic.Bool
+	broken   atomic.Int64
 }
 
 // Listen starts the target at a free address, which it keeps across restarts.
@@ -207,6 +210,10 @@
 func (t *Target) handleRequest(w http.ResponseWriter, r *http.Request, guard *grant.Guard) {
 	t.waitWhileFrozen()
 	w.Header().Set(grant.AttemptHeader, r.Header.Get(grant.AttemptHeader))
+	breakKind, breaks := t.breaks()
+	if !t.receiveBody(w, r, breaks) {
+		return
+	}
 	kind := r.PathValue("kind")
 	e := &execution{key: r.PathValue("key"), run: judge.Run{
 		Request: r.Header.Get(RequestHeader),
@@ -242,7 +249,13 @@
 	if err != nil {
 		filler = int(e.run.Hash % 900)
 	}
-	t.respond(w, e, filler)
+	response := t.response(e, filler)
+	if breaks {
+		t.respondBroken(w, r, response, breakKind)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(response)
 }
 
 // admit checks the request against the grants; it responds and returns false if refused.
@@ -323,13 +336,12 @@
 	e.value = entry.value
 }
 
-func (t *Target) respond(w http.ResponseWriter, e *execution, filler int) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(Response{
+func (t *Target) response(e *execution, filler int) Response {
+	return Response{
 		Request:  e.run.Request,
 		Target:   t.Name,
 		Value:    e.value,
 		Filler:   strings.Repeat("x", filler),
 		Complete: true,
-	})
+	}
 }
