Entry: an early response takes nothing from the request

What targets got: 1835007 of 2097152 bytes of a request in chunks, which looked whole, if they began a response in chunks before they had read it.

Cause: net/http's server discards up to 256 KiB of an unread request before it writes the response, while entry streams the rest to the target.

Change: requests whose bodies are streamed are answered in full duplex.

--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -71,6 +71,11 @@
 		f.writeRefusal(w, c, refused, start)
 		return
 	}
+	if !c.buffered {
+		// Otherwise the server discards a part of the body before it writes a response, while the rest is sent to the
+		// target. HTTP/2 needs no permission.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	switch out := f.runDeduplicated(r, c).(type) {
 	case *answered:
 		f.writeResponse(w, c, out, start)
--- a/gateway/entry/upload_test.go
+++ b/gateway/entry/upload_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -90,3 +91,48 @@
 		}
 	}
 }
+
+// Guards against a request that reaches its target with a part of its body missing, and looks whole: the server discards what it has
+// not read when the target responds early.
+func TestEarlyResponseLeavesTheRequestWhole(t *testing.T) {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<17)
+	for _, chunked := range []bool{false, true} {
+		for _, length := range []string{"5", ""} {
+			for _, early := range []int64{0, 100_000, 1_000_000} {
+				t.Run(fmt.Sprintf("chunked %v, response of length %q after %d bytes", chunked, length, early), func(t *testing.T) {
+					f := newFixture(t)
+					f.configureUploads()
+					received := make(chan error, 1)
+					f.assign(func(w http.ResponseWriter, r *http.Request) {
+						control := http.NewResponseController(w)
+						_ = control.EnableFullDuplex()
+						first, _ := io.ReadAll(io.LimitReader(r.Body, early))
+						if length != "" {
+							w.Header().Set("Content-Length", length)
+						}
+						_, _ = io.WriteString(w, "early")
+						_ = control.Flush()
+						rest, err := io.ReadAll(r.Body)
+						if err == nil && !bytes.Equal(append(first, rest...), body) {
+							err = fmt.Errorf("%d of %d bytes look whole", len(first)+len(rest), len(body))
+						} else {
+							err = nil
+						}
+						received <- err
+					}, true)
+					var content io.Reader = bytes.NewReader(body)
+					if chunked {
+						content = io.MultiReader(content)
+					}
+					res, err := http.Post(f.url+"/menus/entry/graz-7", "text/plain", content)
+					assert.NilError(t, err)
+					defer res.Body.Close()
+					text, err := io.ReadAll(res.Body)
+					assert.NilError(t, err)
+					assert.Equal(t, string(text), "early")
+					assert.NilError(t, <-received)
+				})
+			}
+		}
+	}
+}
