--- a/gateway/instance/targets.go
+++ b/gateway/instance/targets.go
@@ -91,8 +91,9 @@
 	return fmt.Sprintf("target %s: start time %v is in the future", e.Target, e.Started)
 }
 
-// maxClockError is how far a target's clock may be ahead. Clocks are close to the true time.
-const maxClockError = time.Hour
+// maxClockError is how far a target's clock may be ahead of ours. All are close to the true time, but one that is set wrongly must not
+// hide all targets.
+const maxClockError = 24 * time.Hour
 
 // checkStart returns an error if the target cannot have started yet: the rows of the one that has its ID would count
 // as those of an earlier incarnation.
