--- a/basilcross/ratelimit/ratelimit.go
+++ b/basilcross/ratelimit/ratelimit.go
@@ -47,8 +47,8 @@
 	liftedBy time.Time
 }
 
-// Record records a statement. It reports whether the limit in force has changed by it: it is stated first
-// or anew with another value, or it is lifted. Answers may arrive out of order: a limit is lifted only by the
+// Record records a statement. It reports whether the limit in force has changed by it: it is stated for the first
+// time or with another value, or it is lifted. Answers may arrive out of order: a limit is lifted only by the
 // answer to a request that was sent after the limit was stated last.
 func (l *Limits) Record(t roster.Incarnation, s Statement) (changed bool) {
 	l.mu.Lock()
--- a/basilcross/schedule/ratelimit_test.go
+++ b/basilcross/schedule/ratelimit_test.go
@@ -81,7 +81,7 @@
 	})
 }
 
-// Guards against replacements of a scheduler that add to what it sends, although it is told of their requests: beyond the limit
+// Guards against replacements of a scheduler that add to what it sends, although it receives their reports: beyond the limit
 // there may be the scheduler's own burst, and one request of each replacement that it has yet to make up for.
 func TestChargedSchedulersShareOneLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/gateway/broker/ratelimit.go
+++ b/gateway/broker/ratelimit.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// sendCharge tells the instances that may schedule a target that this one, which replaces its scheduler for one
+// sendCharge reports to the instances that may schedule a target that this one, which replaces its scheduler for one
 // that does not hear it, has sent it a request. They send it one less if its rate is limited.
 func (b *Broker) sendCharge(t *roster.Target) {
 	if b.Dispatcher.RateLimit == nil {
--- a/gateway/coordinator/epochs_test.go
+++ b/gateway/coordinator/epochs_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against a coordinator that goes on until its epochs are those of the next term.
+// Guards against a coordinator whose epochs run into those of the next term.
 func TestCoordinatorHandsOverBeforeItsEpochsEnd(t *testing.T) {
 	t.Parallel()
 	for name, usedUp := range map[string]bool{"nearly used up": false, "used up": true} {
--- a/gateway/front/cut_test.go
+++ b/gateway/front/cut_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Guards against a target that begins a refusal, stops in the middle of its head, and goes on with the response to a request
-// that it has run: the caller is told that the request did not run.
+// Guards against a target that begins a refusal, stops in the middle of its head, and continues with the response to a request
+// that it has run: the caller gets a statement that the request did not run.
 func TestBeginningOfRefusalBeforeResponseIsNoRefusal(t *testing.T) {
 	for _, beginning := range []string{"HTTP/1.1 503 ", "HTTP/1.1 503 Service Unavailable\r\n" + platform.NotExecuted + ": "} {
 		f := newFixture(t)
