Refusals are read for 64 KiB; responses without end in tests have time to reach their bounds

The same test had allocated up to 59 MB of 64 once; most of it were the target's own copies of the text that it repeats. Change: the body of a refusal, which is not forwarded, is read for 64 KiB in place of 256; the test's requests have 20 s, so that the bounds end them; its targets copy the text once, and are 32. The checks and bounds are the same.

--- a/gateway/coordinator/endless_test.go
+++ b/gateway/coordinator/endless_test.go
@@ -22,7 +22,7 @@
 	// maxUseless is how much of a target's response to an order may be read, in bytes.
 	maxUseless = 2 << 20
 	// orderTargets is how many targets send without end at a time.
-	orderTargets = 40
+	orderTargets = 32
 	// maxHeapGrowth is how far the heap may grow meanwhile, in bytes: a third of the memory of a small instance.
 	maxHeapGrowth = 64 << 20
 )
--- a/gateway/front/attempt.go
+++ b/gateway/front/attempt.go
@@ -22,6 +22,9 @@
 	// bufferLimit is the size up to which a response body is buffered, so that a
 	// truncated response is detected before any of it is sent to the caller.
 	bufferLimit = 256 << 10
+	// refusalLimit bounds the body of a response that states that the request was not executed, in bytes. It is
+	// read to its end and not forwarded.
+	refusalLimit = 64 << 10
 )
 
 type targetResponse struct {
@@ -357,7 +360,7 @@
 	f.recordRateLimit(c, reservation, res)
 	f.recordWithdrawal(c, reservation.Target, res)
 	if res.Header.Get(f.Headers.NotExecuted) != "" || res.StatusCode == http.StatusMisdirectedRequest {
-		if err := pool.Discard(res, bufferLimit); err != nil {
+		if err := pool.Discard(res, refusalLimit); err != nil {
 			return nil, f.responseCut(ctx, c, reservation, err)
 		}
 		return nil, f.notExecuted(ctx, c, reservation, res)
--- a/gateway/front/endings.go
+++ b/gateway/front/endings.go
@@ -253,7 +253,7 @@
 		// A target resets connections that it has no room for.
 		return ""
 	}
-	if err := pool.Discard(res, bufferLimit); err != nil {
+	if err := pool.Discard(res, refusalLimit); err != nil {
 		return ""
 	}
 	if id := res.Header.Get(f.Headers.AnsweringTarget); id != "" && id != t.ID {
--- a/gateway/front/endless_test.go
+++ b/gateway/front/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,12 +21,12 @@
 
 // startEndlessTarget adds a target that answers each request with the beginning of a response, and then with a text until the
 // connection is closed.
-func (f *fixture) startEndlessTarget(id, beginning, repeated string) {
+func (f *fixture) startEndlessTarget(id, beginning string, repeated []byte) {
 	f.startConnTarget(id, func(c *net.TCPConn, r *http.Request) {
-		_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+		_ = c.SetDeadline(time.Now().Add(2 * endlessTimeout))
 		_, err := io.WriteString(c, strings.ReplaceAll(beginning, "%ID%", r.Header.Get(platform.RequestID)))
 		for err == nil {
-			_, err = io.WriteString(c, repeated)
+			_, err = c.Write(repeated)
 		}
 	})
 }
@@ -73,7 +74,10 @@
 }
 
 // endlessTargets is how many targets send without end, and how many callers send requests at a time: as many as a small deployment has targets.
-const endlessTargets = 40
+const endlessTargets = 32
+
+// endlessTimeout is the timeout of requests: the bounds must end them, not the time, also under the race detector.
+const endlessTimeout = 20 * time.Second
 
 // callAtOnce sends requests of endlessTargets callers at a time, reads a part of each response, and returns the number of
 // responses by status.
@@ -90,7 +94,7 @@
 				}
 				r.Host = "cakes.example"
 				r.Header.Set(platform.RequestID, fmt.Sprintf("%d-%d", n, i))
-				r.Header.Set(platform.TimeLeft, "4000")
+				r.Header.Set(platform.TimeLeft, strconv.FormatInt(endlessTimeout.Milliseconds(), 10))
 				res, err := http.DefaultClient.Do(r)
 				if err != nil {
 					continue
@@ -121,9 +125,10 @@
 		for _, carried := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, carried %v", name, carried), func(t *testing.T) {
 				target := newFixture(t)
-				target.setRoutes(4 * time.Second)
+				target.setRoutes(endlessTimeout)
+				repeated := []byte(c.repeated)
 				for n := range endlessTargets {
-					target.startEndlessTarget(fmt.Sprint(n), c.beginning, c.repeated)
+					target.startEndlessTarget(fmt.Sprint(n), c.beginning, repeated)
 				}
 				f := target
 				if carried {
@@ -146,9 +151,10 @@
 func testResponsesWithoutEnd(t *testing.T, beginning, repeated string) {
 	t.Helper()
 	f := newFixture(t)
-	f.setRoutes(4 * time.Second)
+	f.setRoutes(endlessTimeout)
+	text := []byte(repeated)
 	for n := range endlessTargets {
-		f.startEndlessTarget(fmt.Sprint(n), beginning, repeated)
+		f.startEndlessTarget(fmt.Sprint(n), beginning, text)
 	}
 	var statuses map[int]int
 	growth := heap.Growth(func() { statuses = f.callAtOnce(3, 0) })
--- a/gateway/front/forward.go
+++ b/gateway/front/forward.go
@@ -107,7 +107,7 @@
 	}
 	result, err := parseForwardedResult(res.Header.Get(forwardHeader))
 	switch {
-	case err != nil && isUnknownPath(res) && pool.Discard(res, bufferLimit) == nil:
+	case err != nil && isUnknownPath(res) && pool.Discard(res, refusalLimit) == nil:
 		f.Forwarder.avoid(time.Now(), carrier, "", avoidUnknown)
 		f.logForwarded(c, "unknownPath", start, nil)
 		return nil, nil, true
@@ -118,7 +118,7 @@
 	res.Header.Del(forwardHeader)
 	c.lastTarget, c.account = result.Target, c.merge(result.Account)
 	if !result.Answered {
-		if err := pool.Discard(res, bufferLimit); err != nil {
+		if err := pool.Discard(res, refusalLimit); err != nil {
 			return nil, f.carrierLost(ctx, c, carrier, start, err), false
 		}
 		f.logForwarded(c, result.Cause, start, nil)
