Entry: a response that begins before the end of its request closes the connection

Cause: the target may answer before the body was read; its reader may still be there when the handler returns.

Change: such responses have Connection: close.

Evidence: TestRequestAfterEarlyResponseIsServed failed before, with the panic.

--- a/gateway/entry/call.go
+++ b/gateway/entry/call.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"basilcross.example/basilcross/grant"
@@ -49,9 +50,11 @@
 	header http.Header
 	// body is complete if buffered; otherwise bodyStream is the caller's body,
 	// and the request can be sent only once.
-	body          []byte
-	buffered      bool
-	bodyStream    io.Reader
+	body       []byte
+	buffered   bool
+	bodyStream io.Reader
+	// bodyEnded is set once bodyStream was read to its end.
+	bodyEnded     atomic.Bool
 	contentLength int64
 	streamSent    bool
 	// cancel releases the call's resources after its response was forwarded.
@@ -141,10 +144,24 @@
 		c.body, c.buffered, c.contentLength = head, true, int64(len(head))
 		return nil
 	}
-	c.bodyStream = io.MultiReader(bytes.NewReader(head), limited)
+	c.bodyStream = io.MultiReader(bytes.NewReader(head), &endReader{Reader: limited, ended: &c.bodyEnded})
 	return nil
 }
 
+// endReader records the end of what it reads.
+type endReader struct {
+	io.Reader
+	ended *atomic.Bool
+}
+
+func (r *endReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.ended.Store(true)
+	}
+	return n, err
+}
+
 func bodyReadRefusal(err error) *refusal.Error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/gateway/entry/entry.go
+++ b/gateway/entry/entry.go
@@ -71,10 +71,11 @@
 		f.writeRefusal(w, c, refused, start)
 		return
 	}
-	if !c.buffered {
+	if !c.buffered && r.ProtoMajor == 1 {
 		// Otherwise the server discards a part of the body before it writes a response, while the rest is sent to the
-		// target. HTTP/2 needs no permission.
+		// target.
 		_ = http.NewResponseController(w).EnableFullDuplex()
+		w = &streamedResponse{ResponseWriter: w, call: c}
 	}
 	switch out := f.runDeduplicated(r, c).(type) {
 	case *answered:
--- a/gateway/entry/upload_test.go
+++ b/gateway/entry/upload_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -136,3 +137,36 @@
 		}
 	}
 }
+
+// Guards against a request that is refused since the target has answered the one before it on the same connection while that was
+// still being sent.
+func TestRequestAfterEarlyResponseIsServed(t *testing.T) {
+	f := newFixture(t)
+	f.configureUploads()
+	f.assign(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			_ = http.NewResponseController(w).EnableFullDuplex()
+		}
+		_, _ = io.WriteString(w, r.Method)
+	}, true)
+	const size, first = 200_000, 100_000
+	for n := range 20 {
+		c, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+		assert.NilError(t, err)
+		reader := bufio.NewReader(c)
+		_, err = fmt.Fprintf(c, "POST /menus/entry/graz-7 HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("u", first))
+		assert.NilError(t, err)
+		res, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, res.Body)
+		_, _ = io.WriteString(c, strings.Repeat("u", size-first)+"GET /menus/lists/graz-7 HTTP/1.1\r\nHost: h\r\n\r\n")
+		if !res.Close {
+			res, err = http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			text, err := io.ReadAll(res.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, http.StatusOK, "%d: %s", n, text)
+		}
+		assert.NilError(t, c.Close())
+	}
+}
