--- a/gateway/front/front_test.go
+++ b/gateway/front/front_test.go
@@ -43,6 +43,8 @@
 	targets []*roster.Target
 	// sent is the number of requests sent by call, and the last request's ID.
 	sent int
+	// endless is the number of responses without end that targets have begun.
+	endless atomic.Int64
 }
 
 func newFixture(t *testing.T) *fixture {
--- a/gateway/internal/heap/heap.go
+++ b/gateway/internal/heap/heap.go
@@ -1,37 +1,14 @@
-// Package heap measures the heap in tests.
+// Package heap measures allocations in tests.
 package heap
 
-import (
-	"runtime"
-	"time"
+import "runtime"
 
-	"golang.org/x/sync/errgroup"
-)
-
-// sampleInterval is the time between two measurements.
-const sampleInterval = 5 * time.Millisecond
-
-// Growth returns by how much the heap grows at most, garbage included, while run is running, in bytes.
-func Growth(run func()) int64 {
-	var before, during runtime.MemStats
-	runtime.GC()
+// Allocated returns how many bytes all goroutines allocate while run is running: by as much the heap grows if no garbage is
+// collected meanwhile.
+func Allocated(run func()) int64 {
+	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	peak := before.HeapAlloc
-	done := make(chan struct{})
-	var group errgroup.Group
-	group.Go(func() error {
-		defer close(done)
-		run()
-		return nil
-	})
-	for running := true; running; {
-		select {
-		case <-done:
-			running = false
-		case <-time.After(sampleInterval):
-		}
-		runtime.ReadMemStats(&during)
-		peak = max(peak, during.HeapAlloc)
-	}
-	return int64(peak - before.HeapAlloc)
+	run()
+	runtime.ReadMemStats(&after)
+	return int64(after.TotalAlloc - before.TotalAlloc)
 }
